--- /dev/null
+++ b/internal/drill/drill.go
@@ -0,0 +1,370 @@
+// Package drill plays router instances on the bench's wire: it decodes events, hands their fields to the router,
+// pulls its decisions and encodes them.
+package drill
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+
+	"github.com/valyala/fastjson"
+
+	"wayloft/router"
+)
+
+const alarmKey = "beat"
+
+type instance struct {
+	name   string
+	router *router.Router
+	zero   float64 // the clock time from which positions are counted, in ms
+	heard  bool    // it has had an event in this batch
+}
+
+type player struct {
+	now    float64
+	seq    int64
+	inside bool
+	all    map[string]*instance
+	heard  []*instance
+	lists  [16][]byte
+	out    *bufio.Writer
+	parser fastjson.Parser
+	rows   fastjson.Parser
+	arena  fastjson.Arena
+	buf    []byte
+}
+
+// Run answers batches from in on out until in ends.
+func Run(in io.Reader, out io.Writer) error {
+	p := &player{all: map[string]*instance{}, out: bufio.NewWriterSize(out, 1<<16)}
+	lines := bufio.NewReaderSize(in, 1<<16)
+	for n := 1; ; n++ {
+		line, err := lines.ReadBytes('\n')
+		if len(bytes.TrimSpace(line)) > 0 {
+			if bad := p.line(line); bad != nil {
+				return fmt.Errorf("line %d: %w", n, bad)
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			if p.inside {
+				return fmt.Errorf("line %d: input ends inside a batch", n)
+			}
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (p *player) line(line []byte) error {
+	v, err := p.parser.ParseBytes(line)
+	if err != nil {
+		return fmt.Errorf("not JSON: %w", err)
+	}
+	if v.Type() != fastjson.TypeObject {
+		return errors.New("not an object")
+	}
+	f := &fields{v: v}
+	op := f.text("op")
+	if f.err != nil {
+		return f.err
+	}
+	if err := p.event(op, f); err != nil {
+		return fmt.Errorf("%s: %w", op, err)
+	}
+	if f.err != nil {
+		return fmt.Errorf("%s: %w", op, f.err)
+	}
+	return nil
+}
+
+func (p *player) event(op string, f *fields) error {
+	if op == "BATCH" {
+		if p.inside {
+			return errors.New("the batch before it has not ended")
+		}
+		p.inside = true
+		p.now = f.number("wall") / 1000
+		p.seq = int64(f.number("frame"))
+		return f.err
+	}
+	if !p.inside {
+		return errors.New("outside a batch")
+	}
+	switch op {
+	case "EOF_BATCH":
+		return p.reply()
+	case "SNAPSHOT_ROWS":
+		n := int(f.number("ref"))
+		hosts := f.v.Get("hosts")
+		if f.err == nil && (n < 0 || n >= len(p.lists)) {
+			return fmt.Errorf("ref %d: must be 0 to %d", n, len(p.lists)-1)
+		}
+		if f.err == nil && (hosts == nil || hosts.Type() != fastjson.TypeArray) {
+			return errors.New("hosts: must be an array")
+		}
+		if f.err == nil {
+			p.lists[n] = hosts.MarshalTo(nil)
+		}
+		return f.err
+	case "BEGIN":
+		return p.begin(f)
+	case "HALT":
+		i := p.instance(f)
+		if f.err == nil {
+			delete(p.all, i.name)
+		}
+		return f.err
+	case "BACKENDS_CHANGED", "JOB_IN", "RETURNED", "CLIENT_GONE", "TIMEOUT_FIRED", "ECHO", "FIRST_BYTE", "WHISPER":
+	default:
+		return errors.New("unknown event")
+	}
+	i := p.instance(f)
+	if f.err != nil {
+		return f.err
+	}
+	r := i.router
+	switch op {
+	case "BACKENDS_CHANGED":
+		return p.list(i, f)
+	case "JOB_IN":
+		id, tenant, session, kind := f.text("call"), f.maybe("userGroup"), f.maybe("clientKey"), f.text("class")
+		groupNo, age, ttl := int(f.number("groupNo")), f.orZero("tokenAgeMs"), f.number("ttl")/1000
+		if f.err == nil && !r.Arrive(id, tenant, session, kind, groupNo, age, ttl) {
+			return fmt.Errorf("class: %q is not in the settings", kind)
+		}
+	case "RETURNED":
+		how, known := outcomes[int(f.number("how"))]
+		if f.err == nil && !known {
+			return fmt.Errorf("how: unknown outcome %d", int(f.number("how")))
+		}
+		role, gtid := router.Unsaid, router.Never
+		if mark := int64(f.orZero("mark")); mark != 0 {
+			role = router.Role(mark & 3)
+			if mark>>2 != 0 {
+				gtid = i.zero + float64(mark>>2)
+			}
+		}
+		id, seq, node, rtt := f.text("call"), int(f.orZero("seqNo")), f.text("node"), f.orZero("rtt")/1000
+		if done := f.flag("terminal"); f.err == nil {
+			r.Returned(id, seq, node, how, rtt, done, role, gtid)
+			p.report(i, node, f)
+		}
+	case "ECHO":
+		how, known := outcomes[int(f.number("how"))]
+		if f.err == nil && !known {
+			return fmt.Errorf("how: unknown outcome %d", int(f.number("how")))
+		}
+		if node := f.text("node"); f.err == nil {
+			r.Checked(node, how)
+			p.report(i, node, f)
+		}
+	case "CLIENT_GONE":
+		if id := f.text("call"); f.err == nil {
+			r.Gone(id)
+		}
+	case "TIMEOUT_FIRED":
+		r.Rang()
+	}
+	return f.err
+}
+
+var outcomes = map[int]router.Outcome{200: router.Committed, 500: router.Errored, 503: router.Full,
+	504: router.TimedOut, 502: router.ConnectFailed, 598: router.Reset, 499: router.Revoked, 410: router.Moot,
+	404: router.Miss}
+
+func (p *player) report(i *instance, node string, f *fields) {
+	load := &fields{v: f.v.Get("load")}
+	if load.v == nil || load.v.Type() == fastjson.TypeNull {
+		return
+	}
+	if load.v.Type() != fastjson.TypeObject {
+		f.fail("load", "an object")
+		return
+	}
+	if load.v.Exists("x0") {
+		role := router.Replica
+		if load.orZero("x1") >= 0.5 {
+			role = router.Primary
+		}
+		i.router.Reported(node, role, i.zero+load.number("x0")*1000)
+	}
+	if f.err == nil {
+		f.err = load.err
+	}
+}
+
+func (p *player) list(i *instance, f *fields) error {
+	mode := f.text("mode")
+	switch mode {
+	case "X":
+		i.router.ListFailed()
+		return f.err
+	case "D", "F", "C":
+	default:
+		if f.err == nil {
+			return fmt.Errorf("mode: unknown %q", mode)
+		}
+	}
+	n := int(f.number("ref"))
+	if f.err != nil {
+		return f.err
+	}
+	if n < 0 || n >= len(p.lists) || p.lists[n] == nil {
+		return fmt.Errorf("ref: list %d was never set", n)
+	}
+	rows, err := p.rows.ParseBytes(p.lists[n])
+	if err != nil {
+		return err
+	}
+	i.router.ListStart()
+	for _, row := range rows.GetArray() {
+		e := &fields{v: row}
+		id, zone, groupNo, word := e.text("node"), e.maybe("dc"), int(e.orZero("group")), e.text("state")
+		started := router.Never
+		if at := e.orZero("startTime"); at > 0 {
+			started = at / 1000
+		}
+		if e.err != nil {
+			return fmt.Errorf("ref: list %d: %w", n, e.err)
+		}
+		state, known := states[word]
+		if !known {
+			return fmt.Errorf("ref: list %d: state: unknown %q", n, word)
+		}
+		i.router.Listed(id, zone, groupNo, state, started)
+	}
+	i.router.ListEnd(mode != "D")
+	return nil
+}
+
+var states = map[string]router.State{"up": router.Up, "draining": router.Draining, "removed": router.Removed}
+
+func (p *player) instance(f *fields) *instance {
+	name := f.text("router")
+	i := p.all[name]
+	if f.err == nil && i == nil {
+		f.err = fmt.Errorf("router: %q has not begun", name)
+	}
+	if i != nil {
+		p.hear(i)
+	}
+	return i
+}
+
+func (p *player) hear(i *instance) {
+	if !i.heard {
+		i.heard = true
+		i.router.At(p.now)
+		p.heard = append(p.heard, i)
+	}
+}
+
+func (p *player) begin(f *fields) error {
+	name, facts := f.text("router"), f.v.Get("facts")
+	seed := f.v.Get("rngSeed")
+	if f.err != nil {
+		return f.err
+	}
+	if facts == nil || facts.Type() != fastjson.TypeObject {
+		return errors.New("facts: must be an object")
+	}
+	if seed == nil || seed.Type() != fastjson.TypeNumber {
+		return errors.New("rngSeed: must be a number")
+	}
+	set, zero, err := settings(facts)
+	if err != nil {
+		return fmt.Errorf("facts: %w", err)
+	}
+	// A seed beyond 64 bits, or with a sign, still differs from others by its digits.
+	n, err := strconv.ParseUint(seed.String(), 10, 64)
+	if err != nil {
+		n = uint64(int64(seed.GetFloat64()))
+	}
+	i := &instance{name: name, router: router.New(set, n), zero: zero}
+	p.all[name] = i
+	p.hear(i)
+	return nil
+}
+
+// reply pulls the decisions of all instances that have heard something, in the order in which they did.
+func (p *player) reply() error {
+	for _, i := range p.heard {
+		i.heard = false
+		if p.all[i.name] != i {
+			continue
+		}
+		for {
+			d, more := i.router.Next()
+			if !more {
+				break
+			}
+			p.write(i.name, d)
+		}
+	}
+	p.heard = p.heard[:0]
+	p.inside = false
+	p.buf = append(p.buf[:0], `{"op":"ACK","frame":`...)
+	p.buf = strconv.AppendInt(p.buf, p.seq, 10)
+	p.buf = append(p.buf, "}\n"...)
+	p.out.Write(p.buf)
+	return p.out.Flush()
+}
+
+var verbs = map[router.Verb]string{router.Submit: "HAND_OFF", router.Revoke: "REVOKE", router.Decline: "SAY_NO",
+	router.RollBack: "FAIL", router.Check: "HEALTH_CHECK", router.Watch: "WATCH", router.Alarm: "SET_ALARM"}
+
+func (p *player) write(name string, d router.Decision) {
+	p.buf = append(p.buf[:0], '{')
+	p.put("op", verbs[d.Verb])
+	p.put("router", name)
+	if d.Txn != "" {
+		p.put("call", d.Txn)
+	}
+	if d.Member != "" {
+		p.put("node", d.Member)
+	}
+	switch d.Verb {
+	case router.Submit:
+		if d.Wait > 0 {
+			p.putNumber("cap", d.Wait*1000)
+		}
+	case router.Revoke:
+		p.putNumber("seqNo", float64(d.Seq))
+	case router.Decline:
+		if d.Wait > 0 {
+			p.putNumber("wait", d.Wait*1000)
+		}
+	case router.Watch:
+		p.buf = append(p.buf, `"on":true,`...)
+	case router.Alarm:
+		p.putNumber("time", d.At*1000)
+		p.put("keyBack", alarmKey)
+	}
+	p.buf[len(p.buf)-1] = '}'
+	p.buf = append(p.buf, '\n')
+	p.out.Write(p.buf)
+}
+
+func (p *player) put(key, text string) {
+	p.buf = append(p.buf, '"')
+	p.buf = append(p.buf, key...)
+	p.buf = append(p.buf, `":`...)
+	p.arena.Reset()
+	p.buf = p.arena.NewString(text).MarshalTo(p.buf)
+	p.buf = append(p.buf, ',')
+}
+
+func (p *player) putNumber(key string, x float64) {
+	p.buf = append(p.buf, '"')
+	p.buf = append(p.buf, key...)
+	p.buf = append(p.buf, `":`...)
+	p.buf = strconv.AppendInt(p.buf, int64(math.Ceil(x)), 10)
+	p.buf = append(p.buf, ',')
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,734 @@
+// Package router decides where the txns of one router go. Its interface is in types.go.
+//
+// The host calls At first whenever something has come in, then the inputs (Listed, Arrive, Returned ...), which
+// only update what is known, then pulls Next until it has nothing left, and does each decision before the next.
+// Instances share nothing, read no clock and draw chance from their own seed.
+package router
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"math"
+	"sort"
+)
+
+const (
+	beat       = 10.0  // ms between two alarms, and the least between two checks of one member (DESIGN)
+	restCheck  = 1000  // check period where nothing presses (DESIGN)
+	recheckGap = 500.0 // check period while a group has no primary (DESIGN)
+	memory     = 3000  // ms over which latencies and failures fade: some tens of answers at a moderate rate
+	doubt      = 7.0   // a silence this many expected waits long is one healthy chance in a thousand (e^-7)
+	trialGap   = 500.0 // between two trials of a member in doubt: as often as a recheck looks
+)
+
+// Never is the time of what has not happened, and the position of what told none.
+var Never = math.Inf(-1)
+
+// fade is a sum that decays; it is brought up to date when read.
+type fade struct{ sum, at float64 }
+
+func (f *fade) read(now, span float64) float64 {
+	if now > f.at {
+		f.sum *= math.Exp((f.at - now) / span)
+		f.at = now
+	}
+	return f.sum
+}
+
+func (f *fade) add(now, span, x float64) { f.sum = f.read(now, span) + x }
+
+// member is this router's own record of one server.
+type member struct {
+	id, zone   string
+	group      *group
+	barred     bool    // the list says that it drains or is gone
+	started    float64 // Never: long ago
+	known      bool    // some check or answer has told its role since it was last marked unknown
+	down       bool    // reset or failed to connect, and no check has gone through since
+	claim      float64 // when it was last known primary
+	denial     float64 // when it was last known not to be
+	gtid       float64 // a time up to which it surely has every commit
+	behind     float64 // how far behind it seemed at the last check or miss
+	checkSent  float64
+	checkOut   bool
+	prompt     bool // check as soon as the least gap allows
+	inFlight   int
+	lastAnswer float64
+	lastSent   float64
+	weight     float64 // over submissions out: sum of 1 / expected wait
+	since      float64 // and of their start / expected wait, a start being no earlier than the last answer
+	doubted    bool    // has been silent too long; cleared by any answer to a submission
+	slow, seen fade    // latency against what is usual for the txn type
+	good, bad  fade    // submissions answered well, and refused or failed by the member itself
+	work       fade    // expected work sent, over the fall window
+}
+
+type group struct {
+	members []*member
+	ready   bool // its first check has come back
+	reads   fade // reads that need a known position
+}
+
+type submission struct {
+	to       *member
+	at       float64
+	expected float64
+	out      bool
+	revoked  bool
+}
+
+type txn struct {
+	id       string
+	kind     *TxnType
+	use      *usage
+	group    *group
+	arrived  float64
+	expiry   float64
+	needs    float64 // the position a session or fresh read must see
+	session  string
+	value    float64
+	subs     []submission
+	out      int
+	mayRun   float64 // when the earliest submission that may have run went out; Never: none may have
+	ranZone  string
+	met      Outcome // how the last submission ended
+	asked    float64 // when checks were asked for on its behalf
+	placed   bool    // not waiting for a decision
+	over     bool    // it has had its final answer
+	revoking bool
+}
+
+// usage is what one txn type has shown of itself.
+type usage struct{ wait, n fade }
+
+// Router decides for one instance.
+type Router struct {
+	set     *Settings
+	seed    uint64
+	draws   uint64
+	now     float64
+	members map[string]*member
+	order   []*member // as first listed
+	groups  map[int]*group
+	txns    map[string]*txn
+	waiting []*txn
+	sorted  bool
+	cursor  int
+	commits map[string]float64 // session: its last commit, where tokens are the router's own memory
+	uses    map[*TxnType]*usage
+	shares  map[string]*fade
+
+	listed    map[string]bool
+	wantWatch float64 // when to ask for the list again
+	alarmAt   float64
+}
+
+func New(set *Settings, seed uint64) *Router {
+	r := &Router{set: set, seed: seed, members: map[string]*member{}, groups: map[int]*group{},
+		txns: map[string]*txn{}, commits: map[string]float64{}, uses: map[*TxnType]*usage{},
+		shares: map[string]*fade{}, wantWatch: math.Inf(1)}
+	if set.Ask {
+		r.wantWatch = Never
+	}
+	for _, kind := range set.TxnTypes {
+		r.uses[kind] = &usage{}
+	}
+	return r
+}
+
+func (r *Router) chance() float64 {
+	r.draws++
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], r.seed)
+	binary.LittleEndian.PutUint64(b[8:], r.draws)
+	h := fnv.New64a()
+	h.Write(b[:])
+	x := h.Sum64()
+	x ^= x >> 32 // FNV leaves its high bits poor on short inputs
+	x *= 0x9e3779b97f4a7c15
+	return float64(x>>11) / (1 << 53)
+}
+
+// Inputs
+
+// At sets the time; all that follows until the next call happens then.
+func (r *Router) At(now float64) {
+	r.now = now
+	r.cursor = 0
+	for _, m := range r.order {
+		// Guards against whatever takes txns and answers none: hung, vanished or cut off. Long pauses and one
+		// very long txn on an idle router look the same for a while; the first answer ends the doubt.
+		if !m.doubted && m.weight*now-m.since > doubt {
+			m.doubted = true
+			r.recheck(m.group)
+		}
+	}
+}
+
+// ListStart, Listed and ListEnd convey one list, whole or of changes.
+func (r *Router) ListStart() { r.listed = map[string]bool{} }
+
+func (r *Router) Listed(id, zone string, groupNo int, state State, started float64) {
+	g := r.groups[groupNo]
+	if g == nil {
+		g = &group{}
+		r.groups[groupNo] = g
+	}
+	m := r.members[id]
+	if m == nil {
+		m = &member{id: id, zone: zone, group: g, claim: Never, denial: Never, gtid: Never, started: Never,
+			checkSent: Never, lastAnswer: Never, lastSent: Never, prompt: true}
+		r.members[id] = m
+		r.order = append(r.order, m)
+		g.members = append(g.members, m)
+	}
+	r.listed[id] = true
+	if started > m.started {
+		m.started = started
+		m.prompt = true
+	}
+	if !r.set.SoftRemoval || state != Removed {
+		m.barred = state != Up
+	}
+}
+
+func (r *Router) ListEnd(whole bool) {
+	for _, m := range r.order {
+		if whole && !r.listed[m.id] && !r.set.SoftRemoval {
+			m.barred = true
+		}
+	}
+	if r.set.Ask && r.wantWatch != Never {
+		r.wantWatch = math.Inf(1)
+	}
+}
+
+// ListFailed says that a call failed or the subscription broke. Asking again waits a little and differs from
+// router to router, so that many of them don't jam the list's service.
+func (r *Router) ListFailed() {
+	if r.set.Ask {
+		r.wantWatch = math.Min(r.wantWatch, r.now+r.set.AskWithin/8*(0.5+r.chance()))
+	}
+}
+
+// Arrive takes a txn; false: its txn type is not in the settings.
+func (r *Router) Arrive(id, tenant, session, txnType string, groupNo int, tokenAge, ttl float64) bool {
+	kind := r.set.TxnTypes[txnType]
+	if kind == nil {
+		return false
+	}
+	g := r.groups[groupNo]
+	if g == nil {
+		g = &group{}
+		r.groups[groupNo] = g
+	}
+	t := &txn{id: id, kind: kind, use: r.uses[kind], group: g, arrived: r.now, expiry: r.now + ttl, needs: Never,
+		session: session, mayRun: Never, asked: Never, value: kind.Value}
+	switch {
+	case kind.Level == Session && r.set.Remembered:
+		if at, ok := r.commits[session]; ok {
+			t.needs = at
+		}
+	case kind.Level == Session && tokenAge > 0:
+		t.needs = r.now - tokenAge
+	case kind.Level == Fresh:
+		t.needs = r.now
+	}
+	if kind.Level == Session || kind.Level == Bounded {
+		g.reads.add(r.now, memory, 1)
+	}
+	if quota, ok := r.set.Tenants[tenant]; ok {
+		f := r.shares[tenant]
+		if f == nil {
+			f = &fade{}
+			r.shares[tenant] = f
+		}
+		f.add(r.now, memory, 1)
+		if f.read(r.now, memory)*1000/memory > quota/float64(r.set.Routers) {
+			t.value *= r.set.OverShareValue
+		}
+	}
+	r.txns[id] = t
+	r.wait(t)
+	return true
+}
+
+func (r *Router) wait(t *txn) {
+	t.placed = false
+	r.waiting = append(r.waiting, t)
+	r.sorted = false
+}
+
+// Returned says how a submission ended. gtid is never where the answer told no position.
+func (r *Router) Returned(id string, seq int, node string, how Outcome, rtt float64, done bool, role Role,
+	gtid float64) {
+	m := r.members[node]
+	t := r.txns[id]
+	if m == nil || t == nil || seq >= len(t.subs) || !t.subs[seq].out {
+		return
+	}
+	r.answered(m, t, seq, how, rtt, role, gtid)
+	if how == Committed && t.kind.Level == Write && r.set.Remembered && t.session != "" {
+		r.commits[t.session] = math.Max(r.commits[t.session], gtid)
+	}
+	sub := &t.subs[seq]
+	sub.out = false
+	t.out--
+	t.met = how
+	switch how {
+	case Errored, TimedOut, Reset, Revoked:
+		if t.mayRun == Never || sub.at < t.mayRun {
+			t.mayRun = sub.at
+		}
+		t.ranZone = m.zone
+	}
+	t.over = t.over || done
+	switch {
+	case t.over:
+		r.forget(t)
+	case t.placed && t.out == 0:
+		r.wait(t)
+	}
+}
+
+// forget drops a txn that has had its final answer once none of its submissions is out any more.
+func (r *Router) forget(t *txn) {
+	t.over = true
+	if t.out == 0 {
+		delete(r.txns, t.id)
+	}
+}
+
+// answered updates the record of a member from the end of a submission to it.
+func (r *Router) answered(m *member, t *txn, seq int, how Outcome, rtt float64, role Role, gtid float64) {
+	m.settle(t.subs[seq])
+	switch how {
+	case Committed, Errored, Full, Miss:
+		m.lastAnswer = r.now
+		m.since = m.weight * r.now
+		m.doubted, m.down = false, false
+		m.tell(role, r.now, gtid)
+		if how == Miss {
+			r.missed(m, t)
+		}
+	case ConnectFailed, Reset:
+		r.markDown(m)
+	}
+	switch {
+	case how == Committed:
+		usual := t.use.usual(r.now, t.kind)
+		t.use.wait.add(r.now, memory, rtt)
+		t.use.n.add(r.now, memory, 1)
+		m.slow.add(r.now, memory, rtt/usual)
+		m.seen.add(r.now, memory, 1)
+		m.good.add(r.now, memory, 1)
+	case how == Errored || how == Full:
+		m.bad.add(r.now, memory, 1)
+	}
+}
+
+// settle takes one submission off what is out at the member.
+func (m *member) settle(sub submission) {
+	m.inFlight--
+	if m.inFlight <= 0 {
+		m.inFlight, m.weight, m.since = 0, 0, 0
+		return
+	}
+	m.weight -= 1 / sub.expected
+	m.since -= math.Max(sub.at, m.lastAnswer) / sub.expected
+}
+
+func (m *member) tell(role Role, at, gtid float64) {
+	m.gtid = math.Max(m.gtid, gtid)
+	switch role {
+	case Primary:
+		m.claim = math.Max(m.claim, at)
+		m.known = true
+	case Replica:
+		m.denial = math.Max(m.denial, at)
+		m.known = true
+	}
+}
+
+// missed: a write's miss proves that the member is not primary, a read's that it is further behind than thought.
+func (r *Router) missed(m *member, t *txn) {
+	if t.kind.Level == Write || t.kind.Level == Fresh {
+		m.denial = r.now
+		m.known = false
+		r.recheck(m.group)
+		return
+	}
+	m.behind = math.Max(m.behind, r.now-t.bound(r.now))
+	m.prompt = true
+}
+
+func (r *Router) markDown(m *member) {
+	m.down, m.known = true, false
+	m.denial = r.now
+	r.recheck(m.group)
+}
+
+func (r *Router) recheck(g *group) {
+	for _, m := range g.members {
+		m.prompt = true
+	}
+}
+
+// Checked conveys the end of a check.
+func (r *Router) Checked(node string, how Outcome) {
+	m := r.members[node]
+	if m == nil {
+		return
+	}
+	m.checkOut = false
+	m.group.ready = true
+	if how != Committed {
+		if !m.down {
+			r.markDown(m)
+		}
+		return
+	}
+	m.down = false
+}
+
+// Reported conveys a load report with a role and a position. It is dated by that position, since it may be old
+// and nothing else tells how old: a primary stands at the present, a replica a little before.
+func (r *Router) Reported(node string, role Role, gtid float64) {
+	if m := r.members[node]; m != nil {
+		m.tell(role, gtid, gtid)
+		m.behind = math.Max(0, r.now-gtid)
+	}
+}
+
+// Gone says that the client of a txn has left; nothing is owed any more.
+func (r *Router) Gone(id string) {
+	if t := r.txns[id]; t != nil {
+		r.forget(t)
+	}
+}
+
+// Rang says that the alarm has come.
+func (r *Router) Rang() { r.alarmAt = 0 }
+
+// Decisions
+
+// Next gives the next decision; false: none is left.
+func (r *Router) Next() (Decision, bool) {
+	if r.wantWatch <= r.now {
+		r.wantWatch = math.Inf(1)
+		return Decision{Verb: Watch}, true
+	}
+	if d, ok := r.nextRevoke(); ok {
+		return d, true
+	}
+	if d, ok := r.nextTxn(); ok {
+		return d, true
+	}
+	if d, ok := r.nextCheck(); ok {
+		return d, true
+	}
+	if r.alarmAt <= r.now {
+		r.alarmAt = r.now + beat
+		return Decision{Verb: Alarm, At: r.alarmAt}, true
+	}
+	return Decision{}, false
+}
+
+func (r *Router) nextCheck() (Decision, bool) {
+	if !r.set.CanCheck {
+		return Decision{}, false
+	}
+	for _, m := range r.order {
+		if m.checkOut || m.barred || r.now-m.checkSent < beat {
+			continue
+		}
+		if m.prompt || r.now-m.checkSent >= r.period(m.group) {
+			m.prompt, m.checkOut, m.checkSent = false, true, r.now
+			return Decision{Verb: Check, Member: m.id}, true
+		}
+	}
+	return Decision{}, false
+}
+
+// period is well inside the smallest bound where enough reads need it to pay for the checks, else the resting one.
+func (r *Router) period(g *group) float64 {
+	if p := r.primary(g); p == nil || p.doubted {
+		return recheckGap
+	}
+	least := restCheck * 1.0
+	for kind := range r.uses {
+		if kind.Level == Bounded {
+			least = math.Min(least, kind.Bound/3)
+		}
+	}
+	rate := g.reads.read(r.now, memory) / memory
+	return math.Max(least, math.Min(restCheck, 2*float64(len(g.members))/rate))
+}
+
+// primary is the member with the latest claim that nothing later denies.
+func (r *Router) primary(g *group) *member {
+	var best *member
+	for _, m := range g.members {
+		if m.claim > m.denial && !m.down && !m.barred && (best == nil || m.claim > best.claim) {
+			best = m
+		}
+	}
+	return best
+}
+
+// nextRevoke takes repeatable txns back from a member in doubt, so that they can go elsewhere.
+func (r *Router) nextRevoke() (Decision, bool) {
+	if !r.set.CanRevoke {
+		return Decision{}, false
+	}
+	doubted := false
+	for _, m := range r.order {
+		doubted = doubted || m.doubted && m.inFlight > 0
+	}
+	if !doubted {
+		return Decision{}, false
+	}
+	var first *txn
+	for _, t := range r.txns {
+		if t.over || t.out == 0 || t.kind.Effect != Repeatable || t.revoking {
+			continue
+		}
+		sub := &t.subs[len(t.subs)-1]
+		if sub.to.doubted && r.now-sub.at > sub.expected && (first == nil || t.id < first.id) {
+			first = t
+		}
+	}
+	if first == nil {
+		return Decision{}, false
+	}
+	first.revoking = true
+	return Decision{Verb: Revoke, Txn: first.id, Seq: len(first.subs) - 1}, true
+}
+
+func (r *Router) nextTxn() (Decision, bool) {
+	if !r.sorted {
+		sort.SliceStable(r.waiting, func(i, j int) bool {
+			a, b := r.waiting[i], r.waiting[j]
+			if a.value != b.value {
+				return a.value > b.value
+			}
+			return a.expiry < b.expiry
+		})
+		r.sorted = true
+	}
+	kept := r.waiting[:0]
+	var d Decision
+	acted := false
+	for i, t := range r.waiting {
+		if t.placed || t.over {
+			continue
+		}
+		if i >= r.cursor && !acted {
+			d, acted = r.place(t)
+			if acted {
+				r.cursor = len(kept)
+				continue
+			}
+		}
+		kept = append(kept, t)
+	}
+	r.waiting = kept
+	if !acted {
+		r.cursor = len(kept)
+	}
+	return d, acted
+}
+
+// place sends, ends or holds one waiting txn.
+func (r *Router) place(t *txn) (Decision, bool) {
+	if r.hopeless(t) {
+		return r.end(t), true
+	}
+	m := r.pick(t)
+	if m == nil {
+		return Decision{}, false
+	}
+	expected := t.use.usual(r.now, t.kind) * m.slowness(r.now)
+	t.subs = append(t.subs, submission{to: m, at: r.now, expected: expected, out: true})
+	t.out++
+	t.placed, t.revoking = true, false
+	m.inFlight++
+	m.lastSent = r.now
+	m.weight += 1 / expected
+	m.since += r.now / expected
+	m.work.add(r.now, r.set.FallWindow, t.use.usual(r.now, t.kind))
+	return Decision{Verb: Submit, Txn: t.id, Member: m.id}, true
+}
+
+// hopeless tells that nothing more can come of sending the txn.
+func (r *Router) hopeless(t *txn) bool {
+	usual := t.use.usual(r.now, t.kind)
+	switch {
+	case r.now >= t.expiry || len(t.subs) >= r.set.Submissions:
+		return true
+	case t.mayRun != Never && t.kind.Effect == OnceOnly:
+		return true
+	case t.kind.Level == Write && t.mayRun != Never && t.met == Reset:
+		return true // DESIGN: a write that met a reset ends in error
+	case t.mayRun != Never && t.kind.Effect == Referenced && r.now-t.mayRun > t.kind.Window:
+		return true
+	case t.kind.LateValue == 0 && r.now+usual/2 > t.arrived+t.kind.SLA:
+		return true
+	}
+	return r.now+usual/2 > t.expiry
+}
+
+func (r *Router) end(t *txn) Decision {
+	r.forget(t)
+	if t.mayRun != Never && (t.kind.Effect == OnceOnly || t.kind.Effect == Referenced && t.kind.Scope != ScopeAll) {
+		return Decision{Verb: RollBack, Txn: t.id}
+	}
+	return Decision{Verb: Decline, Txn: t.id, Wait: math.Min(r.set.RetryAfter, recheckGap)}
+}
+
+// usual is the smoothed time from submission to answer of a txn type, over all members.
+func (u *usage) usual(now float64, kind *TxnType) float64 {
+	// Until some answers are in, half the SLA time: whoever set it expects answers well inside it.
+	return (u.wait.read(now, memory) + kind.SLA/2) / (u.n.read(now, memory) + 1)
+}
+
+// slowness is the member's smoothed latency against what is usual.
+func (m *member) slowness(now float64) float64 {
+	return (m.slow.read(now, memory) + 1) / (m.seen.read(now, memory) + 1)
+}
+
+// bound is the position that the txn must see if sent now.
+func (t *txn) bound(now float64) float64 {
+	if t.kind.Level == Bounded {
+		return now - t.kind.Bound
+	}
+	return t.needs
+}
+
+// pick chooses a member for the txn, or none: it waits.
+func (r *Router) pick(t *txn) *member {
+	if t.kind.Level == Write || t.kind.Level == Fresh {
+		return r.fit(t, r.primary(t.group))
+	}
+	pri := r.primary(t.group)
+	need := t.bound(r.now)
+	var fresh, likely, rest []*member
+	for _, m := range t.group.members {
+		if r.fit(t, m) == nil {
+			continue
+		}
+		if m.doubted {
+			return m // its trial is due
+		}
+		if m == pri {
+			continue
+		}
+		switch {
+		case m.gtid >= need:
+			fresh = append(fresh, m)
+		case r.now-m.behind >= need:
+			likely = append(likely, m)
+		default:
+			rest = append(rest, m)
+		}
+	}
+	if len(fresh) > 0 {
+		return r.draw(fresh)
+	}
+	if !t.group.ready && r.set.CanCheck {
+		return nil // a fresh router: wait for the group's first check
+	}
+	if r.set.Lag != LagAnswers {
+		if len(likely) > 0 {
+			return r.draw(likely)
+		}
+		if len(t.subs) == 0 && len(rest) > 0 {
+			sort.SliceStable(rest, func(i, j int) bool { return rest[i].behind < rest[j].behind })
+			return rest[0]
+		}
+		return r.fit(t, pri)
+	}
+	// Nobody is known fresh enough, which is most often for want of a recent check: ask two of the replicas and
+	// wait a moment, as server selection does in the source. The wait is an eighth of the SLA time at most.
+	if all := append(likely, rest...); len(all) > 0 && r.set.CanCheck && t.asked == Never {
+		t.asked = r.now
+		r.draw(all).prompt = true
+		r.draw(all).prompt = true
+		return nil
+	}
+	if r.now-t.asked < t.kind.SLA/8 {
+		for _, m := range t.group.members {
+			if m.checkOut && !m.doubted && !m.down {
+				return nil
+			}
+		}
+	}
+	return r.fit(t, pri)
+}
+
+// draw picks one of the members by chance, weighted against smoothed latency times one plus requests in flight.
+func (r *Router) draw(from []*member) *member {
+	total := 0.0
+	weights := make([]float64, len(from))
+	for i, m := range from {
+		good, bad := m.good.read(r.now, memory), m.bad.read(r.now, memory)
+		cost := m.slowness(r.now) * float64(1+m.inFlight)
+		// Guards against members that fail or refuse quickly, whose latency would draw more txns to them.
+		well := (good + 1) / (good + bad + 1)
+		weights[i] = math.Pow(well, 4) * r.warmth(m) / cost
+		total += weights[i]
+	}
+	x := r.chance() * total
+	for i, w := range weights {
+		if x -= w; x < 0 {
+			return from[i]
+		}
+	}
+	return from[len(from)-1]
+}
+
+// warmth is the least share of its usual work that a member can do by now.
+func (r *Router) warmth(m *member) float64 {
+	return math.Min(1, r.set.ColdFrom+(1-r.set.ColdFrom)*(r.now-m.started)/r.set.WarmUp)
+}
+
+// fit is the one place that every send passes: it gives the member back if the txn may go there now, else nil.
+func (r *Router) fit(t *txn, m *member) *member {
+	if m == nil || m.barred || m.down || t.placed || t.over || t.out > 0 && !r.set.SecondCopies {
+		return nil
+	}
+	// Rule 2: a referenced txn that may have run stays where its repeats are discarded.
+	if t.mayRun != Never && t.kind.Effect == Referenced && t.kind.Scope == ScopeZone && m.zone != t.ranZone {
+		return nil
+	}
+	// Rule 5: where members answer whatever they hold, only a known position will do.
+	need := t.bound(r.now)
+	if t.kind.Level != Any && r.set.Lag == LagAnswers && m.gtid < need && m != r.primary(m.group) {
+		return nil
+	}
+	if m.doubted && (r.now-m.lastSent < trialGap || t.kind.Effect != Repeatable) {
+		return nil
+	}
+	if r.warmth(m) < 1 && !r.bears(m, t) {
+		return nil
+	}
+	return m
+}
+
+// bears tells whether a cold member can take one more (rule 4): what this router sends it within the fall window
+// stays under half the allowed multiple of the cold share of what it sends a warm member, which that one bears.
+func (r *Router) bears(m *member, t *txn) bool {
+	sum, n := 0.0, 0
+	for _, o := range r.order {
+		if r.warmth(o) >= 1 && !o.barred && !o.down {
+			sum += o.work.read(r.now, r.set.FallWindow)
+			n++
+		}
+	}
+	work := t.use.usual(r.now, t.kind)
+	sent := m.work.read(r.now, r.set.FallWindow)
+	if n == 0 {
+		return sent < work
+	}
+	return sent+work <= math.Max(work, r.set.FallMultiple/2*r.warmth(m)*sum/float64(n))
+}
