Learn how much each member may hold at once; hold the rest by value

Each member now has a limit on this router's submissions, moved by whether answers take less than half their SLA time and halved by a refusal; what goes over it waits here in order of value per ms of work.

--- a/router/router.go
+++ b/router/router.go
@@ -18,6 +18,7 @@
 	recheckGap = 500.0 // check period while a group has no primary (DESIGN)
 	memory     = 3000  // ms over which latencies and failures fade: some tens of answers at a moderate rate
 	doubt      = 7.0   // a silence this many expected waits long is one healthy chance in a thousand (e^-7)
+	firstLimit = 4.0   // submissions at once to a member not yet known: some, but no flood
 	trialGap   = 500.0 // between two trials of a member in doubt: as often as a recheck looks
 )
 
@@ -61,6 +62,8 @@
 	slow, seen fade    // latency against what is usual for the txn type
 	good, bad  fade    // submissions answered well, and refused or failed by the member itself
 	work       fade    // expected work sent, over the fall window
+	limit      float64 // how many of this router's submissions it may hold at once
+	cutAt      float64 // when a refusal last cut the limit
 }
 
 type group struct {
@@ -87,6 +90,7 @@
 	needs    float64 // the position a session or fresh read must see
 	session  string
 	value    float64
+	rank     float64 // its place among those waiting
 	subs     []submission
 	out      int
 	mayRun   float64 // when the earliest submission that may have run went out; Never: none may have
@@ -155,6 +159,7 @@
 func (r *Router) At(now float64) {
 	r.now = now
 	r.cursor = 0
+	r.sorted = false
 	for _, m := range r.order {
 		// Guards against whatever takes txns and answers none: hung, vanished or cut off. Long pauses and one
 		// very long txn on an idle router look the same for a while; the first answer ends the doubt.
@@ -177,7 +182,7 @@
 	m := r.members[id]
 	if m == nil {
 		m = &member{id: id, zone: zone, group: g, claim: Never, denial: Never, gtid: Never, started: Never,
-			checkSent: Never, lastAnswer: Never, lastSent: Never, prompt: true}
+			checkSent: Never, lastAnswer: Never, lastSent: Never, cutAt: Never, prompt: true, limit: firstLimit}
 		r.members[id] = m
 		r.order = append(r.order, m)
 		g.members = append(g.members, m)
@@ -186,6 +191,7 @@
 	if started > m.started {
 		m.started = started
 		m.prompt = true
+		m.limit = math.Max(1, math.Min(firstLimit, m.limit*r.set.ColdFrom))
 	}
 	if !r.set.SoftRemoval || state != Removed {
 		m.barred = state != Up
@@ -322,8 +328,26 @@
 		m.slow.add(r.now, memory, rtt/usual)
 		m.seen.add(r.now, memory, 1)
 		m.good.add(r.now, memory, 1)
-	case how == Errored || how == Full:
+		m.adapt(rtt < t.kind.SLA/2)
+	case how == Errored:
 		m.bad.add(r.now, memory, 1)
+	case how == Full && r.now-m.cutAt > 10*beat:
+		m.limit = math.Max(1, math.Min(m.limit, float64(m.inFlight+1))/2)
+		m.cutAt = r.now
+	}
+}
+
+// adapt moves the limit towards where one answer in five takes more than half its SLA time: with waits that fall
+// off exponentially about one in twenty-five is then late, while the member is still kept busy. It guards against
+// overload from any cause (surges, clients' retries, slow or cold members, fewer members left): what a member
+// can't take in time is held here, in order of value, in place of jamming its queue. It may hold back too much
+// on a router with so little traffic that its limit seldom moves.
+func (m *member) adapt(soon bool) {
+	step := math.Max(0.1, m.limit/50)
+	if !soon {
+		m.limit = math.Max(1, m.limit-4*step)
+	} else if float64(m.inFlight+1) >= m.limit-1 {
+		m.limit += step
 	}
 }
 
@@ -507,10 +531,13 @@
 
 func (r *Router) nextTxn() (Decision, bool) {
 	if !r.sorted {
+		for _, t := range r.waiting {
+			t.rank = t.worth(r.now)
+		}
 		sort.SliceStable(r.waiting, func(i, j int) bool {
 			a, b := r.waiting[i], r.waiting[j]
-			if a.value != b.value {
-				return a.value > b.value
+			if a.rank != b.rank {
+				return a.rank > b.rank
 			}
 			return a.expiry < b.expiry
 		})
@@ -539,6 +566,15 @@
 	return d, acted
 }
 
+// worth is the value to be had from sending the txn now, for each ms of work.
+func (t *txn) worth(now float64) float64 {
+	usual := t.use.usual(now, t.kind)
+	if now+usual > t.arrived+t.kind.SLA {
+		return t.value * t.kind.LateValue / usual
+	}
+	return t.value / usual
+}
+
 // place sends, ends or holds one waiting txn.
 func (r *Router) place(t *txn) (Decision, bool) {
 	if r.hopeless(t) {
@@ -709,7 +745,7 @@
 	if m.doubted && (r.now-m.lastSent < trialGap || t.kind.Effect != Repeatable) {
 		return nil
 	}
-	if r.warmth(m) < 1 && !r.bears(m, t) {
+	if float64(m.inFlight) >= m.limit || r.warmth(m) < 1 && !r.bears(m, t) {
 		return nil
 	}
 	return m
