--- a/router/router.go
+++ b/router/router.go
@@ -331,6 +331,8 @@
 		m.adapt(rtt < t.kind.SLA/2)
 	case how == Errored:
 		m.bad.add(r.now, memory, 1)
+	case how == TimedOut || how == Revoked:
+		m.adapt(false) // else only those that were answered would count
 	case how == Full && r.now-m.cutAt > 10*beat:
 		m.limit = math.Max(1, math.Min(m.limit, float64(m.inFlight+1))/2)
 		m.cutAt = r.now
