--- a/router/router.go
+++ b/router/router.go
@@ -17,6 +17,7 @@
 	restCheck  = 1000  // check period where nothing presses (DESIGN)
 	recheckGap = 500.0 // check period while a group has no primary (DESIGN)
 	memory     = 3000  // ms over which latencies and failures fade: some tens of answers at a moderate rate
+	ghostly    = 500.0 // ms over which given up work fades from a member: the middle of common work times
 	doubt      = 7.0   // a silence this many expected waits long is one healthy chance in a thousand (e^-7)
 	firstLimit = 4.0   // submissions at once to a member not yet known: some, but no flood
 	trialGap   = 500.0 // between two trials of a member in doubt: as often as a recheck looks
@@ -54,6 +55,7 @@
 	checkOut   bool
 	prompt     bool // check as soon as the least gap allows
 	inFlight   int
+	ghosts     fade // submissions given up that the member may still be working on
 	lastAnswer float64
 	lastSent   float64
 	weight     float64 // over submissions out: sum of 1 / expected wait
@@ -333,6 +335,7 @@
 		m.bad.add(r.now, memory, 1)
 	case how == TimedOut || how == Revoked:
 		m.adapt(false) // else only those that were answered would count
+		m.ghosts.add(r.now, ghostly, 1)
 	case how == Full && r.now-m.cutAt > 10*beat:
 		m.limit = math.Max(1, math.Min(m.limit, float64(m.inFlight+1))/2)
 		m.cutAt = r.now
@@ -353,6 +356,11 @@
 	}
 }
 
+// load is what the member holds of this router's, as far as known. What was given up on may run on there: it
+// still counts, fading. That guards against filling a jammed member again each time that something times out;
+// where members do drop such work, it spares them for a moment longer than needed.
+func (m *member) load(now float64) float64 { return float64(m.inFlight) + m.ghosts.read(now, ghostly) }
+
 // settle takes one submission off what is out at the member.
 func (m *member) settle(sub submission) {
 	m.inFlight--
@@ -710,7 +718,7 @@
 	weights := make([]float64, len(from))
 	for i, m := range from {
 		good, bad := m.good.read(r.now, memory), m.bad.read(r.now, memory)
-		cost := m.slowness(r.now) * float64(1+m.inFlight)
+		cost := m.slowness(r.now) * (1 + m.load(r.now))
 		// Guards against members that fail or refuse quickly, whose latency would draw more txns to them.
 		well := (good + 1) / (good + bad + 1)
 		weights[i] = math.Pow(well, 4) * r.warmth(m) / cost
@@ -747,7 +755,7 @@
 	if m.doubted && (r.now-m.lastSent < trialGap || t.kind.Effect != Repeatable) {
 		return nil
 	}
-	if float64(m.inFlight) >= m.limit || r.warmth(m) < 1 && !r.bears(m, t) {
+	if m.load(r.now) >= m.limit || r.warmth(m) < 1 && !r.bears(m, t) {
 		return nil
 	}
 	return m
