--- a/router/router.go
+++ b/router/router.go
@@ -17,7 +17,7 @@
 	restCheck  = 1000  // check period where nothing presses (DESIGN)
 	recheckGap = 500.0 // check period while a group has no primary (DESIGN)
 	memory     = 3000  // ms over which latencies and failures fade: some tens of answers at a moderate rate
-	ghostly    = 500.0 // ms over which given up work fades from a member: the middle of common work times
+	ghostly    = 500.0 // ms over which given up work fades from a member; its weight is its expected time over this
 	doubt      = 7.0   // a silence this many expected waits long is one healthy chance in a thousand (e^-7)
 	firstLimit = 4.0   // submissions at once to a member not yet known: some, but no flood
 	trialGap   = 500.0 // between two trials of a member in doubt: as often as a recheck looks
@@ -335,7 +335,7 @@
 		m.bad.add(r.now, memory, 1)
 	case how == TimedOut || how == Revoked:
 		m.adapt(false) // else only those that were answered would count
-		m.ghosts.add(r.now, ghostly, 1)
+		m.ghosts.add(r.now, ghostly, math.Min(1, t.subs[seq].expected/ghostly))
 	case how == Full && r.now-m.cutAt > 10*beat:
 		m.limit = math.Max(1, math.Min(m.limit, float64(m.inFlight+1))/2)
 		m.cutAt = r.now
