Rank held txns by the worth to be expected; give up when the usual time no longer fits

Cause: txns were sent with half their usual time left, most of which only came late and kept others out.

--- a/router/router.go
+++ b/router/router.go
@@ -576,13 +576,13 @@
 	return d, acted
 }
 
-// worth is the value to be had from sending the txn now, for each ms of work.
+// worth is the value to be expected from sending the txn now, for each ms of work, if answers take as long as
+// usual and their times fall off exponentially.
 func (t *txn) worth(now float64) float64 {
 	usual := t.use.usual(now, t.kind)
-	if now+usual > t.arrived+t.kind.SLA {
-		return t.value * t.kind.LateValue / usual
-	}
-	return t.value / usual
+	late := 1 - math.Exp(math.Min(0, now-t.expiry)/usual)
+	soon := 1 - math.Exp(math.Min(0, now-t.arrived-t.kind.SLA)/usual)
+	return t.value * (soon + t.kind.LateValue*math.Max(0, late-soon)) / usual
 }
 
 // place sends, ends or holds one waiting txn.
@@ -618,10 +618,10 @@
 		return true // DESIGN: a write that met a reset ends in error
 	case t.mayRun != Never && t.kind.Effect == Referenced && r.now-t.mayRun > t.kind.Window:
 		return true
-	case t.kind.LateValue == 0 && r.now+usual/2 > t.arrived+t.kind.SLA:
+	case t.kind.LateValue == 0 && r.now+usual > t.arrived+t.kind.SLA:
 		return true
 	}
-	return r.now+usual/2 > t.expiry
+	return r.now+usual > t.expiry
 }
 
 func (r *Router) end(t *txn) Decision {
