--- a/router/router.go
+++ b/router/router.go
@@ -19,7 +19,8 @@
 	memory     = 3000  // ms over which latencies and failures fade: some tens of answers at a moderate rate
 	ghostly    = 500.0 // ms over which given up work fades from a member; its weight is its expected time over this
 	doubt      = 7.0   // a silence this many expected waits long is one healthy chance in a thousand (e^-7)
-	firstLimit = 4.0   // submissions at once to a member not yet known: some, but no flood
+	firstLimit = 1.0   // submissions at once to a member not yet known: all routers may start together
+	leastLimit = 0.05  // a twentieth of the time, so that a member that recovers is still noticed
 	trialGap   = 500.0 // between two trials of a member in doubt: as often as a recheck looks
 )
 
@@ -193,7 +194,7 @@
 	if started > m.started {
 		m.started = started
 		m.prompt = true
-		m.limit = math.Max(1, math.Min(firstLimit, m.limit*r.set.ColdFrom))
+		m.limit = math.Min(firstLimit, m.limit)
 	}
 	if !r.set.SoftRemoval || state != Removed {
 		m.barred = state != Up
@@ -330,14 +331,14 @@
 		m.slow.add(r.now, memory, rtt/usual)
 		m.seen.add(r.now, memory, 1)
 		m.good.add(r.now, memory, 1)
-		m.adapt(rtt < t.kind.SLA/2)
+		m.adapt(r.now, rtt < t.kind.SLA/2)
 	case how == Errored:
 		m.bad.add(r.now, memory, 1)
 	case how == TimedOut || how == Revoked:
-		m.adapt(false) // else only those that were answered would count
+		m.adapt(r.now, false) // else only those that were answered would count
 		m.ghosts.add(r.now, ghostly, math.Min(1, t.subs[seq].expected/ghostly))
 	case how == Full && r.now-m.cutAt > 10*beat:
-		m.limit = math.Max(1, math.Min(m.limit, float64(m.inFlight+1))/2)
+		m.limit = math.Max(leastLimit, math.Min(m.limit, float64(m.inFlight+1))/2)
 		m.cutAt = r.now
 	}
 }
@@ -347,15 +348,24 @@
 // overload from any cause (surges, clients' retries, slow or cold members, fewer members left): what a member
 // can't take in time is held here, in order of value, in place of jamming its queue. It may hold back too much
 // on a router with so little traffic that its limit seldom moves.
-func (m *member) adapt(soon bool) {
-	step := math.Max(0.1, m.limit/50)
+func (m *member) adapt(now float64, soon bool) {
+	step := 0.1 * math.Min(1, m.limit) * math.Max(1, m.limit/5)
 	if !soon {
-		m.limit = math.Max(1, m.limit-4*step)
-	} else if float64(m.inFlight+1) >= m.limit-1 {
+		m.limit = math.Max(leastLimit, m.limit-4*step)
+	} else if m.load(now)+1 >= m.limit-1 {
 		m.limit += step
 	}
 }
 
+// room tells whether the member may hold one more. A limit below one is a share of the time: many routers may
+// each keep one txn at a member that can't bear them all.
+func (m *member) room(now, expected float64) bool {
+	if m.limit >= 1 {
+		return m.load(now) < m.limit
+	}
+	return m.inFlight == 0 && now-m.lastSent >= expected/m.limit
+}
+
 // load is what the member holds of this router's, as far as known. What was given up on may run on there: it
 // still counts, fading. That guards against filling a jammed member again each time that something times out;
 // where members do drop such work, it spares them for a moment longer than needed.
@@ -755,7 +765,7 @@
 	if m.doubted && (r.now-m.lastSent < trialGap || t.kind.Effect != Repeatable) {
 		return nil
 	}
-	if m.load(r.now) >= m.limit || r.warmth(m) < 1 && !r.bears(m, t) {
+	if !m.room(r.now, t.use.usual(r.now, t.kind)*m.slowness(r.now)) || r.warmth(m) < 1 && !r.bears(m, t) {
 		return nil
 	}
 	return m
