--- a/router/router.go
+++ b/router/router.go
@@ -66,6 +66,7 @@
 	good, bad  fade    // submissions answered well, and refused or failed by the member itself
 	work       fade    // expected work sent, over the fall window
 	limit      float64 // how many of this router's submissions it may hold at once
+	streak     float64 // answers in a row that were quick enough while the limit was in use
 	cutAt      float64 // when a refusal last cut the limit
 }
 
@@ -352,8 +353,10 @@
 	step := 0.1 * math.Min(1, m.limit) * math.Max(1, m.limit/5)
 	if !soon {
 		m.limit = math.Max(leastLimit, m.limit-4*step)
+		m.streak = 0
 	} else if m.load(now)+1 >= m.limit-1 {
-		m.limit += step
+		m.streak++ // the longer all goes well, the faster: a start or a recovery takes few answers
+		m.limit += step * (1 + m.streak/4)
 	}
 }
 
