--- a/router/router.go
+++ b/router/router.go
@@ -20,7 +20,7 @@
 	ghostly    = 500.0 // ms over which given up work fades from a member; its weight is its expected time over this
 	doubt      = 7.0   // a silence this many expected waits long is one healthy chance in a thousand (e^-7)
 	firstLimit = 1.0   // submissions at once to a member not yet known: all routers may start together
-	leastLimit = 0.05  // a twentieth of the time, so that a member that recovers is still noticed
+	leastLimit = 0.2   // a fifth of the time, so that a member that recovers is still noticed
 	trialGap   = 500.0 // between two trials of a member in doubt: as often as a recheck looks
 )
 
@@ -66,7 +66,7 @@
 	good, bad  fade    // submissions answered well, and refused or failed by the member itself
 	work       fade    // expected work sent, over the fall window
 	limit      float64 // how many of this router's submissions it may hold at once
-	streak     float64 // answers in a row that were quick enough while the limit was in use
+	tested     bool    // the limit has been found once
 	cutAt      float64 // when a refusal last cut the limit
 }
 
@@ -350,13 +350,16 @@
 // can't take in time is held here, in order of value, in place of jamming its queue. It may hold back too much
 // on a router with so little traffic that its limit seldom moves.
 func (m *member) adapt(now float64, soon bool) {
-	step := 0.1 * math.Min(1, m.limit) * math.Max(1, m.limit/5)
-	if !soon {
-		m.limit = math.Max(leastLimit, m.limit-4*step)
-		m.streak = 0
-	} else if m.load(now)+1 >= m.limit-1 {
-		m.streak++ // the longer all goes well, the faster: a start or a recovery takes few answers
-		m.limit += step * (1 + m.streak/4)
+	step := math.Max(0.1, m.limit/50)
+	switch {
+	case !soon:
+		m.limit = math.Max(leastLimit, m.limit-4*step*math.Min(1, m.limit))
+		m.tested = true
+	case m.load(now)+1 < m.limit-1:
+	case m.tested:
+		m.limit += step
+	default:
+		m.limit += 0.5 // a start: faster, until the first answer that is not quick enough
 	}
 }
 
