--- a/router/router.go
+++ b/router/router.go
@@ -675,8 +675,10 @@
 	pri := r.primary(t.group)
 	need := t.bound(r.now)
 	var fresh, likely, rest []*member
+	full := false
 	for _, m := range t.group.members {
 		if r.fit(t, m) == nil {
+			full = full || m != pri && m.gtid >= need && !m.doubted
 			continue
 		}
 		if m.doubted {
@@ -700,6 +702,11 @@
 	if !t.group.ready && r.set.CanCheck {
 		return nil // a fresh router: wait for the group's first check
 	}
+	// Guards against any shortage of replicas (lost, slow, lagging, a surge): where each that would do is at its
+	// limit, a read uses what the primary has to spare. Half its room stays for writes.
+	if pri != nil && full && pri.load(r.now) < pri.limit/2 {
+		return r.fit(t, pri)
+	}
 	if r.set.Lag != LagAnswers {
 		if len(likely) > 0 {
 			return r.draw(likely)
