--- a/router/router.go
+++ b/router/router.go
@@ -332,7 +332,7 @@
 		m.slow.add(r.now, memory, rtt/usual)
 		m.seen.add(r.now, memory, 1)
 		m.good.add(r.now, memory, 1)
-		m.adapt(r.now, rtt < t.kind.SLA/2)
+		m.adapt(r.now, rtt < t.kind.SLA*3/4)
 	case how == Errored:
 		m.bad.add(r.now, memory, 1)
 	case how == TimedOut || how == Revoked:
@@ -344,7 +344,7 @@
 	}
 }
 
-// adapt moves the limit towards where one answer in five takes more than half its SLA time: with waits that fall
+// adapt moves the limit towards where one answer in five takes over three quarters of its SLA time: where waits fall
 // off exponentially about one in twenty-five is then late, while the member is still kept busy. It guards against
 // overload from any cause (surges, clients' retries, slow or cold members, fewer members left): what a member
 // can't take in time is held here, in order of value, in place of jamming its queue. It may hold back too much
@@ -704,8 +704,11 @@
 	}
 	// Guards against any shortage of replicas (lost, slow, lagging, a surge): where each that would do is at its
 	// limit, a read uses what the primary has to spare. Half its room stays for writes.
-	if pri != nil && full && pri.load(r.now) < pri.limit/2 {
-		return r.fit(t, pri)
+	if full {
+		if pri != nil && pri.load(r.now) < pri.limit/2 {
+			return r.fit(t, pri)
+		}
+		return nil
 	}
 	if r.set.Lag != LagAnswers {
 		if len(likely) > 0 {
