--- a/router/router.go
+++ b/router/router.go
@@ -337,10 +337,10 @@
 		m.seen.add(r.now, memory, 1)
 		m.good.add(r.now, memory, 1)
 		m.share.add(r.now, memory, rtt/t.kind.SLA)
-		if n := m.seen.read(r.now, memory); n >= 5 {
+		if n := m.seen.read(r.now, memory); n >= 20 {
 			m.best = math.Min(m.best, m.share.read(r.now, memory)/n)
 		}
-		m.adapt(r.now, rtt/t.kind.SLA < math.Max(0.5, math.Min(0.75, 3*m.best)))
+		m.adapt(r.now, rtt/t.kind.SLA < math.Max(0.5, math.Min(0.75, 2.5*m.best)))
 	case how == Errored:
 		m.bad.add(r.now, memory, 1)
 	case how == TimedOut || how == Revoked:
