--- a/router/router.go
+++ b/router/router.go
@@ -64,7 +64,7 @@
 	doubted    bool    // has been silent too long; cleared by any answer to a submission
 	slow, seen fade    // latency against what is usual for the txn type
 	share      fade    // latency against the SLA time
-	best       float64 // the least mean of it since the member started
+	best       float64 // the least mean of it since the member started; 0: not known
 	good, bad  fade    // submissions answered well, and refused or failed by the member itself
 	work       fade    // expected work sent, over the fall window
 	limit      float64 // how many of this router's submissions it may hold at once
@@ -188,8 +188,7 @@
 	m := r.members[id]
 	if m == nil {
 		m = &member{id: id, zone: zone, group: g, claim: Never, denial: Never, gtid: Never, started: Never,
-			checkSent: Never, lastAnswer: Never, lastSent: Never, cutAt: Never, prompt: true, limit: firstLimit,
-			best: 1}
+			checkSent: Never, lastAnswer: Never, lastSent: Never, cutAt: Never, prompt: true, limit: firstLimit}
 		r.members[id] = m
 		r.order = append(r.order, m)
 		g.members = append(g.members, m)
@@ -199,7 +198,7 @@
 		m.started = started
 		m.prompt = true
 		m.limit = math.Min(firstLimit, m.limit)
-		m.best = 1
+		m.best = 0
 	}
 	if !r.set.SoftRemoval || state != Removed {
 		m.barred = state != Up
@@ -338,7 +337,9 @@
 		m.good.add(r.now, memory, 1)
 		m.share.add(r.now, memory, rtt/t.kind.SLA)
 		if n := m.seen.read(r.now, memory); n >= 20 {
-			m.best = math.Min(m.best, m.share.read(r.now, memory)/n)
+			if mean := m.share.read(r.now, memory) / n; m.best == 0 || mean < m.best {
+				m.best = mean
+			}
 		}
 		m.adapt(r.now, rtt/t.kind.SLA < math.Max(0.5, math.Min(0.75, 2.5*m.best)))
 	case how == Errored:
