Scenario tests; ask for positions before a bounded read falls to the primary; unknown members get nothing

The scenarios found that a bounded read never asked the replicas for their position, and that a fresh router sent reads to members it had not yet checked. A read also no longer goes back to a member that turned it away.

--- /dev/null
+++ b/internal/drill/drill_test.go
@@ -0,0 +1,96 @@
+package drill
+
+import (
+	"strings"
+	"testing"
+)
+
+const begin = `{"op":"BEGIN","router":"router/1","rngSeed":7,"facts":{"balancers":1,"discovery":"push","unheard":{},` +
+	`"contract":{"coldFrom":0.2,"warmUp":1000000,"fallMultiple":2.5,"overloadFor":2000000},` +
+	`"permissions":{"attemptsCap":6,"cancel":true,"probes":true,"retryAfter":true,"maxRetryAfter":1000000},` +
+	`"familyInfo":{"serverChecks":"silent","tokenMode":"carried","countedFrom":1000000,"readLevel":["any","write"],` +
+	`"classBound":[0,0]},"profiles":[` +
+	`{"name":"look","target":500000,"worth":1,"idempotency":"retryable"},` +
+	`{"name":"put","target":500000,"worth":1,"idempotency":"fragile"}]}}`
+const open = `{"op":"BATCH","wall":5000000,"frame":1}`
+const end = `{"op":"EOF_BATCH"}`
+const rows = `{"op":"SNAPSHOT_ROWS","ref":0,"hosts":[{"dc":"z","state":"up","node":"n:1","group":1}]}`
+const whole = `{"op":"BACKENDS_CHANGED","router":"router/1","mode":"C","generation":1,"ref":0}`
+
+func run(lines ...string) (string, error) {
+	var out strings.Builder
+	err := Run(strings.NewReader(strings.Join(lines, "\n")+"\n"), &out)
+	return out.String(), err
+}
+
+func TestReplies(t *testing.T) {
+	out, err := run(open, begin, rows, whole, end,
+		`{"op":"BATCH","wall":5004000,"frame":2}`,
+		`{"op":"ECHO","router":"router/1","node":"n:1","how":200,"rtt":4000,"load":{"x0":4.002,"x1":1}}`,
+		`{"op":"JOB_IN","router":"router/1","call":"c:w","class":"put","ttl":900000,"groupNo":1,"mutates":true}`, end,
+		`{"op":"BATCH","wall":5024000,"frame":3}`,
+		`{"op":"RETURNED","router":"router/1","call":"c:w","node":"n:1","how":500,"rtt":20000,"mark":1}`, end,
+		`{"op":"BATCH","wall":5034000,"frame":4}`, `{"op":"HALT","router":"router/1"}`, begin, rows, whole, end)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := `{"op":"HEALTH_CHECK","router":"router/1","node":"n:1"}
+{"op":"SET_ALARM","router":"router/1","time":5010000,"keyBack":"beat"}
+{"op":"ACK","frame":1}
+{"op":"HAND_OFF","router":"router/1","call":"c:w","node":"n:1"}
+{"op":"ACK","frame":2}
+{"op":"FAIL","router":"router/1","call":"c:w"}
+{"op":"SET_ALARM","router":"router/1","time":5034000,"keyBack":"beat"}
+{"op":"ACK","frame":3}
+{"op":"HEALTH_CHECK","router":"router/1","node":"n:1"}
+{"op":"SET_ALARM","router":"router/1","time":5044000,"keyBack":"beat"}
+{"op":"ACK","frame":4}
+`
+	if out != want {
+		t.Errorf("got\n%swant\n%s", out, want)
+	}
+}
+
+// A list number that is used again within a batch stands for the newer list from there on.
+func TestListNumberUsedAgain(t *testing.T) {
+	out, err := run(open, begin, rows, whole,
+		strings.Replace(rows, "n:1", "n:2", 1), strings.Replace(whole, `"C"`, `"F"`, 1), end)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if strings.Contains(out, "n:1") || !strings.Contains(out, "n:2") {
+		t.Errorf("checks sent to a member that is gone, or not to the new one:\n%s", out)
+	}
+}
+
+func TestErrorsNameTheLine(t *testing.T) {
+	for _, c := range []struct {
+		lines []string
+		want  string
+	}{
+		{[]string{open, `{"op":`}, "line 2: not JSON"},
+		{[]string{open, `[]`}, "line 2: not an object"},
+		{[]string{open, `{"op":"NOISE"}`}, "line 2: NOISE: unknown event"},
+		{[]string{end}, "line 1: EOF_BATCH: outside a batch"},
+		{[]string{open}, "input ends inside a batch"},
+		{[]string{open, `{"op":"HALT","router":"router/9"}`}, `line 2: HALT: router: "router/9" has not begun`},
+		{[]string{open, begin, whole}, "line 3: BACKENDS_CHANGED: ref: list 0 was never set"},
+		{[]string{open, begin, `{"op":"JOB_IN","router":"router/1","call":1}`}, "line 3: JOB_IN: call: must be text"},
+		{[]string{open, begin, `{"op":"ECHO","router":"router/1","node":"n:1","how":777}`}, "unknown outcome 777"},
+		{[]string{open, begin, `{"op":"JOB_IN","router":"router/1","call":"c:1","class":"x","ttl":1,"groupNo":1}`},
+			`class: "x" is not in the settings`},
+		{[]string{open, strings.Replace(begin, `"silent"`, `"sometimes"`, 1)},
+			`facts: familyInfo.serverChecks: unknown value "sometimes"`},
+		{[]string{open, strings.Replace(begin, `"fragile"`, `"glass"`, 1)},
+			`facts: profiles[1].idempotency: unknown value "glass"`},
+		{[]string{open, strings.Replace(begin, `"push"`, `3`, 1)}, "facts: discovery: must be text"},
+	} {
+		out, err := run(c.lines...)
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%q: error %v, want %q", c.lines[len(c.lines)-1], err, c.want)
+		}
+		if out != "" {
+			t.Errorf("%q: wrote %q", c.lines[len(c.lines)-1], out)
+		}
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -46,7 +46,7 @@
 	group      *group
 	barred     bool    // the list says that it drains or is gone
 	started    float64 // Never: long ago
-	known      bool    // some check or answer has told its role since it was last marked unknown
+	known      bool    // some check or answer has come since it was last marked unknown
 	down       bool    // reset or failed to connect, and no check has gone through since
 	claim      float64 // when it was last known primary
 	denial     float64 // when it was last known not to be
@@ -83,7 +83,7 @@
 	at       float64
 	expected float64
 	out      bool
-	revoked  bool
+	missed   bool
 }
 
 type txn struct {
@@ -285,7 +285,7 @@
 		r.commits[t.session] = math.Max(r.commits[t.session], gtid)
 	}
 	sub := &t.subs[seq]
-	sub.out = false
+	sub.out, sub.missed = false, how == Miss
 	t.out--
 	t.met = how
 	switch how {
@@ -447,7 +447,7 @@
 		}
 		return
 	}
-	m.down = false
+	m.down, m.known = false, true
 }
 
 // Reported conveys a load report with a role and a position. It is dated by that position, since it may be old
@@ -683,17 +683,20 @@
 	}
 	pri := r.primary(t.group)
 	need := t.bound(r.now)
-	var fresh, likely, rest []*member
+	var fresh, likely, rest, unsure []*member
 	full := false
 	for _, m := range t.group.members {
 		if r.fit(t, m) == nil {
 			full = full || m != pri && m.gtid >= need && !m.doubted
+			if m != pri && m.known && !m.doubted && !m.barred && m.gtid < need {
+				unsure = append(unsure, m)
+			}
 			continue
 		}
 		if m.doubted {
 			return m // its trial is due
 		}
-		if m == pri {
+		if m == pri || t.turnedAway(m) {
 			continue
 		}
 		switch {
@@ -731,10 +734,10 @@
 	}
 	// Nobody is known fresh enough, which is most often for want of a recent check: ask two of the replicas and
 	// wait a moment, as server selection does in the source. The wait is an eighth of the SLA time at most.
-	if all := append(likely, rest...); len(all) > 0 && r.set.CanCheck && t.asked == Never {
+	if len(unsure) > 0 && r.set.CanCheck && t.asked == Never {
 		t.asked = r.now
-		r.draw(all).prompt = true
-		r.draw(all).prompt = true
+		r.draw(unsure).prompt = true
+		r.draw(unsure).prompt = true
 		return nil
 	}
 	if r.now-t.asked < t.kind.SLA/8 {
@@ -747,6 +750,16 @@
 	return r.fit(t, pri)
 }
 
+// turnedAway tells whether the member has already answered this txn with a miss.
+func (t *txn) turnedAway(m *member) bool {
+	for _, sub := range t.subs {
+		if sub.to == m && sub.missed {
+			return true
+		}
+	}
+	return false
+}
+
 // draw picks one of the members by chance, weighted against smoothed latency times one plus requests in flight.
 func (r *Router) draw(from []*member) *member {
 	total := 0.0
@@ -787,7 +800,7 @@
 	if t.kind.Level != Any && r.set.Lag == LagAnswers && m.gtid < need && m != r.primary(m.group) {
 		return nil
 	}
-	if m.doubted && (r.now-m.lastSent < trialGap || t.kind.Effect != Repeatable) {
+	if !m.known && r.set.CanCheck || m.doubted && (r.now-m.lastSent < trialGap || t.kind.Effect != Repeatable) {
 		return nil
 	}
 	if !m.room(r.now, t.use.usual(r.now, t.kind)*m.slowness(r.now)) || r.warmth(m) < 1 && !r.bears(m, t) {
--- /dev/null
+++ b/router/router_test.go
@@ -0,0 +1,211 @@
+package router
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// A scenario is a text file, one step a line; # starts a comment.
+//
+//	set routers=2 lag=answers ...      settings; then  type NAME level=write effect=once-only sla=250 ...
+//	at 120                             the time; what follows happens then
+//	list whole a b:draining c@-5       members and states; @ the time of a start; "list changes" for changes only
+//	list failed
+//	arrive t1 TYPE ttl=500 age=20 session=s tenant=n
+//	returned t1 miss role=replica gtid=90 done     of the submission sent last
+//	checked a ok role=primary gtid=100             or another outcome
+//	gone t1
+//	want submit t1 a|b                 a decision that must be among those just pulled; it is used up
+//	never submit t1                    none such may be left among them
+//
+// All members are in group 1 and in the zone of their name's first letter.
+var (
+	outcomeWords = map[string]Outcome{"ok": Committed, "error": Errored, "full": Full, "timeout": TimedOut,
+		"unconnected": ConnectFailed, "reset": Reset, "revoked": Revoked, "moot": Moot, "miss": Miss}
+	effectWords = map[string]Effect{"repeatable": Repeatable, "referenced": Referenced, "once-only": OnceOnly}
+	levelWords  = map[string]Level{"any": Any, "bounded": Bounded, "session": Session, "fresh": Fresh, "write": Write}
+	scopeWords  = map[string]Scope{"all": ScopeAll, "zone": ScopeZone, "group": ScopeGroup}
+	lagWords    = map[string]Lag{"answers": LagAnswers, "refuses": LagRefuses, "waits": LagWaits}
+	roleWords   = map[string]Role{"": Unsaid, "primary": Primary, "replica": Replica}
+	stateWords  = map[string]State{"up": Up, "draining": Draining, "removed": Removed}
+	verbWords   = map[Verb]string{Submit: "submit", Revoke: "revoke", Decline: "decline", RollBack: "rollback",
+		Check: "check", Watch: "watch", Alarm: "alarm"}
+)
+
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no scenarios: %v", err)
+	}
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			p := &play{set: &Settings{Routers: 1, Submissions: 6, CanCheck: true, CanRevoke: true, ColdFrom: 0.2,
+				WarmUp: 10000, FallMultiple: 2.5, FallWindow: 2000, AskWithin: 10000, TxnTypes: map[string]*TxnType{},
+				Tenants: map[string]float64{}}, last: map[string]Decision{}, count: map[string]int{}}
+			for n, line := range strings.Split(string(text), "\n") {
+				line, _, _ = strings.Cut(line, "#")
+				if words := strings.Fields(line); len(words) > 0 {
+					if err := p.step(words); err != nil {
+						t.Fatalf("%s:%d: %s: %v", file, n+1, strings.TrimSpace(line), err)
+					}
+				}
+			}
+		})
+	}
+}
+
+type play struct {
+	set   *Settings
+	r     *Router
+	now   float64
+	fresh bool // inputs have come since the last pull
+	out   []string
+	last  map[string]Decision // the last submission of each txn
+	count map[string]int
+}
+
+// options splits key=value words off; a bare word stands for itself.
+func options(words []string) map[string]string {
+	m := map[string]string{}
+	for _, w := range words {
+		k, v, _ := strings.Cut(w, "=")
+		m[k] = v
+	}
+	return m
+}
+
+func number(s string, otherwise float64) float64 {
+	if x, err := strconv.ParseFloat(s, 64); err == nil {
+		return x
+	}
+	return otherwise
+}
+
+func (p *play) step(w []string) error {
+	o := options(w[1:])
+	switch w[0] {
+	case "set":
+		p.set.Routers = int(number(o["routers"], float64(p.set.Routers)))
+		p.set.Submissions = int(number(o["submissions"], float64(p.set.Submissions)))
+		p.set.RetryAfter = number(o["retryafter"], 0)
+		_, p.set.Ask = o["ask"]
+		_, p.set.Remembered = o["remembered"]
+		_, p.set.SoftRemoval = o["soft"]
+		p.set.Lag = lagWords[o["lag"]]
+		return nil
+	case "type":
+		p.set.TxnTypes[w[1]] = &TxnType{SLA: number(o["sla"], 500), Value: number(o["value"], 1),
+			LateValue: number(o["late"], 0), Effect: effectWords[o["effect"]], Scope: scopeWords[o["scope"]],
+			Window: number(o["window"], 5000), Level: levelWords[o["level"]], Bound: number(o["bound"], 0)}
+		return nil
+	case "at":
+		p.now = number(w[1], 0)
+		if p.r == nil {
+			p.r = New(p.set, 1)
+		}
+		p.r.At(p.now)
+		p.r.Rang()
+		p.fresh = true
+		return nil
+	case "want", "never":
+		return p.look(w[0] == "want", w[1:])
+	}
+	p.fresh = true
+	switch w[0] {
+	case "list":
+		return p.list(w[1:])
+	case "arrive":
+		if !p.r.Arrive(w[1], o["tenant"], o["session"], w[2], 1, number(o["age"], 0), number(o["ttl"], 1000)) {
+			return fmt.Errorf("unknown txn type")
+		}
+	case "returned":
+		d, sent := p.last[w[1]]
+		how, known := outcomeWords[w[2]]
+		if !sent || !known {
+			return fmt.Errorf("never sent, or unknown outcome")
+		}
+		_, done := o["done"]
+		p.r.Returned(w[1], d.Seq, d.Member, how, p.now-d.At, done || how == Committed, roleWords[o["role"]],
+			number(o["gtid"], Never))
+	case "checked":
+		how, known := outcomeWords[w[2]]
+		if !known {
+			return fmt.Errorf("unknown outcome")
+		}
+		p.r.Checked(w[1], how)
+		if role := roleWords[o["role"]]; role != Unsaid {
+			p.r.Reported(w[1], role, number(o["gtid"], Never))
+		}
+	case "gone":
+		p.r.Gone(w[1])
+	default:
+		return fmt.Errorf("unknown step")
+	}
+	return nil
+}
+
+func (p *play) list(w []string) error {
+	if w[0] == "failed" {
+		p.r.ListFailed()
+		return nil
+	}
+	p.r.ListStart()
+	for _, word := range w[1:] {
+		word, at, _ := strings.Cut(word, "@")
+		id, word, _ := strings.Cut(word, ":")
+		state, known := stateWords[word]
+		if !known && word != "" {
+			return fmt.Errorf("unknown state %q", word)
+		}
+		p.r.Listed(id, id[:1], 1, state, number(at, Never))
+	}
+	p.r.ListEnd(w[0] == "whole")
+	return nil
+}
+
+func (p *play) look(want bool, words []string) error {
+	if p.fresh {
+		p.fresh = false
+		p.out = p.out[:0]
+		for n := 0; ; n++ {
+			d, more := p.r.Next()
+			if !more {
+				break
+			}
+			if n > 1000 {
+				return fmt.Errorf("decisions without end")
+			}
+			if d.Verb == Submit {
+				d.Seq, d.At = p.count[d.Txn], p.now
+				p.count[d.Txn]++
+				p.last[d.Txn] = d
+			}
+			p.out = append(p.out, strings.Join(strings.Fields(verbWords[d.Verb]+" "+d.Txn+" "+d.Member), " "))
+		}
+	}
+	i := slices.IndexFunc(p.out, func(line string) bool {
+		got := strings.Fields(line)
+		for n, word := range words {
+			if n >= len(got) || !slices.Contains(strings.Split(word, "|"), got[n]) {
+				return false
+			}
+		}
+		return true
+	})
+	if want && i < 0 || !want && i >= 0 {
+		return fmt.Errorf("decisions left: %s", strings.Join(p.out, "; "))
+	}
+	if want {
+		p.out = slices.Delete(p.out, i, i+1)
+	}
+	return nil
+}
