--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -10,8 +10,8 @@
 	`"permissions":{"attemptsCap":6,"cancel":true,"probes":true,"retryAfter":true,"maxRetryAfter":1000000},` +
 	`"familyInfo":{"serverChecks":"silent","tokenMode":"carried","countedFrom":1000000,"readLevel":["any","write"],` +
 	`"classBound":[0,0]},"profiles":[` +
-	`{"name":"look","target":500000,"worth":1,"idempotency":"retryable"},` +
-	`{"name":"put","target":500000,"worth":1,"idempotency":"fragile"}]}}`
+	`{"name":"look","target":500000,"deadline":3000000,"worth":1,"idempotency":"retryable"},` +
+	`{"name":"put","target":500000,"deadline":3000000,"worth":1,"idempotency":"fragile"}]}}`
 const open = `{"op":"BATCH","wall":5000000,"frame":1}`
 const end = `{"op":"EOF_BATCH"}`
 const rows = `{"op":"SNAPSHOT_ROWS","ref":0,"hosts":[{"dc":"z","state":"up","node":"n:1","group":1}]}`
--- a/internal/drill/fields.go
+++ b/internal/drill/fields.go
@@ -149,7 +149,7 @@
 	})
 	for n, row := range f.array("profiles") {
 		c := &fields{v: row}
-		kind := &router.TxnType{SLA: c.number("target") / 1000, Value: c.number("worth"),
+		kind := &router.TxnType{SLA: c.number("target") / 1000, Expiry: c.number("deadline") / 1000, Value: c.number("worth"),
 			LateValue: c.orZero("lateWorth"), Window: c.orZero("window") / 1000}
 		if kind.Effect = choice(c, "idempotency", effects); kind.Effect == router.Referenced {
 			kind.Scope = choice(c, "group", scopes)
--- a/router/router.go
+++ b/router/router.go
@@ -91,7 +91,7 @@
 	kind     *TxnType
 	use      *usage
 	group    *group
-	arrived  float64
+	arrived  float64 // the client's first try, as far as it can be told
 	expiry   float64
 	needs    float64 // the position a session or fresh read must see
 	session  string
@@ -109,7 +109,26 @@
 }
 
 // usage is what one txn type has shown of itself.
-type usage struct{ wait, n fade }
+type usage struct {
+	wait, n  fade
+	patience float64 // the time that most tries are given
+	votes    int
+}
+
+// age guesses how long a client has been trying already. Most tries are given one time, a share of the expiry; a
+// try given another has what the earlier ones left. Guards against jams of clients' repeats, which look new and
+// can earn little or nothing any more. It misjudges the rare client that is impatient from the start.
+func (u *usage) age(kind *TxnType, ttl float64) float64 {
+	if math.Abs(ttl-u.patience) <= kind.Expiry/50 { // a fiftieth: the clock's tick and the network
+		u.votes = min(u.votes+1, 100)
+		return 0
+	}
+	if u.votes--; u.votes < 0 {
+		u.patience, u.votes = ttl, 1
+		return 0
+	}
+	return math.Max(0, kind.Expiry-ttl)
+}
 
 // Router decides for one instance.
 type Router struct {
@@ -235,8 +254,8 @@
 		g = &group{}
 		r.groups[groupNo] = g
 	}
-	t := &txn{id: id, kind: kind, use: r.uses[kind], group: g, arrived: r.now, expiry: r.now + ttl, needs: Never,
-		session: session, mayRun: Never, asked: Never, value: kind.Value}
+	t := &txn{id: id, kind: kind, use: r.uses[kind], group: g, arrived: r.now - r.uses[kind].age(kind, ttl),
+		expiry: r.now + ttl, needs: Never, session: session, mayRun: Never, asked: Never, value: kind.Value}
 	switch {
 	case kind.Level == Session && r.set.Remembered:
 		if at, ok := r.commits[session]; ok {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -104,6 +104,7 @@
 		return nil
 	case "type":
 		p.set.TxnTypes[w[1]] = &TxnType{SLA: number(o["sla"], 500), Value: number(o["value"], 1),
+			Expiry:    number(o["expiry"], 3000),
 			LateValue: number(o["late"], 0), Effect: effectWords[o["effect"]], Scope: scopeWords[o["scope"]],
 			Window: number(o["window"], 5000), Level: levelWords[o["level"]], Bound: number(o["bound"], 0)}
 		return nil
--- a/router/types.go
+++ b/router/types.go
@@ -96,6 +96,7 @@
 
 type TxnType struct {
 	SLA       float64
+	Expiry    float64 // over all tries of a client
 	Value     float64
 	LateValue float64 // share of the value
 	Effect    Effect
