--- a/router/router.go
+++ b/router/router.go
@@ -673,7 +673,9 @@
 	if t.mayRun != Never && (t.kind.Effect == OnceOnly || t.kind.Effect == Referenced && t.kind.Scope != ScopeAll) {
 		return Decision{Verb: RollBack, Txn: t.id}
 	}
-	return Decision{Verb: Decline, Txn: t.id, Wait: math.Min(r.set.RetryAfter, recheckGap)}
+	// What is declined here can't be answered in time by a repeat either, so the client is told to stay away as
+	// long as it may be told; that spares members in a jam, and may be longer than needed after a short one.
+	return Decision{Verb: Decline, Txn: t.id, Wait: r.set.RetryAfter}
 }
 
 // usual is the smoothed time from submission to answer of a txn type, over all members.
