--- a/router/router.go
+++ b/router/router.go
@@ -790,7 +790,7 @@
 		cost := m.slowness(r.now) * (1 + m.load(r.now))
 		// Guards against members that fail or refuse quickly, whose latency would draw more txns to them.
 		well := (good + 1) / (good + bad + 1)
-		weights[i] = math.Pow(well, 4) * r.warmth(m) / cost
+		weights[i] = math.Pow(well, 4) * r.warmth(m) / (cost * cost)
 		total += weights[i]
 	}
 	x := r.chance() * total
