--- a/router/router.go
+++ b/router/router.go
@@ -120,7 +120,7 @@
 // can earn little or nothing any more. It misjudges the rare client that is impatient from the start.
 func (u *usage) age(kind *TxnType, ttl float64) float64 {
 	if math.Abs(ttl-u.patience) <= kind.Expiry/50 { // a fiftieth: the clock's tick and the network
-		u.votes = min(u.votes+1, 100)
+		u.votes = min(u.votes+1, 10) // few, since all clients may change their habit at once
 		return 0
 	}
 	if u.votes--; u.votes < 0 {
