--- a/router/router.go
+++ b/router/router.go
@@ -103,6 +103,7 @@
 	ranZone  string
 	met      Outcome // how the last submission ended
 	asked    float64 // when checks were asked for on its behalf
+	repeat   bool    // taken for a client's repeat
 	placed   bool    // not waiting for a decision
 	over     bool    // it has had its final answer
 	revoking bool
@@ -111,6 +112,7 @@
 // usage is what one txn type has shown of itself.
 type usage struct {
 	wait, n  fade
+	ended    fade    // first tries ended here without success, whose clients may come back
 	patience float64 // the time that most tries are given
 	votes    int
 }
@@ -118,7 +120,7 @@
 // age guesses how long a client has been trying already. Most tries are given one time, a share of the expiry; a
 // try given another has what the earlier ones left. Guards against jams of clients' repeats, which look new and
 // can earn little or nothing any more. It misjudges the rare client that is impatient from the start.
-func (u *usage) age(kind *TxnType, ttl float64) float64 {
+func (u *usage) age(now float64, kind *TxnType, ttl float64) float64 {
 	if math.Abs(ttl-u.patience) <= kind.Expiry/50 { // a fiftieth: the clock's tick and the network
 		u.votes = min(u.votes+1, 10) // few, since all clients may change their habit at once
 		return 0
@@ -127,6 +129,10 @@
 		u.patience, u.votes = ttl, 1
 		return 0
 	}
+	if u.ended.read(now, kind.Expiry) < 1 {
+		return 0 // nobody can be back: clients have grown impatient
+	}
+	u.ended.add(now, kind.Expiry, -1)
 	return math.Max(0, kind.Expiry-ttl)
 }
 
@@ -254,7 +260,8 @@
 		g = &group{}
 		r.groups[groupNo] = g
 	}
-	t := &txn{id: id, kind: kind, use: r.uses[kind], group: g, arrived: r.now - r.uses[kind].age(kind, ttl),
+	age := r.uses[kind].age(r.now, kind, ttl)
+	t := &txn{id: id, kind: kind, use: r.uses[kind], group: g, arrived: r.now - age, repeat: age > 0,
 		expiry: r.now + ttl, needs: Never, session: session, mayRun: Never, asked: Never, value: kind.Value}
 	switch {
 	case kind.Level == Session && r.set.Remembered:
@@ -670,6 +677,9 @@
 
 func (r *Router) end(t *txn) Decision {
 	r.forget(t)
+	if !t.repeat {
+		t.use.ended.add(r.now, t.kind.Expiry, 1)
+	}
 	if t.mayRun != Never && (t.kind.Effect == OnceOnly || t.kind.Effect == Referenced && t.kind.Scope != ScopeAll) {
 		return Decision{Verb: RollBack, Txn: t.id}
 	}
