--- a/router/router.go
+++ b/router/router.go
@@ -112,7 +112,7 @@
 // usage is what one txn type has shown of itself.
 type usage struct {
 	wait, n  fade
-	ended    fade    // first tries ended here without success, whose clients may come back
+	ended    fade    // tries ended here without success, whose clients may come back
 	patience float64 // the time that most tries are given
 	votes    int
 }
@@ -129,10 +129,10 @@
 		u.patience, u.votes = ttl, 1
 		return 0
 	}
-	if u.ended.read(now, kind.Expiry) < 1 {
+	if u.ended.read(now, 2*kind.Expiry) < 0.5 {
 		return 0 // nobody can be back: clients have grown impatient
 	}
-	u.ended.add(now, kind.Expiry, -1)
+	u.ended.add(now, 2*kind.Expiry, -0.5)
 	return math.Max(0, kind.Expiry-ttl)
 }
 
@@ -488,10 +488,20 @@
 // Gone says that the client of a txn has left; nothing is owed any more.
 func (r *Router) Gone(id string) {
 	if t := r.txns[id]; t != nil {
+		t.unserved(r.now)
 		r.forget(t)
 	}
 }
 
+// unserved counts a txn whose client may come back; a repeat counts half, lest a false guess feed on itself.
+func (t *txn) unserved(now float64) {
+	if t.repeat {
+		t.use.ended.add(now, 2*t.kind.Expiry, 0.5)
+	} else {
+		t.use.ended.add(now, 2*t.kind.Expiry, 1)
+	}
+}
+
 // Rang says that the alarm has come.
 func (r *Router) Rang() { r.alarmAt = 0 }
 
@@ -677,9 +687,7 @@
 
 func (r *Router) end(t *txn) Decision {
 	r.forget(t)
-	if !t.repeat {
-		t.use.ended.add(r.now, t.kind.Expiry, 1)
-	}
+	t.unserved(r.now)
 	if t.mayRun != Never && (t.kind.Effect == OnceOnly || t.kind.Effect == Referenced && t.kind.Scope != ScopeAll) {
 		return Decision{Verb: RollBack, Txn: t.id}
 	}
