--- a/router/router.go
+++ b/router/router.go
@@ -132,7 +132,7 @@
 	if u.ended.read(now, 2*kind.Expiry) < 0.5 {
 		return 0 // nobody can be back: clients have grown impatient
 	}
-	u.ended.add(now, 2*kind.Expiry, -0.5)
+	u.ended.add(now, 2*kind.Expiry, -1)
 	return math.Max(0, kind.Expiry-ttl)
 }
 
