--- a/router/router.go
+++ b/router/router.go
@@ -54,6 +54,8 @@
 	behind     float64 // how far behind it seemed at the last check or miss
 	checkSent  float64
 	checkOut   bool
+	downAt     float64
+	restarted  bool // its connections have broken
 	prompt     bool // check as soon as the least gap allows
 	inFlight   int
 	ghosts     fade // submissions given up that the member may still be working on
@@ -220,10 +222,8 @@
 	}
 	r.listed[id] = true
 	if started > m.started {
-		m.started = started
+		r.begin(m, started)
 		m.prompt = true
-		m.limit = math.Min(firstLimit, m.limit)
-		m.best = 0
 	}
 	if !r.set.SoftRemoval || state != Removed {
 		m.barred = state != Up
@@ -351,6 +351,7 @@
 			r.missed(m, t)
 		}
 	case ConnectFailed, Reset:
+		m.restarted = m.restarted || how == Reset
 		r.markDown(m)
 	}
 	switch {
@@ -448,6 +449,9 @@
 }
 
 func (r *Router) markDown(m *member) {
+	if !m.down {
+		m.downAt = r.now
+	}
 	m.down, m.known = true, false
 	m.denial = r.now
 	r.recheck(m.group)
@@ -473,7 +477,18 @@
 		}
 		return
 	}
-	m.down, m.known = false, true
+	// Guards against members that restart before the list says so: back after a reset, or after a while in which
+	// they could not be reached, they count as cold. It spares one needlessly that was only cut off.
+	if m.down && (m.restarted || r.now-m.downAt > restCheck) {
+		r.begin(m, r.now)
+	}
+	m.down, m.known, m.restarted = false, true, false
+}
+
+// begin starts a member's record of speed and limit anew; it is cold.
+func (r *Router) begin(m *member, at float64) {
+	m.started = at
+	m.limit, m.best, m.tested = math.Min(firstLimit, m.limit), 0, false
 }
 
 // Reported conveys a load report with a role and a position. It is dated by that position, since it may be old
