Judge cold members by a smoothed flow to warm ones, which outlives a mass restart

After a restart of most members no warm one was left to judge by, and each got one txn in the fall window; work sent before a restart no longer counts.

--- a/router/router.go
+++ b/router/router.go
@@ -154,6 +154,7 @@
 	commits map[string]float64 // session: its last commit, where tokens are the router's own memory
 	uses    map[*TxnType]*usage
 	shares  map[string]*fade
+	flow    float64 // work sent to a warm member within the fall window
 
 	listed    map[string]bool
 	wantWatch float64 // when to ask for the list again
@@ -190,7 +191,10 @@
 
 // At sets the time; all that follows until the next call happens then.
 func (r *Router) At(now float64) {
-	r.now = now
+	if passed := now - r.now; passed > 0 {
+		r.now = now
+		r.measure(passed)
+	}
 	r.cursor = 0
 	r.sorted = false
 	for _, m := range r.order {
@@ -489,6 +493,7 @@
 func (r *Router) begin(m *member, at float64) {
 	m.started = at
 	m.limit, m.best, m.tested = math.Min(firstLimit, m.limit), 0, false
+	m.work = fade{}
 }
 
 // Reported conveys a load report with a role and a position. It is dated by that position, since it may be old
@@ -866,17 +871,25 @@
 // bears tells whether a cold member can take one more (rule 4): what this router sends it within the fall window
 // stays under half the allowed multiple of the cold share of what it sends a warm member, which that one bears.
 func (r *Router) bears(m *member, t *txn) bool {
-	sum, n := 0.0, 0
-	for _, o := range r.order {
-		if r.warmth(o) >= 1 && !o.barred && !o.down {
-			sum += o.work.read(r.now, r.set.FallWindow)
-			n++
+	work := t.use.usual(r.now, t.kind)
+	return m.work.read(r.now, r.set.FallWindow)+work <= math.Max(work, r.set.FallMultiple/2*r.warmth(m)*r.flow)
+}
+
+// measure follows what this router sends to a warm member within the fall window. It guards against a restart of
+// most members at once, after which no warm ones are left to tell, and the few that are get all there is.
+func (r *Router) measure(passed float64) {
+	sum, warm, all := 0.0, 0.0, 0.0
+	for _, m := range r.order {
+		if m.barred {
+			continue
+		}
+		all++
+		if r.warmth(m) >= 1 && !m.down {
+			warm++
+			sum += m.work.read(r.now, r.set.FallWindow)
 		}
 	}
-	work := t.use.usual(r.now, t.kind)
-	sent := m.work.read(r.now, r.set.FallWindow)
-	if n == 0 {
-		return sent < work
+	if warm >= all/2 && warm > 0 {
+		r.flow += (sum/warm - r.flow) * (1 - math.Exp(-passed/memory))
 	}
-	return sent+work <= math.Max(work, r.set.FallMultiple/2*r.warmth(m)*sum/float64(n))
 }
