Doubt a member after ten expected waits of silence, not seven

Cause: txns with long tails and small pauses were taken back from healthy members, whose work went on there in vain.

--- a/router/router.go
+++ b/router/router.go
@@ -18,7 +18,7 @@
 	recheckGap = 500.0 // check period while a group has no primary (DESIGN)
 	memory     = 3000  // ms over which latencies and failures fade: some tens of answers at a moderate rate
 	ghostly    = 500.0 // ms over which given up work fades from a member; its weight is its expected time over this
-	doubt      = 7.0   // a silence this many expected waits long is one healthy chance in a thousand (e^-7)
+	doubt      = 10.0  // a silence this many expected waits long is one healthy chance in twenty thousand (e^-10)
 	firstLimit = 1.0   // submissions at once to a member not yet known: all routers may start together
 	leastLimit = 0.2   // a fifth of the time, so that a member that recovers is still noticed
 	trialGap   = 500.0 // between two trials of a member in doubt: as often as a recheck looks
