--- a/router/router.go
+++ b/router/router.go
@@ -747,7 +747,7 @@
 	for _, m := range t.group.members {
 		if r.fit(t, m) == nil {
 			full = full || m != pri && m.gtid >= need && !m.doubted
-			if m != pri && m.known && !m.doubted && !m.barred && m.gtid < need {
+			if m != pri && m.known && !m.doubted && !m.barred && m.gtid < need && r.now-m.behind >= need {
 				unsure = append(unsure, m)
 			}
 			continue
@@ -791,7 +791,7 @@
 		}
 		return r.fit(t, pri)
 	}
-	// Nobody is known fresh enough, which is most often for want of a recent check: ask two of the replicas and
+	// Nobody is known fresh enough, but where the last check was only too long ago: ask two of those replicas and
 	// wait a moment, as server selection does in the source. The wait is an eighth of the SLA time at most.
 	if len(unsure) > 0 && r.set.CanCheck && t.asked == Never {
 		t.asked = r.now
