Take back repeatable txns that later answers have overtaken for five expected waits

It should also catch single stuck txns on healthy members; it harms where a txn is only long, which is then worked on twice.

--- a/router/router.go
+++ b/router/router.go
@@ -22,6 +22,7 @@
 	doubt      = 10.0  // a silence this many expected waits long is one healthy chance in twenty thousand (e^-10)
 	firstLimit = 1.0   // submissions at once to a member not yet known: all routers may start together
 	leastLimit = 0.2   // a fifth of the time, so that a member that recovers is still noticed
+	lostAfter  = 5.0   // expected waits; one healthy txn in 150 takes longer (e^-5)
 	trialGap   = 500.0 // between two trials of a member in doubt: as often as a recheck looks
 )
 
@@ -86,29 +87,30 @@
 	expected float64
 	out      bool
 	missed   bool
+	revoked  bool
+	of       *txn
 }
 
 type txn struct {
-	id       string
-	kind     *TxnType
-	use      *usage
-	group    *group
-	arrived  float64 // the client's first try, as far as it can be told
-	expiry   float64
-	needs    float64 // the position a session or fresh read must see
-	session  string
-	value    float64
-	rank     float64 // its place among those waiting
-	subs     []*submission
-	out      int
-	mayRun   float64 // when the earliest submission that may have run went out; Never: none may have
-	ranZone  string
-	met      Outcome // how the last submission ended
-	asked    float64 // when checks were asked for on its behalf
-	repeat   bool    // taken for a client's repeat
-	placed   bool    // not waiting for a decision
-	over     bool    // it has had its final answer
-	revoking bool
+	id      string
+	kind    *TxnType
+	use     *usage
+	group   *group
+	arrived float64 // the client's first try, as far as it can be told
+	expiry  float64
+	needs   float64 // the position a session or fresh read must see
+	session string
+	value   float64
+	rank    float64 // its place among those waiting
+	subs    []*submission
+	out     int
+	mayRun  float64 // when the earliest submission that may have run went out; Never: none may have
+	ranZone string
+	met     Outcome // how the last submission ended
+	asked   float64 // when checks were asked for on its behalf
+	repeat  bool    // taken for a client's repeat
+	placed  bool    // not waiting for a decision
+	over    bool    // it has had its final answer
 }
 
 // usage is what one txn type has shown of itself.
@@ -606,33 +608,28 @@
 	return best
 }
 
-// nextRevoke takes repeatable txns back from a member in doubt, so that they can go elsewhere.
+// nextRevoke takes repeatable txns back so that they can go elsewhere: from a member in doubt, and where one has been
+// overtaken and is out for so long that it must be lost, if another try can still be in time. A txn that is only
+// long is then worked on twice.
 func (r *Router) nextRevoke() (Decision, bool) {
 	if !r.set.CanRevoke {
 		return Decision{}, false
 	}
-	doubted := false
 	for _, m := range r.order {
-		doubted = doubted || m.doubted && len(m.out) > 0
-	}
-	if !doubted {
-		return Decision{}, false
-	}
-	var first *txn
-	for _, t := range r.txns {
-		if t.over || t.out == 0 || t.kind.Effect != Repeatable || t.revoking {
-			continue
-		}
-		sub := t.subs[len(t.subs)-1]
-		if sub.to.doubted && r.now-sub.at > sub.expected && (first == nil || t.id < first.id) {
-			first = t
+		for _, sub := range m.out {
+			t, age := sub.of, r.now-sub.at
+			if sub.revoked || t.over || t.kind.Effect != Repeatable || len(t.subs) >= r.set.Submissions {
+				continue
+			}
+			lost := sub.at < m.overtaken && age > lostAfter*sub.expected &&
+				r.now+t.use.usual(r.now, t.kind) < t.arrived+t.kind.SLA
+			if lost || m.doubted && age > sub.expected {
+				sub.revoked = true
+				return Decision{Verb: Revoke, Txn: t.id, Seq: slices.Index(t.subs, sub)}, true
+			}
 		}
 	}
-	if first == nil {
-		return Decision{}, false
-	}
-	first.revoking = true
-	return Decision{Verb: Revoke, Txn: first.id, Seq: len(first.subs) - 1}, true
+	return Decision{}, false
 }
 
 func (r *Router) nextTxn() (Decision, bool) {
@@ -691,11 +688,11 @@
 		return Decision{}, false
 	}
 	expected := t.use.usual(r.now, t.kind) * m.slowness(r.now)
-	sub := &submission{to: m, at: r.now, expected: expected, out: true}
+	sub := &submission{to: m, of: t, at: r.now, expected: expected, out: true}
 	t.subs = append(t.subs, sub)
 	m.out = append(m.out, sub)
 	t.out++
-	t.placed, t.revoking = true, false
+	t.placed = true
 	m.lastSent = r.now
 	m.work.add(r.now, r.set.FallWindow, t.use.usual(r.now, t.kind))
 	return Decision{Verb: Submit, Txn: t.id, Member: m.id}, true
