--- a/router/router.go
+++ b/router/router.go
@@ -1,29 +1,29 @@
 // Package router decides where the txns of one router go. Its interface is in types.go.
 //
-// The host calls At first whenever something has come in, then the inputs (Listed, Arrive, Returned ...), which
-// only update what is known, then pulls Next until it has nothing left, and does each decision before the next.
-// Instances share nothing, read no clock and draw chance from their own seed.
+// The host calls At first whenever something has come in, then the inputs (Listed, Arrive, Returned ...),
+// which only update what is known, then pulls Next until it has nothing left, and does each decision before
+// the next. Instances share nothing, read no clock and draw chance from their own seed.
 package router
 
 import (
 	"encoding/binary"
 	"hash/fnv"
+	"maps"
 	"math"
 	"slices"
 	"sort"
 )
 
 const (
-	beat       = 10.0  // ms between two alarms, and the least between two checks of one member (DESIGN)
-	restCheck  = 1000  // check period where nothing presses (DESIGN)
-	recheckGap = 500.0 // check period while a group has no primary (DESIGN)
-	memory     = 3000  // ms over which latencies and failures fade: some tens of answers at a moderate rate
-	ghostly    = 500.0 // ms over which given up work fades from a member; its weight is its expected time over this
-	doubt      = 10.0  // a silence this many expected waits long is one healthy chance in twenty thousand (e^-10)
-	firstLimit = 1.0   // submissions at once to a member not yet known: all routers may start together
-	leastLimit = 0.2   // a fifth of the time, so that a member that recovers is still noticed
-	lostAfter  = 5.0   // expected waits; one healthy txn in 150 takes longer (e^-5)
-	trialGap   = 500.0 // between two trials of a member in doubt: as often as a recheck looks
+	beat       = 10.0   // ms between two alarms, and the least between two checks of one member (DESIGN)
+	restCheck  = 1000.0 // check period where nothing presses (DESIGN)
+	recheckGap = 500.0  // check period while a group has no primary (DESIGN), and between trials of one in doubt
+	memory     = 3000.0 // ms over which what is measured fades: some tens of answers at a moderate rate
+	ghostly    = 500.0  // ms over which given up work fades from a member, its weight being its time over this
+	doubt      = 10.0   // expected waits of silence; one healthy chance in twenty thousand (e^-10)
+	lostAfter  = 5.0    // expected waits; one healthy txn in 150 takes longer (e^-5)
+	firstLimit = 1.0    // submissions at once to a member not yet known: all routers may start together
+	leastLimit = 0.2    // a fifth of the time, so that a member that recovers is still noticed
 )
 
 // Never is the time of what has not happened, and the position of what told none.
@@ -121,9 +121,9 @@
 	votes    int
 }
 
-// age guesses how long a client has been trying already. Most tries are given one time, a share of the expiry; a
-// try given another has what the earlier ones left. Guards against jams of clients' repeats, which look new and
-// can earn little or nothing any more. It misjudges the rare client that is impatient from the start.
+// age guesses how long a client has been trying already. Most tries are given one time, a share of the expiry;
+// a try given another has what the earlier ones left. Guards against jams of clients' repeats, which look new
+// and can earn little or nothing any more. It misjudges the rare client that is impatient from the start.
 func (u *usage) age(now float64, kind *TxnType, ttl float64) float64 {
 	if math.Abs(ttl-u.patience) <= kind.Expiry/50 { // a fiftieth: the clock's tick and the network
 		u.votes = min(u.votes+1, 10) // few, since all clients may change their habit at once
@@ -154,6 +154,7 @@
 	sorted  bool
 	cursor  int
 	commits map[string]float64 // session: its last commit, where tokens are the router's own memory
+	pruneAt int
 	uses    map[*TxnType]*usage
 	shares  map[string]*fade
 	flow    float64 // work sent to a warm member within the fall window
@@ -314,7 +315,7 @@
 	}
 	r.answered(m, t, seq, how, rtt, role, gtid)
 	if how == Committed && t.kind.Level == Write && r.set.Remembered && t.session != "" {
-		r.commits[t.session] = math.Max(r.commits[t.session], gtid)
+		r.remember(t.session, gtid)
 	}
 	sub := t.subs[seq]
 	sub.out, sub.missed = false, how == Miss
@@ -336,6 +337,25 @@
 	}
 }
 
+// remember keeps the last commit of a session, and each time their number has doubled drops those that every
+// member has by now.
+func (r *Router) remember(session string, gtid float64) {
+	if gtid == Never {
+		gtid = r.now
+	}
+	r.commits[session] = math.Max(r.commits[session], gtid)
+	if len(r.commits) > r.pruneAt {
+		least := math.Inf(1)
+		for _, m := range r.order {
+			if !m.barred {
+				least = math.Min(least, m.gtid)
+			}
+		}
+		maps.DeleteFunc(r.commits, func(_ string, at float64) bool { return at <= least })
+		r.pruneAt = 2*len(r.commits) + 1000
+	}
+}
+
 // forget drops a txn that has had its final answer once none of its submissions is out any more.
 func (r *Router) forget(t *txn) {
 	t.over = true
@@ -370,17 +390,19 @@
 		m.seen.add(r.now, memory, 1)
 		m.good.add(r.now, memory, 1)
 		m.share.add(r.now, memory, rtt/t.kind.SLA)
-		if n := m.seen.read(r.now, memory); n >= 20 {
+		if n := m.seen.read(r.now, memory); n >= 20 { // fewer tell no mean
 			if mean := m.share.read(r.now, memory) / n; m.best == 0 || mean < m.best {
 				m.best = mean
 			}
 		}
+		// Soon is half the SLA time, or up to three quarters where the member's own best mean is so slow that
+		// more than one in five would take longer with no queue at all.
 		m.adapt(r.now, rtt/t.kind.SLA < math.Max(0.5, math.Min(0.75, 2.5*m.best)))
 	case how == Errored:
 		m.bad.add(r.now, memory, 1)
 	case how == TimedOut || how == Revoked:
-		// Else only those that were answered would count. But a member whose answers are quick has no queue: where
-		// some come not at all they are lost on the way, and sending less would not help.
+		// Else only those that were answered would count. But a member whose answers are quick has no queue:
+		// where some come not at all they are lost on the way, and sending less would not help.
 		if n := m.seen.read(r.now, memory); n < 1 || m.share.read(r.now, memory) > 0.3*n {
 			m.adapt(r.now, false)
 		}
@@ -391,10 +413,10 @@
 	}
 }
 
-// adapt moves the limit towards where one answer in five takes over three quarters of its SLA time: where waits fall
-// off exponentially about one in twenty-five is then late, while the member is still kept busy. It guards against
-// overload from any cause (surges, clients' retries, slow or cold members, fewer members left): what a member
-// can't take in time is held here, in order of value, in place of jamming its queue. It may hold back too much
+// adapt moves the limit towards where one answer in five is not soon: where waits fall off exponentially and soon
+// is half the SLA time, one in twenty-five is then late, while the member is still kept busy. It guards against
+// overload from any cause (surges, clients' repeats, slow or cold members, fewer members left): what a member
+// can't take in time is held here, in order of worth, in place of jamming its queue. It may hold back too much
 // on a router with so little traffic that its limit seldom moves.
 func (m *member) adapt(now float64, soon bool) {
 	step := math.Max(0.1, m.limit/50)
@@ -433,8 +455,8 @@
 	return float64(n) + m.ghosts.read(now, ghostly)
 }
 
-// silence is how long the member has kept quiet, summed over what is out there, in expected waits. What others sent
-// later have overtaken tells nothing: it is lost, or long, but the member is at work.
+// silence is how long the member has kept quiet, summed over what is out there, in expected waits. What others
+// sent later have overtaken tells nothing: it is lost, or long, but the member is at work.
 func (m *member) silence(now float64) float64 {
 	sum := 0.0
 	for _, sub := range m.out {
@@ -547,7 +569,7 @@
 // Next gives the next decision; false: none is left.
 func (r *Router) Next() (Decision, bool) {
 	if r.wantWatch <= r.now {
-		r.wantWatch = math.Inf(1)
+		r.wantWatch = r.now + r.set.AskWithin/2 // unless something is heard before
 		return Decision{Verb: Watch}, true
 	}
 	if d, ok := r.nextRevoke(); ok {
@@ -571,7 +593,7 @@
 		return Decision{}, false
 	}
 	for _, m := range r.order {
-		if m.checkOut || m.barred || r.now-m.checkSent < beat {
+		if m.checkOut && r.now-m.checkSent < restCheck || m.barred || r.now-m.checkSent < beat {
 			continue
 		}
 		if m.prompt || r.now-m.checkSent >= r.period(m.group) {
@@ -587,7 +609,7 @@
 	if p := r.primary(g); p == nil || p.doubted {
 		return recheckGap
 	}
-	least := restCheck * 1.0
+	least := restCheck
 	for kind := range r.uses {
 		if kind.Level == Bounded {
 			least = math.Min(least, kind.Bound/3)
@@ -608,9 +630,9 @@
 	return best
 }
 
-// nextRevoke takes repeatable txns back so that they can go elsewhere: from a member in doubt, and where one has been
-// overtaken and is out for so long that it must be lost, if another try can still be in time. A txn that is only
-// long is then worked on twice.
+// nextRevoke takes repeatable txns back so that they can go elsewhere: from a member in doubt, and where one has
+// been overtaken and is out for so long that it must be lost, if another try can still be in time. A txn that is
+// only long is then worked on twice.
 func (r *Router) nextRevoke() (Decision, bool) {
 	if !r.set.CanRevoke {
 		return Decision{}, false
@@ -695,7 +717,11 @@
 	t.placed = true
 	m.lastSent = r.now
 	m.work.add(r.now, r.set.FallWindow, t.use.usual(r.now, t.kind))
-	return Decision{Verb: Submit, Txn: t.id, Member: m.id}, true
+	d := Decision{Verb: Submit, Txn: t.id, Member: m.id}
+	if t.kind.Effect == Repeatable && !r.set.CanRevoke {
+		d.Wait = doubt * expected // in place of taking it back
+	}
+	return d, true
 }
 
 // hopeless tells that nothing more can come of sending the txn.
@@ -719,7 +745,8 @@
 func (r *Router) end(t *txn) Decision {
 	r.forget(t)
 	t.unserved(r.now)
-	if t.mayRun != Never && (t.kind.Effect == OnceOnly || t.kind.Effect == Referenced && t.kind.Scope != ScopeAll) {
+	promise := t.kind.Effect == Repeatable || t.kind.Effect == Referenced && t.kind.Scope == ScopeAll
+	if t.mayRun != Never && !promise {
 		return Decision{Verb: RollBack, Txn: t.id}
 	}
 	// What is declined here can't be answered in time by a repeat either, so the client is told to stay away as
@@ -758,7 +785,8 @@
 	for _, m := range t.group.members {
 		if r.fit(t, m) == nil {
 			full = full || m != pri && m.gtid >= need && !m.doubted
-			if m != pri && m.known && !m.doubted && !m.barred && m.gtid < need && r.now-m.behind >= need {
+			near := m.known && m.gtid < need && r.now-m.behind >= need
+			if near && m != pri && !m.doubted && !m.barred {
 				unsure = append(unsure, m)
 			}
 			continue
@@ -802,8 +830,8 @@
 		}
 		return r.fit(t, pri)
 	}
-	// Nobody is known fresh enough, but where the last check was only too long ago: ask two of those replicas and
-	// wait a moment, as server selection does in the source. The wait is an eighth of the SLA time at most.
+	// Nobody is known fresh enough, but some seemed near enough when last checked: ask two of those and wait a
+	// moment, as waiting operations do in the source. The wait is an eighth of the SLA time at most.
 	if len(unsure) > 0 && r.set.CanCheck && t.asked == Never {
 		t.asked = r.now
 		r.draw(unsure).prompt = true
@@ -870,10 +898,10 @@
 	if t.kind.Level != Any && r.set.Lag == LagAnswers && m.gtid < need && m != r.primary(m.group) {
 		return nil
 	}
-	if !m.known && r.set.CanCheck || m.doubted && (r.now-m.lastSent < trialGap || t.kind.Effect != Repeatable) {
+	if !m.known && r.set.CanCheck || m.doubted && (r.now-m.lastSent < recheckGap || t.kind.Effect != Repeatable) {
 		return nil
 	}
-	if !m.room(r.now, t.use.usual(r.now, t.kind)*m.slowness(r.now)) || r.warmth(m) < 1 && !r.bears(m, t) {
+	if r.warmth(m) < 1 && !r.bears(m, t) || !m.room(r.now, t.use.usual(r.now, t.kind)*m.slowness(r.now)) {
 		return nil
 	}
 	return m
