--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -1,5 +1,5 @@
-// Package drill plays router instances on the bench's wire: it decodes events, hands their fields to the router,
-// pulls its decisions and encodes them.
+// Package drill plays router instances on the bench's wire: it decodes events, hands their fields to the
+// router, pulls its decisions and encodes them.
 package drill
 
 import (
@@ -121,7 +121,8 @@
 			delete(p.all, i.name)
 		}
 		return f.err
-	case "BACKENDS_CHANGED", "JOB_IN", "RETURNED", "CLIENT_GONE", "TIMEOUT_FIRED", "ECHO", "FIRST_BYTE", "WHISPER":
+	case "BACKENDS_CHANGED", "JOB_IN", "RETURNED", "CLIENT_GONE", "TIMEOUT_FIRED", "ECHO",
+		"FIRST_BYTE", "WHISPER": // the last two ask for nothing here
 	default:
 		return errors.New("unknown event")
 	}
@@ -317,8 +318,8 @@
 	return p.out.Flush()
 }
 
-var verbs = map[router.Verb]string{router.Submit: "HAND_OFF", router.Revoke: "REVOKE", router.Decline: "SAY_NO",
-	router.RollBack: "FAIL", router.Check: "HEALTH_CHECK", router.Watch: "WATCH", router.Alarm: "SET_ALARM"}
+var verbs = map[router.Verb]string{router.Submit: "HAND_OFF", router.Revoke: "REVOKE",
+	router.Decline: "SAY_NO", router.RollBack: "FAIL", router.Check: "HEALTH_CHECK", router.Watch: "WATCH", router.Alarm: "SET_ALARM"}
 
 func (p *player) write(name string, d router.Decision) {
 	p.buf = append(p.buf[:0], '{')
--- a/internal/drill/fields.go
+++ b/internal/drill/fields.go
@@ -111,7 +111,8 @@
 	scopes = map[string]router.Scope{"all": router.ScopeAll, "zone": router.ScopeZone, "cell": router.ScopeGroup}
 	levels = map[string]router.Level{"any": router.Any, "bounded": router.Bounded, "session": router.Session,
 		"fresh": router.Fresh, "write": router.Write}
-	lags = map[string]router.Lag{"silent": router.LagAnswers, "refuse": router.LagRefuses, "wait": router.LagWaits}
+	lags = map[string]router.Lag{"silent": router.LagAnswers, "refuse": router.LagRefuses,
+		"wait": router.LagWaits}
 	asks = map[string]bool{"push": false, "ask": true}
 	own  = map[string]bool{"carried": false, "remembered": true}
 )
@@ -149,8 +150,8 @@
 	})
 	for n, row := range f.array("profiles") {
 		c := &fields{v: row}
-		kind := &router.TxnType{SLA: c.number("target") / 1000, Expiry: c.number("deadline") / 1000, Value: c.number("worth"),
-			LateValue: c.orZero("lateWorth"), Window: c.orZero("window") / 1000}
+		kind := &router.TxnType{SLA: c.number("target") / 1000, Expiry: c.number("deadline") / 1000,
+			Value: c.number("worth"), LateValue: c.orZero("lateWorth"), Window: c.orZero("window") / 1000}
 		if kind.Effect = choice(c, "idempotency", effects); kind.Effect == router.Referenced {
 			kind.Scope = choice(c, "group", scopes)
 		}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -12,7 +12,7 @@
 
 // A scenario is a text file, one step a line; # starts a comment.
 //
-//	set routers=2 lag=answers ...      settings; then  type NAME level=write effect=once-only sla=250 ...
+//	set routers=2 lag=answers ...      settings; then: type NAME level=write effect=once-only ...
 //	at 120                             the time; what follows happens then
 //	list whole a b:draining c@-5       members and states; @ the time of a start; "list changes" for changes only
 //	list failed
@@ -28,12 +28,13 @@
 	outcomeWords = map[string]Outcome{"ok": Committed, "error": Errored, "full": Full, "timeout": TimedOut,
 		"unconnected": ConnectFailed, "reset": Reset, "revoked": Revoked, "moot": Moot, "miss": Miss}
 	effectWords = map[string]Effect{"repeatable": Repeatable, "referenced": Referenced, "once-only": OnceOnly}
-	levelWords  = map[string]Level{"any": Any, "bounded": Bounded, "session": Session, "fresh": Fresh, "write": Write}
-	scopeWords  = map[string]Scope{"all": ScopeAll, "zone": ScopeZone, "group": ScopeGroup}
-	lagWords    = map[string]Lag{"answers": LagAnswers, "refuses": LagRefuses, "waits": LagWaits}
-	roleWords   = map[string]Role{"": Unsaid, "primary": Primary, "replica": Replica}
-	stateWords  = map[string]State{"up": Up, "draining": Draining, "removed": Removed}
-	verbWords   = map[Verb]string{Submit: "submit", Revoke: "revoke", Decline: "decline", RollBack: "rollback",
+	levelWords  = map[string]Level{"any": Any, "bounded": Bounded, "session": Session, "fresh": Fresh,
+		"write": Write}
+	scopeWords = map[string]Scope{"all": ScopeAll, "zone": ScopeZone, "group": ScopeGroup}
+	lagWords   = map[string]Lag{"answers": LagAnswers, "refuses": LagRefuses, "waits": LagWaits}
+	roleWords  = map[string]Role{"": Unsaid, "primary": Primary, "replica": Replica}
+	stateWords = map[string]State{"up": Up, "draining": Draining, "removed": Removed}
+	verbWords  = map[Verb]string{Submit: "submit", Revoke: "revoke", Decline: "decline", RollBack: "rollback",
 		Check: "check", Watch: "watch", Alarm: "alarm"}
 )
 
