--- a/router/router.go
+++ b/router/router.go
@@ -17,9 +17,9 @@
 const (
 	beat       = 10.0   // ms between two alarms, and the least between two checks of one member (DESIGN)
 	restCheck  = 1000.0 // check period where nothing presses (DESIGN)
-	recheckGap = 500.0  // check period while a group has no primary (DESIGN), and between trials of one in doubt
+	recheckGap = 500.0  // check period while a group has no primary (DESIGN); also between two trials
 	memory     = 3000.0 // ms over which what is measured fades: some tens of answers at a moderate rate
-	ghostly    = 500.0  // ms over which given up work fades from a member, its weight being its time over this
+	ghostly    = 500.0  // ms over which given up work fades; its weight is its expected time over this
 	doubt      = 10.0   // expected waits of silence; one healthy chance in twenty thousand (e^-10)
 	lostAfter  = 5.0    // expected waits; one healthy txn in 150 takes longer (e^-5)
 	firstLimit = 1.0    // submissions at once to a member not yet known: all routers may start together
@@ -121,9 +121,10 @@
 	votes    int
 }
 
-// age guesses how long a client has been trying already. Most tries are given one time, a share of the expiry;
-// a try given another has what the earlier ones left. Guards against jams of clients' repeats, which look new
-// and can earn little or nothing any more. It misjudges the rare client that is impatient from the start.
+// age guesses how long a client has been trying already. Most tries are given one time, a share of the
+// expiry; a try given another has what the earlier ones left. Guards against jams of clients' repeats, which
+// look new and can earn little or nothing any more. It misjudges the rare client that is impatient from the
+// start.
 func (u *usage) age(now float64, kind *TxnType, ttl float64) float64 {
 	if math.Abs(ttl-u.patience) <= kind.Expiry/50 { // a fiftieth: the clock's tick and the network
 		u.votes = min(u.votes+1, 10) // few, since all clients may change their habit at once
@@ -222,7 +223,8 @@
 	m := r.members[id]
 	if m == nil {
 		m = &member{id: id, zone: zone, group: g, claim: Never, denial: Never, gtid: Never, started: Never,
-			checkSent: Never, lastAnswer: Never, lastSent: Never, cutAt: Never, prompt: true, limit: firstLimit}
+			checkSent: Never, lastAnswer: Never, lastSent: Never, cutAt: Never, prompt: true,
+			limit: firstLimit}
 		r.members[id] = m
 		r.order = append(r.order, m)
 		g.members = append(g.members, m)
@@ -413,11 +415,11 @@
 	}
 }
 
-// adapt moves the limit towards where one answer in five is not soon: where waits fall off exponentially and soon
-// is half the SLA time, one in twenty-five is then late, while the member is still kept busy. It guards against
-// overload from any cause (surges, clients' repeats, slow or cold members, fewer members left): what a member
-// can't take in time is held here, in order of worth, in place of jamming its queue. It may hold back too much
-// on a router with so little traffic that its limit seldom moves.
+// adapt moves the limit towards where one answer in five is not soon: where waits fall off exponentially and
+// soon is half the SLA time, one in twenty-five is then late, while the member is still kept busy. It guards
+// against overload from any cause (surges, clients' repeats, slow or cold members, fewer members left): what
+// a member can't take in time is held here, in order of worth, in place of jamming its queue. It may hold
+// back too much on a router with so little traffic that its limit seldom moves.
 func (m *member) adapt(now float64, soon bool) {
 	step := math.Max(0.1, m.limit/50)
 	switch {
@@ -455,8 +457,8 @@
 	return float64(n) + m.ghosts.read(now, ghostly)
 }
 
-// silence is how long the member has kept quiet, summed over what is out there, in expected waits. What others
-// sent later have overtaken tells nothing: it is lost, or long, but the member is at work.
+// silence is how long the member has kept quiet, summed over what is out there, in expected waits. What
+// others sent later have overtaken tells nothing: it is lost, or long, but the member is at work.
 func (m *member) silence(now float64) float64 {
 	sum := 0.0
 	for _, sub := range m.out {
@@ -479,7 +481,8 @@
 	}
 }
 
-// missed: a write's miss proves that the member is not primary, a read's that it is further behind than thought.
+// missed: a write's miss proves that the member is not primary, a read's that it is further behind than
+// thought.
 func (r *Router) missed(m *member, t *txn) {
 	if t.kind.Level == Write || t.kind.Level == Fresh {
 		m.denial = r.now
@@ -520,8 +523,8 @@
 		}
 		return
 	}
-	// Guards against members that restart before the list says so: back after a reset, or after a while in which
-	// they could not be reached, they count as cold. It spares one needlessly that was only cut off.
+	// Guards against members that restart before the list says so: back after a reset, or after a while in
+	// which they could not be reached, they count as cold. It spares one needlessly that was only cut off.
 	if m.down && (m.restarted || r.now-m.downAt > restCheck) {
 		r.begin(m, r.now)
 	}
@@ -535,8 +538,8 @@
 	m.work = fade{}
 }
 
-// Reported conveys a load report with a role and a position. It is dated by that position, since it may be old
-// and nothing else tells how old: a primary stands at the present, a replica a little before.
+// Reported conveys a load report with a role and a position. It is dated by that position, since it may be
+// old and nothing else tells how old: a primary stands at the present, a replica a little before.
 func (r *Router) Reported(node string, role Role, gtid float64) {
 	if m := r.members[node]; m != nil {
 		m.tell(role, gtid, gtid)
@@ -604,7 +607,8 @@
 	return Decision{}, false
 }
 
-// period is well inside the smallest bound where enough reads need it to pay for the checks, else the resting one.
+// period is well inside the smallest bound where enough reads need it to pay for the checks, else the
+// resting one.
 func (r *Router) period(g *group) float64 {
 	if p := r.primary(g); p == nil || p.doubted {
 		return recheckGap
@@ -630,9 +634,9 @@
 	return best
 }
 
-// nextRevoke takes repeatable txns back so that they can go elsewhere: from a member in doubt, and where one has
-// been overtaken and is out for so long that it must be lost, if another try can still be in time. A txn that is
-// only long is then worked on twice.
+// nextRevoke takes repeatable txns back so that they can go elsewhere: from a member in doubt, and where one
+// has been overtaken and is out for so long that it must be lost, if another try can still be in time. A txn
+// that is only long is then worked on twice.
 func (r *Router) nextRevoke() (Decision, bool) {
 	if !r.set.CanRevoke {
 		return Decision{}, false
@@ -749,8 +753,9 @@
 	if t.mayRun != Never && !promise {
 		return Decision{Verb: RollBack, Txn: t.id}
 	}
-	// What is declined here can't be answered in time by a repeat either, so the client is told to stay away as
-	// long as it may be told; that spares members in a jam, and may be longer than needed after a short one.
+	// What is declined here can't be answered in time by a repeat either, so the client is told to stay away
+	// as long as it may be told; that spares members in a jam, and may be longer than needed after a short
+	// one.
 	return Decision{Verb: Decline, Txn: t.id, Wait: r.set.RetryAfter}
 }
 
@@ -812,8 +817,8 @@
 	if !t.group.ready && r.set.CanCheck {
 		return nil // a fresh router: wait for the group's first check
 	}
-	// Guards against any shortage of replicas (lost, slow, lagging, a surge): where each that would do is at its
-	// limit, a read uses what the primary has to spare. Half its room stays for writes.
+	// Guards against any shortage of replicas (lost, slow, lagging, a surge): where each that would do is at
+	// its limit, a read uses what the primary has to spare. Half its room stays for writes.
 	if full {
 		if pri != nil && pri.load(r.now) < pri.limit/2 {
 			return r.fit(t, pri)
@@ -830,8 +835,8 @@
 		}
 		return r.fit(t, pri)
 	}
-	// Nobody is known fresh enough, but some seemed near enough when last checked: ask two of those and wait a
-	// moment, as waiting operations do in the source. The wait is an eighth of the SLA time at most.
+	// Nobody is known fresh enough, but some seemed near enough when last checked: ask two of those and wait
+	// a moment, as waiting operations do in the source. The wait is an eighth of the SLA time at most.
 	if len(unsure) > 0 && r.set.CanCheck && t.asked == Never {
 		t.asked = r.now
 		r.draw(unsure).prompt = true
@@ -858,7 +863,8 @@
 	return false
 }
 
-// draw picks one of the members by chance, weighted against smoothed latency times one plus requests in flight.
+// draw picks one of the members by chance, weighted against smoothed latency times one plus requests in
+// flight.
 func (r *Router) draw(from []*member) *member {
 	total := 0.0
 	weights := make([]float64, len(from))
@@ -884,7 +890,8 @@
 	return math.Min(1, r.set.ColdFrom+(1-r.set.ColdFrom)*(r.now-m.started)/r.set.WarmUp)
 }
 
-// fit is the one place that every send passes: it gives the member back if the txn may go there now, else nil.
+// fit is the one place that every send passes: it gives the member back if the txn may go there now, else
+// nil.
 func (r *Router) fit(t *txn, m *member) *member {
 	if m == nil || m.barred || m.down || t.placed || t.over || t.out > 0 && !r.set.SecondCopies {
 		return nil
@@ -898,7 +905,10 @@
 	if t.kind.Level != Any && r.set.Lag == LagAnswers && m.gtid < need && m != r.primary(m.group) {
 		return nil
 	}
-	if !m.known && r.set.CanCheck || m.doubted && (r.now-m.lastSent < recheckGap || t.kind.Effect != Repeatable) {
+	if !m.known && r.set.CanCheck {
+		return nil
+	}
+	if m.doubted && (r.now-m.lastSent < recheckGap || t.kind.Effect != Repeatable) {
 		return nil
 	}
 	if r.warmth(m) < 1 && !r.bears(m, t) || !m.room(r.now, t.use.usual(r.now, t.kind)*m.slowness(r.now)) {
@@ -907,15 +917,18 @@
 	return m
 }
 
-// bears tells whether a cold member can take one more (rule 4): what this router sends it within the fall window
-// stays under half the allowed multiple of the cold share of what it sends a warm member, which that one bears.
+// bears tells whether a cold member can take one more (rule 4): what this router sends it within the fall
+// window stays under half the allowed multiple of the cold share of what it sends a warm member, which that
+// one bears.
 func (r *Router) bears(m *member, t *txn) bool {
 	work := t.use.usual(r.now, t.kind)
-	return m.work.read(r.now, r.set.FallWindow)+work <= math.Max(work, r.set.FallMultiple/2*r.warmth(m)*r.flow)
+	may := math.Max(work, r.set.FallMultiple/2*r.warmth(m)*r.flow)
+	return m.work.read(r.now, r.set.FallWindow)+work <= may
 }
 
-// measure follows what this router sends to a warm member within the fall window. It guards against a restart of
-// most members at once, after which no warm ones are left to tell, and the few that are get all there is.
+// measure follows what this router sends to a warm member within the fall window. It guards against a
+// restart of most members at once, after which no warm ones are left to tell, and the few that are get all
+// there is.
 func (r *Router) measure(passed float64) {
 	sum, warm, all := 0.0, 0.0, 0.0
 	for _, m := range r.order {
