--- a/router/router.go
+++ b/router/router.go
@@ -67,7 +67,6 @@
 	doubted    bool    // has been silent too long; cleared by any answer to a submission
 	slow, seen fade    // latency against what is usual for the txn type
 	share      fade    // latency against the SLA time
-	best       float64 // the least mean of it since the member started; 0: not known
 	good, bad  fade    // submissions answered well, and refused or failed by the member itself
 	work       fade    // expected work sent, over the fall window
 	limit      float64 // how many of this router's submissions it may hold at once
@@ -392,14 +391,7 @@
 		m.seen.add(r.now, memory, 1)
 		m.good.add(r.now, memory, 1)
 		m.share.add(r.now, memory, rtt/t.kind.SLA)
-		if n := m.seen.read(r.now, memory); n >= 20 { // fewer tell no mean
-			if mean := m.share.read(r.now, memory) / n; m.best == 0 || mean < m.best {
-				m.best = mean
-			}
-		}
-		// Soon is half the SLA time, or up to three quarters where the member's own best mean is so slow that
-		// more than one in five would take longer with no queue at all.
-		m.adapt(r.now, rtt/t.kind.SLA < math.Max(0.5, math.Min(0.75, 2.5*m.best)))
+		m.adapt(r.now, rtt < t.kind.SLA/2)
 	case how == Errored:
 		m.bad.add(r.now, memory, 1)
 	case how == TimedOut || how == Revoked:
@@ -534,7 +526,7 @@
 // begin starts a member's record of speed and limit anew; it is cold.
 func (r *Router) begin(m *member, at float64) {
 	m.started = at
-	m.limit, m.best, m.tested = math.Min(firstLimit, m.limit), 0, false
+	m.limit, m.tested = math.Min(firstLimit, m.limit), false
 	m.work = fade{}
 }
 
