--- a/router/router.go
+++ b/router/router.go
@@ -508,6 +508,9 @@
 		return
 	}
 	m.checkOut = false
+	if how == Full {
+		return // too crowded to be checked: it is there, and nothing else is told
+	}
 	m.group.ready = true
 	if how != Committed {
 		if !m.down {
