--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -141,10 +141,7 @@
 			return fmt.Errorf("class: %q is not in the settings", kind)
 		}
 	case "RETURNED":
-		how, known := outcomes[int(f.number("how"))]
-		if f.err == nil && !known {
-			return fmt.Errorf("how: unknown outcome %d", int(f.number("how")))
-		}
+		how := outcome(f)
 		role, gtid := router.Unsaid, router.Never
 		if mark := int64(f.orZero("mark")); mark != 0 {
 			role = router.Role(mark & 3)
@@ -158,10 +155,7 @@
 			p.report(i, node, f)
 		}
 	case "ECHO":
-		how, known := outcomes[int(f.number("how"))]
-		if f.err == nil && !known {
-			return fmt.Errorf("how: unknown outcome %d", int(f.number("how")))
-		}
+		how := outcome(f)
 		if node := f.text("node"); f.err == nil {
 			r.Checked(node, how)
 			p.report(i, node, f)
@@ -180,6 +174,15 @@
 	504: router.TimedOut, 502: router.ConnectFailed, 598: router.Reset, 499: router.Revoked, 410: router.Moot,
 	404: router.Miss}
 
+func outcome(f *fields) router.Outcome {
+	code := int(f.number("how"))
+	how, known := outcomes[code]
+	if f.err == nil && !known {
+		f.err = fmt.Errorf("how: unknown outcome %d", code)
+	}
+	return how
+}
+
 func (p *player) report(i *instance, node string, f *fields) {
 	load := &fields{v: f.v.Get("load")}
 	if load.v == nil || load.v.Type() == fastjson.TypeNull {
--- a/router/router.go
+++ b/router/router.go
@@ -160,6 +160,7 @@
 	flow    float64 // work sent to a warm member within the fall window
 
 	listed    map[string]bool
+	least     float64 // the shortest check period
 	wantWatch float64 // when to ask for the list again
 	alarmAt   float64
 }
@@ -167,12 +168,15 @@
 func New(set *Settings, seed uint64) *Router {
 	r := &Router{set: set, seed: seed, members: map[string]*member{}, groups: map[int]*group{},
 		txns: map[string]*txn{}, commits: map[string]float64{}, uses: map[*TxnType]*usage{},
-		shares: map[string]*fade{}, wantWatch: math.Inf(1)}
+		shares: map[string]*fade{}, wantWatch: math.Inf(1), least: restCheck}
 	if set.Ask {
 		r.wantWatch = Never
 	}
 	for _, kind := range set.TxnTypes {
 		r.uses[kind] = &usage{}
+		if kind.Level == Bounded {
+			r.least = math.Min(r.least, kind.Bound/3)
+		}
 	}
 	return r
 }
@@ -210,15 +214,20 @@
 	}
 }
 
+func (r *Router) group(no int) *group {
+	g := r.groups[no]
+	if g == nil {
+		g = &group{}
+		r.groups[no] = g
+	}
+	return g
+}
+
 // ListStart, Listed and ListEnd convey one list, whole or of changes.
 func (r *Router) ListStart() { r.listed = map[string]bool{} }
 
 func (r *Router) Listed(id, zone string, groupNo int, state State, started float64) {
-	g := r.groups[groupNo]
-	if g == nil {
-		g = &group{}
-		r.groups[groupNo] = g
-	}
+	g := r.group(groupNo)
 	m := r.members[id]
 	if m == nil {
 		m = &member{id: id, zone: zone, group: g, claim: Never, denial: Never, gtid: Never, started: Never,
@@ -263,11 +272,7 @@
 	if kind == nil {
 		return false
 	}
-	g := r.groups[groupNo]
-	if g == nil {
-		g = &group{}
-		r.groups[groupNo] = g
-	}
+	g := r.group(groupNo)
 	age := r.uses[kind].age(r.now, kind, ttl)
 	t := &txn{id: id, kind: kind, use: r.uses[kind], group: g, arrived: r.now - age, repeat: age > 0,
 		expiry: r.now + ttl, needs: Never, session: session, mayRun: Never, asked: Never, value: kind.Value}
@@ -314,11 +319,11 @@
 	if m == nil || t == nil || seq >= len(t.subs) || !t.subs[seq].out {
 		return
 	}
-	r.answered(m, t, seq, how, rtt, role, gtid)
+	sub := t.subs[seq]
+	r.answered(m, t, sub, how, rtt, role, gtid)
 	if how == Committed && t.kind.Level == Write && r.set.Remembered && t.session != "" {
 		r.remember(t.session, gtid)
 	}
-	sub := t.subs[seq]
 	sub.out, sub.missed = false, how == Miss
 	t.out--
 	t.met = how
@@ -366,8 +371,8 @@
 }
 
 // answered updates the record of a member from the end of a submission to it.
-func (r *Router) answered(m *member, t *txn, seq int, how Outcome, rtt float64, role Role, gtid float64) {
-	sub := t.subs[seq]
+func (r *Router) answered(m *member, t *txn, sub *submission, how Outcome, rtt float64, role Role,
+	gtid float64) {
 	m.out = slices.DeleteFunc(m.out, func(o *submission) bool { return o == sub })
 	switch how {
 	case Committed, Errored, Full, Miss:
@@ -552,11 +557,11 @@
 
 // unserved counts a txn whose client may come back; a repeat counts half, lest a false guess feed on itself.
 func (t *txn) unserved(now float64) {
+	weight := 1.0
 	if t.repeat {
-		t.use.ended.add(now, 2*t.kind.Expiry, 0.5)
-	} else {
-		t.use.ended.add(now, 2*t.kind.Expiry, 1)
+		weight = 0.5
 	}
+	t.use.ended.add(now, 2*t.kind.Expiry, weight)
 }
 
 // Rang says that the alarm has come.
@@ -608,14 +613,8 @@
 	if p := r.primary(g); p == nil || p.doubted {
 		return recheckGap
 	}
-	least := restCheck
-	for kind := range r.uses {
-		if kind.Level == Bounded {
-			least = math.Min(least, kind.Bound/3)
-		}
-	}
 	rate := g.reads.read(r.now, memory) / memory
-	return math.Max(least, math.Min(restCheck, 2*float64(len(g.members))/rate))
+	return math.Max(r.least, math.Min(restCheck, 2*float64(len(g.members))/rate))
 }
 
 // primary is the member with the latest claim that nothing later denies.
@@ -708,7 +707,7 @@
 	if m == nil {
 		return Decision{}, false
 	}
-	expected := t.use.usual(r.now, t.kind) * m.slowness(r.now)
+	expected := r.expects(t, m)
 	sub := &submission{to: m, of: t, at: r.now, expected: expected, out: true}
 	t.subs = append(t.subs, sub)
 	m.out = append(m.out, sub)
@@ -765,6 +764,11 @@
 	return (m.slow.read(now, memory) + 1) / (m.seen.read(now, memory) + 1)
 }
 
+// expects is how long an answer of the member to the txn should take.
+func (r *Router) expects(t *txn, m *member) float64 {
+	return t.use.usual(r.now, t.kind) * m.slowness(r.now)
+}
+
 // bound is the position that the txn must see if sent now.
 func (t *txn) bound(now float64) float64 {
 	if t.kind.Level == Bounded {
@@ -906,7 +910,7 @@
 	if m.doubted && (r.now-m.lastSent < recheckGap || t.kind.Effect != Repeatable) {
 		return nil
 	}
-	if r.warmth(m) < 1 && !r.bears(m, t) || !m.room(r.now, t.use.usual(r.now, t.kind)*m.slowness(r.now)) {
+	if r.warmth(m) < 1 && !r.bears(m, t) || !m.room(r.now, r.expects(t, m)) {
 		return nil
 	}
 	return m
