Checks and alarms follow need

Now a group is checked at its first txn, then as often as its txns or bounded reads pay for; alarms ring when something is due. It might hurt where a lone router must notice a change without traffic: it learns at its next txn.

--- a/router/router.go
+++ b/router/router.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	beat       = 10.0   // ms between two alarms, and the least between two checks of one member (DESIGN)
-	restCheck  = 1000.0 // check period where nothing presses (DESIGN)
+	beat       = 10.0   // ms between two looks at what waits; least between two checks of one member (DESIGN)
+	restCheck  = 1000.0 // the shortest check period where nothing presses (DESIGN)
+	perCheck   = 4.0    // txns that pay for a resting check: few enough to notice a change, checks cost points
 	recheckGap = 500.0  // check period while a group has no primary (DESIGN); also between two trials
 	memory     = 3000.0 // ms over which what is measured fades: some tens of answers at a moderate rate
 	ghostly    = 500.0  // ms over which given up work fades; its weight is its expected time over this
@@ -76,8 +77,11 @@
 
 type group struct {
 	members []*member
-	ready   bool // its first check has come back
-	reads   fade // reads that need a known position
+	ready   bool    // its first check has come back
+	used    bool    // it has had traffic here
+	held    float64 // when a txn last found no member to go to
+	arrived fade    // txns
+	reads   fade    // reads that need a known position
 }
 
 type submission struct {
@@ -168,7 +172,7 @@
 func New(set *Settings, seed uint64) *Router {
 	r := &Router{set: set, seed: seed, members: map[string]*member{}, groups: map[int]*group{},
 		txns: map[string]*txn{}, commits: map[string]float64{}, uses: map[*TxnType]*usage{},
-		shares: map[string]*fade{}, wantWatch: math.Inf(1), least: restCheck}
+		shares: map[string]*fade{}, wantWatch: math.Inf(1), least: restCheck, alarmAt: math.Inf(1)}
 	if set.Ask {
 		r.wantWatch = Never
 	}
@@ -217,7 +221,7 @@
 func (r *Router) group(no int) *group {
 	g := r.groups[no]
 	if g == nil {
-		g = &group{}
+		g = &group{held: Never}
 		r.groups[no] = g
 	}
 	return g
@@ -231,7 +235,7 @@
 	m := r.members[id]
 	if m == nil {
 		m = &member{id: id, zone: zone, group: g, claim: Never, denial: Never, gtid: Never, started: Never,
-			checkSent: Never, lastAnswer: Never, lastSent: Never, cutAt: Never, prompt: true,
+			checkSent: Never, lastAnswer: Never, lastSent: Never, cutAt: Never, prompt: g.used,
 			limit: firstLimit}
 		r.members[id] = m
 		r.order = append(r.order, m)
@@ -240,7 +244,7 @@
 	r.listed[id] = true
 	if started > m.started {
 		r.begin(m, started)
-		m.prompt = true
+		m.prompt = g.used
 	}
 	if !r.set.SoftRemoval || state != Removed {
 		m.barred = state != Up
@@ -286,7 +290,12 @@
 	case kind.Level == Fresh:
 		t.needs = r.now
 	}
-	if kind.Level == Session || kind.Level == Bounded {
+	g.arrived.add(r.now, memory, 1)
+	if !g.used { // checks wait for the first traffic: most routers use few groups
+		g.used = true
+		r.recheck(g)
+	}
+	if kind.Level == Bounded && r.set.Lag == LagAnswers { // else members see to the bound themselves
 		g.reads.add(r.now, memory, 1)
 	}
 	if quota, ok := r.set.Tenants[tenant]; ok {
@@ -564,8 +573,12 @@
 	t.use.ended.add(now, 2*t.kind.Expiry, weight)
 }
 
-// Rang says that the alarm has come.
-func (r *Router) Rang() { r.alarmAt = 0 }
+// Rang says that an alarm has come.
+func (r *Router) Rang() {
+	if r.now > r.alarmAt-beat/2 {
+		r.alarmAt = math.Inf(1)
+	}
+}
 
 // Decisions
 
@@ -584,22 +597,47 @@
 	if d, ok := r.nextCheck(); ok {
 		return d, true
 	}
-	if r.alarmAt <= r.now {
-		r.alarmAt = r.now + beat
-		return Decision{Verb: Alarm, At: r.alarmAt}, true
+	if due := r.due(); due < r.alarmAt {
+		r.alarmAt = due
+		return Decision{Verb: Alarm, At: due}, true
 	}
 	return Decision{}, false
 }
 
+// due is when something may have to be done next if nothing comes in; a beat from now at the earliest.
+func (r *Router) due() float64 {
+	due := r.wantWatch
+	if len(r.waiting) > 0 {
+		due = r.now
+	}
+	for _, m := range r.order {
+		if r.set.CanCheck {
+			due = math.Min(due, r.checkDue(m))
+		}
+		rate := 0.0
+		for _, sub := range m.out {
+			if sub.at >= m.overtaken {
+				rate += 1 / sub.expected
+			}
+			if !sub.revoked && !sub.of.over && sub.of.kind.Effect == Repeatable {
+				if lost := sub.at + lostAfter*sub.expected; lost > r.now && sub.at < m.overtaken {
+					due = math.Min(due, lost)
+				}
+			}
+		}
+		if !m.doubted && rate > 0 {
+			due = math.Min(due, r.now+(doubt-m.silence(r.now))/rate+beat)
+		}
+	}
+	return math.Max(due, r.now+beat)
+}
+
 func (r *Router) nextCheck() (Decision, bool) {
 	if !r.set.CanCheck {
 		return Decision{}, false
 	}
 	for _, m := range r.order {
-		if m.checkOut && r.now-m.checkSent < restCheck || m.barred || r.now-m.checkSent < beat {
-			continue
-		}
-		if m.prompt || r.now-m.checkSent >= r.period(m.group) {
+		if r.checkDue(m) <= r.now {
 			m.prompt, m.checkOut, m.checkSent = false, true, r.now
 			return Decision{Verb: Check, Member: m.id}, true
 		}
@@ -607,14 +645,34 @@
 	return Decision{}, false
 }
 
-// period is well inside the smallest bound where enough reads need it to pay for the checks, else the
-// resting one.
-func (r *Router) period(g *group) float64 {
-	if p := r.primary(g); p == nil || p.doubted {
+func (r *Router) checkDue(m *member) float64 {
+	switch {
+	case m.barred || !m.group.used:
+		return math.Inf(1)
+	case m.checkOut:
+		return m.checkSent + restCheck
+	case m.prompt:
+		return m.checkSent + beat
+	}
+	return m.checkSent + r.period(m)
+}
+
+// period follows need. It is well inside the smallest bound where enough reads need positions to pay for the
+// checks. At rest it lets some txns pay for each check, so that many routers with little traffic don't
+// burden members with more checks than txns; a member marked unknown or down is asked after sooner, and all
+// are while txns wait for a primary.
+func (r *Router) period(m *member) float64 {
+	g := m.group
+	if p := r.primary(g); (p == nil || p.doubted) && r.now-g.held < recheckGap {
 		return recheckGap
 	}
-	rate := g.reads.read(r.now, memory) / memory
-	return math.Max(r.least, math.Min(restCheck, 2*float64(len(g.members))/rate))
+	rate := g.arrived.read(r.now, memory) / memory
+	each := float64(len(g.members)) / rate
+	if !m.known {
+		return math.Max(recheckGap, each)
+	}
+	need := 2 * float64(len(g.members)) * memory / g.reads.read(r.now, memory)
+	return math.Max(r.least, math.Min(need, math.Max(restCheck, perCheck*each)))
 }
 
 // primary is the member with the latest claim that nothing later denies.
@@ -705,6 +763,7 @@
 	}
 	m := r.pick(t)
 	if m == nil {
+		t.group.held = r.now
 		return Decision{}, false
 	}
 	expected := r.expects(t, m)
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -12,7 +12,7 @@
 
 // A scenario is a text file, one step a line; # starts a comment.
 //
-//	set routers=2 lag=answers ...      settings; then: type NAME level=write effect=once-only ...
+//	set routers=2 lag=answers ...      settings, or "unused": no traffic before; then: type NAME level=write effect=once-only ...
 //	at 120                             the time; what follows happens then
 //	list whole a b:draining c@-5       members and states; @ the time of a start; "list changes" for changes only
 //	list failed
@@ -65,13 +65,14 @@
 }
 
 type play struct {
-	set   *Settings
-	r     *Router
-	now   float64
-	fresh bool // inputs have come since the last pull
-	out   []string
-	last  map[string]Decision // the last submission of each txn
-	count map[string]int
+	set    *Settings
+	r      *Router
+	now    float64
+	unused bool // the group has had no traffic yet
+	fresh  bool // inputs have come since the last pull
+	out    []string
+	last   map[string]Decision // the last submission of each txn
+	count  map[string]int
 }
 
 // options splits key=value words off; a bare word stands for itself.
@@ -101,6 +102,7 @@
 		_, p.set.Ask = o["ask"]
 		_, p.set.Remembered = o["remembered"]
 		_, p.set.SoftRemoval = o["soft"]
+		_, p.unused = o["unused"]
 		p.set.Lag = lagWords[o["lag"]]
 		return nil
 	case "type":
@@ -113,6 +115,7 @@
 		p.now = number(w[1], 0)
 		if p.r == nil {
 			p.r = New(p.set, 1)
+			p.r.group(1).used = !p.unused
 		}
 		p.r.At(p.now)
 		p.r.Rang()
