--- a/router/router.go
+++ b/router/router.go
@@ -19,7 +19,10 @@
 	restCheck  = 1000.0 // the shortest check period where nothing presses (DESIGN)
 	perCheck   = 4.0    // txns that pay for a resting check: few enough to notice a change, checks cost points
 	recheckGap = 500.0  // check period while a group has no primary (DESIGN); also between two trials
-	memory     = 3000.0 // ms over which what is measured fades: some tens of answers at a moderate rate
+	memory     = 3000.0 // ms over which what is measured fades, at the least: a few SLA times
+	longMemory = 30000. // and at the most: trouble comes and goes in tens of seconds
+	sample     = 30.0   // txns that a memory should hold, so that one answer doesn't swing it
+	prior      = 3.0    // answers that what is supposed at first weighs as much as
 	ghostly    = 500.0  // ms over which given up work fades; its weight is its expected time over this
 	doubt      = 10.0   // expected waits of silence; one healthy chance in twenty thousand (e^-10)
 	lostAfter  = 5.0    // expected waits; one healthy txn in 150 takes longer (e^-5)
@@ -159,6 +162,8 @@
 	cursor  int
 	commits map[string]float64 // session: its last commit, where tokens are the router's own memory
 	pruneAt int
+	arrived fade
+	span    float64 // ms over which what is measured fades
 	uses    map[*TxnType]*usage
 	shares  map[string]*fade
 	flow    float64 // work sent to a warm member within the fall window
@@ -172,7 +177,8 @@
 func New(set *Settings, seed uint64) *Router {
 	r := &Router{set: set, seed: seed, members: map[string]*member{}, groups: map[int]*group{},
 		txns: map[string]*txn{}, commits: map[string]float64{}, uses: map[*TxnType]*usage{},
-		shares: map[string]*fade{}, wantWatch: math.Inf(1), least: restCheck, alarmAt: math.Inf(1)}
+		shares: map[string]*fade{}, wantWatch: math.Inf(1), least: restCheck, alarmAt: math.Inf(1),
+		span: longMemory}
 	if set.Ask {
 		r.wantWatch = Never
 	}
@@ -290,13 +296,15 @@
 	case kind.Level == Fresh:
 		t.needs = r.now
 	}
-	g.arrived.add(r.now, memory, 1)
+	r.arrived.add(r.now, longMemory, 1)
+	r.span = math.Max(memory, math.Min(longMemory, sample*longMemory/r.arrived.sum))
+	g.arrived.add(r.now, r.span, 1)
 	if !g.used { // checks wait for the first traffic: most routers use few groups
 		g.used = true
 		r.recheck(g)
 	}
 	if kind.Level == Bounded && r.set.Lag == LagAnswers { // else members see to the bound themselves
-		g.reads.add(r.now, memory, 1)
+		g.reads.add(r.now, r.span, 1)
 	}
 	if quota, ok := r.set.Tenants[tenant]; ok {
 		f := r.shares[tenant]
@@ -304,8 +312,8 @@
 			f = &fade{}
 			r.shares[tenant] = f
 		}
-		f.add(r.now, memory, 1)
-		if f.read(r.now, memory)*1000/memory > quota/float64(r.set.Routers) {
+		f.add(r.now, r.span, 1)
+		if f.read(r.now, r.span)*1000/r.span > quota/float64(r.set.Routers) {
 			t.value *= r.set.OverShareValue
 		}
 	}
@@ -398,20 +406,20 @@
 	}
 	switch {
 	case how == Committed:
-		usual := t.use.usual(r.now, t.kind)
-		t.use.wait.add(r.now, memory, rtt)
-		t.use.n.add(r.now, memory, 1)
-		m.slow.add(r.now, memory, rtt/usual)
-		m.seen.add(r.now, memory, 1)
-		m.good.add(r.now, memory, 1)
-		m.share.add(r.now, memory, rtt/t.kind.SLA)
+		usual := t.use.usual(r.now, r.span, t.kind)
+		t.use.wait.add(r.now, r.span, rtt)
+		t.use.n.add(r.now, r.span, 1)
+		m.slow.add(r.now, r.span, rtt/usual)
+		m.seen.add(r.now, r.span, 1)
+		m.good.add(r.now, r.span, 1)
+		m.share.add(r.now, r.span, rtt/t.kind.SLA)
 		m.adapt(r.now, rtt < t.kind.SLA/2)
 	case how == Errored:
-		m.bad.add(r.now, memory, 1)
+		m.bad.add(r.now, r.span, 1)
 	case how == TimedOut || how == Revoked:
 		// Else only those that were answered would count. But a member whose answers are quick has no queue:
 		// where some come not at all they are lost on the way, and sending less would not help.
-		if n := m.seen.read(r.now, memory); n < 1 || m.share.read(r.now, memory) > 0.3*n {
+		if n := m.seen.read(r.now, r.span); n < 1 || m.share.read(r.now, r.span) > 0.3*n {
 			m.adapt(r.now, false)
 		}
 		m.ghosts.add(r.now, ghostly, math.Min(1, sub.expected/ghostly))
@@ -666,12 +674,12 @@
 	if p := r.primary(g); (p == nil || p.doubted) && r.now-g.held < recheckGap {
 		return recheckGap
 	}
-	rate := g.arrived.read(r.now, memory) / memory
+	rate := g.arrived.read(r.now, r.span) / r.span
 	each := float64(len(g.members)) / rate
 	if !m.known {
 		return math.Max(recheckGap, each)
 	}
-	need := 2 * float64(len(g.members)) * memory / g.reads.read(r.now, memory)
+	need := 2 * float64(len(g.members)) * r.span / g.reads.read(r.now, r.span)
 	return math.Max(r.least, math.Min(need, math.Max(restCheck, perCheck*each)))
 }
 
@@ -700,7 +708,7 @@
 				continue
 			}
 			lost := sub.at < m.overtaken && age > lostAfter*sub.expected &&
-				r.now+t.use.usual(r.now, t.kind) < t.arrived+t.kind.SLA
+				r.now+t.use.usual(r.now, r.span, t.kind) < t.arrived+t.kind.SLA
 			if lost || m.doubted && age > sub.expected {
 				sub.revoked = true
 				return Decision{Verb: Revoke, Txn: t.id, Seq: slices.Index(t.subs, sub)}, true
@@ -713,7 +721,7 @@
 func (r *Router) nextTxn() (Decision, bool) {
 	if !r.sorted {
 		for _, t := range r.waiting {
-			t.rank = t.worth(r.now)
+			t.rank = t.worth(r.now, r.span)
 		}
 		sort.SliceStable(r.waiting, func(i, j int) bool {
 			a, b := r.waiting[i], r.waiting[j]
@@ -749,8 +757,8 @@
 
 // worth is the value to be expected from sending the txn now, for each ms of work, if answers take as long as
 // usual and their times fall off exponentially.
-func (t *txn) worth(now float64) float64 {
-	usual := t.use.usual(now, t.kind)
+func (t *txn) worth(now, span float64) float64 {
+	usual := t.use.usual(now, span, t.kind)
 	late := 1 - math.Exp(math.Min(0, now-t.expiry)/usual)
 	soon := 1 - math.Exp(math.Min(0, now-t.arrived-t.kind.SLA)/usual)
 	return t.value * (soon + t.kind.LateValue*math.Max(0, late-soon)) / usual
@@ -773,7 +781,7 @@
 	t.out++
 	t.placed = true
 	m.lastSent = r.now
-	m.work.add(r.now, r.set.FallWindow, t.use.usual(r.now, t.kind))
+	m.work.add(r.now, r.set.FallWindow, t.use.usual(r.now, r.span, t.kind))
 	d := Decision{Verb: Submit, Txn: t.id, Member: m.id}
 	if t.kind.Effect == Repeatable && !r.set.CanRevoke {
 		d.Wait = doubt * expected // in place of taking it back
@@ -783,7 +791,7 @@
 
 // hopeless tells that nothing more can come of sending the txn.
 func (r *Router) hopeless(t *txn) bool {
-	usual := t.use.usual(r.now, t.kind)
+	usual := t.use.usual(r.now, r.span, t.kind)
 	switch {
 	case r.now >= t.expiry || len(t.subs) >= r.set.Submissions:
 		return true
@@ -813,19 +821,19 @@
 }
 
 // usual is the smoothed time from submission to answer of a txn type, over all members.
-func (u *usage) usual(now float64, kind *TxnType) float64 {
-	// Until some answers are in, half the SLA time: whoever set it expects answers well inside it.
-	return (u.wait.read(now, memory) + kind.SLA/2) / (u.n.read(now, memory) + 1)
+func (u *usage) usual(now, span float64, kind *TxnType) float64 {
+	// Until some answers are in, a quarter of the SLA time: whoever set it expects answers well inside it.
+	return (u.wait.read(now, span) + prior*kind.SLA/4) / (u.n.read(now, span) + prior)
 }
 
 // slowness is the member's smoothed latency against what is usual.
-func (m *member) slowness(now float64) float64 {
-	return (m.slow.read(now, memory) + 1) / (m.seen.read(now, memory) + 1)
+func (m *member) slowness(now, span float64) float64 {
+	return (m.slow.read(now, span) + prior) / (m.seen.read(now, span) + prior)
 }
 
 // expects is how long an answer of the member to the txn should take.
 func (r *Router) expects(t *txn, m *member) float64 {
-	return t.use.usual(r.now, t.kind) * m.slowness(r.now)
+	return t.use.usual(r.now, r.span, t.kind) * m.slowness(r.now, r.span)
 }
 
 // bound is the position that the txn must see if sent now.
@@ -927,8 +935,8 @@
 	total := 0.0
 	weights := make([]float64, len(from))
 	for i, m := range from {
-		good, bad := m.good.read(r.now, memory), m.bad.read(r.now, memory)
-		cost := m.slowness(r.now) * (1 + m.load(r.now))
+		good, bad := m.good.read(r.now, r.span), m.bad.read(r.now, r.span)
+		cost := m.slowness(r.now, r.span) * (1 + m.load(r.now))
 		// Guards against members that fail or refuse quickly, whose latency would draw more txns to them.
 		well := (good + 1) / (good + bad + 1)
 		weights[i] = math.Pow(well, 4) * r.warmth(m) / (cost * cost)
@@ -979,7 +987,7 @@
 // window stays under half the allowed multiple of the cold share of what it sends a warm member, which that
 // one bears.
 func (r *Router) bears(m *member, t *txn) bool {
-	work := t.use.usual(r.now, t.kind)
+	work := t.use.usual(r.now, r.span, t.kind)
 	may := math.Max(work, r.set.FallMultiple/2*r.warmth(m)*r.flow)
 	return m.work.read(r.now, r.set.FallWindow)+work <= may
 }
