Give txns up when rather lost than long, by the learned share of lost answers

Now each router learns which share gets no answer, silence counts as far as that does not explain it, repeatable txns are taken back once rather lost than long (five expected waits at least), and a half silent member has its group rechecked.

--- a/router/router.go
+++ b/router/router.go
@@ -25,7 +25,8 @@
 	prior      = 3.0    // answers that what is supposed at first weighs as much as
 	ghostly    = 500.0  // ms over which given up work fades; its weight is its expected time over this
 	doubt      = 10.0   // expected waits of silence; one healthy chance in twenty thousand (e^-10)
-	lostAfter  = 5.0    // expected waits; one healthy txn in 150 takes longer (e^-5)
+	rareLoss   = 0.001  // share of answers supposed lost on the way until some were
+	loseOdds   = 3.0    // that a txn is lost, not long, when it is given up on: most such are then no waste
 	firstLimit = 1.0    // submissions at once to a member not yet known: all routers may start together
 	leastLimit = 0.2    // a fifth of the time, so that a member that recovers is still noticed
 )
@@ -69,9 +70,11 @@
 	out        []*submission
 	overtaken  float64 // when the latest submission that it has answered was sent
 	doubted    bool    // has been silent too long; cleared by any answer to a submission
-	slow, seen fade    // latency against what is usual for the txn type
-	share      fade    // latency against the SLA time
-	good, bad  fade    // submissions answered well, and refused or failed by the member itself
+	slow, good fade    // latency against what is usual for the txn type; submissions answered well
+	bad        fade    // submissions refused, failed or lost
+	heard      fade    // submissions answered in any way
+	lost       fade    // submissions that seem to have got no answer
+	mute       float64 // expected waits of silence, of submissions that ended without an answer since the last
 	work       fade    // expected work sent, over the fall window
 	limit      float64 // how many of this router's submissions it may hold at once
 	tested     bool    // the limit has been found once
@@ -163,6 +166,8 @@
 	commits map[string]float64 // session: its last commit, where tokens are the router's own memory
 	pruneAt int
 	arrived fade
+	heard   fade
+	lost    fade
 	span    float64 // ms over which what is measured fades
 	uses    map[*TxnType]*usage
 	shares  map[string]*fade
@@ -217,8 +222,9 @@
 	for _, m := range r.order {
 		// Guards against whatever takes txns and answers none: hung, vanished or cut off. Long pauses and one
 		// very long txn on an idle router look the same for a while; the first answer ends the doubt.
-		if !m.doubted && m.silence(now) > doubt {
-			m.doubted = true
+		if quiet := r.silence(m); len(m.out) == 0 || m.doubted || quiet < doubt/2 {
+			continue
+		} else if m.doubted = quiet > doubt; m.doubted || now-m.checkSent > recheckGap {
 			r.recheck(m.group)
 		}
 	}
@@ -393,7 +399,9 @@
 	m.out = slices.DeleteFunc(m.out, func(o *submission) bool { return o == sub })
 	switch how {
 	case Committed, Errored, Full, Miss:
-		m.lastAnswer = r.now
+		m.lastAnswer, m.mute = r.now, 0
+		m.heard.add(r.now, r.span, 1)
+		r.heard.add(r.now, r.span, 1)
 		m.overtaken = math.Max(m.overtaken, sub.at)
 		m.doubted, m.down = false, false
 		m.tell(role, r.now, gtid)
@@ -410,18 +418,12 @@
 		t.use.wait.add(r.now, r.span, rtt)
 		t.use.n.add(r.now, r.span, 1)
 		m.slow.add(r.now, r.span, rtt/usual)
-		m.seen.add(r.now, r.span, 1)
 		m.good.add(r.now, r.span, 1)
-		m.share.add(r.now, r.span, rtt/t.kind.SLA)
 		m.adapt(r.now, rtt < t.kind.SLA/2)
 	case how == Errored:
 		m.bad.add(r.now, r.span, 1)
 	case how == TimedOut || how == Revoked:
-		// Else only those that were answered would count. But a member whose answers are quick has no queue:
-		// where some come not at all they are lost on the way, and sending less would not help.
-		if n := m.seen.read(r.now, r.span); n < 1 || m.share.read(r.now, r.span) > 0.3*n {
-			m.adapt(r.now, false)
-		}
+		r.unanswered(m, t, sub)
 		m.ghosts.add(r.now, ghostly, math.Min(1, sub.expected/ghostly))
 	case how == Full && r.now-m.cutAt > 10*beat:
 		m.limit = math.Max(leastLimit, math.Min(m.limit, float64(len(m.out)+1))/2)
@@ -429,6 +431,44 @@
 	}
 }
 
+// unanswered weighs whether a submission without an answer was lost on the way, or only long: the one grows
+// likely where many are lost and others are quick. What is long counts as at least that slow, else only those
+// that were answered would count.
+func (r *Router) unanswered(m *member, t *txn, sub *submission) {
+	waits, loss := (r.now-sub.at)/sub.expected, r.loss(m)
+	lost := loss / (loss + (1-loss)*math.Exp(-waits))
+	m.lost.add(r.now, r.span, lost)
+	r.lost.add(r.now, r.span, lost)
+	m.bad.add(r.now, r.span, lost)
+	t.use.wait.add(r.now, r.span, (1-lost)*(r.now-sub.at+sub.expected))
+	t.use.n.add(r.now, r.span, 1-lost)
+	m.adapt(r.now, false)
+	if sub.at >= m.overtaken {
+		m.mute += math.Min(waits, -math.Log(r.usualLoss()))
+	}
+	m.prompt = true
+	if m == r.primary(m.group) {
+		r.recheck(m.group)
+	}
+}
+
+// usualLoss is the share of this router's submissions that get no answer though they may run.
+func (r *Router) usualLoss() float64 {
+	lost := r.lost.read(r.now, r.span)
+	return (lost + prior*rareLoss) / (lost + r.heard.read(r.now, r.span) + prior)
+}
+
+func (r *Router) loss(m *member) float64 {
+	lost := m.lost.read(r.now, r.span)
+	return (lost + prior*r.usualLoss()) / (lost + m.heard.read(r.now, r.span) + prior)
+}
+
+// patience is after how many expected waits a submission is rather lost than long.
+func (r *Router) patience(m *member) float64 {
+	loss := r.loss(m)
+	return math.Max(5, math.Log(loseOdds*(1-loss)/loss))
+}
+
 // adapt moves the limit towards where one answer in five is not soon: where waits fall off exponentially and
 // soon is half the SLA time, one in twenty-five is then late, while the member is still kept busy. It guards
 // against overload from any cause (surges, clients' repeats, slow or cold members, fewer members left): what
@@ -471,13 +511,15 @@
 	return float64(n) + m.ghosts.read(now, ghostly)
 }
 
-// silence is how long the member has kept quiet, summed over what is out there, in expected waits. What
-// others sent later have overtaken tells nothing: it is lost, or long, but the member is at work.
-func (m *member) silence(now float64) float64 {
-	sum := 0.0
+// silence is how long the member has kept quiet, summed over what is out there, in expected waits, as far as
+// losses on the way don't explain it. What others sent later have overtaken tells nothing: it is lost, or
+// long, but the member is at work.
+func (r *Router) silence(m *member) float64 {
+	sum := m.mute
 	for _, sub := range m.out {
 		if sub.at >= m.overtaken {
-			sum += (now - math.Max(sub.at, m.lastAnswer)) / sub.expected
+			waits := (r.now - math.Max(sub.at, m.lastAnswer)) / sub.expected
+			sum += math.Min(waits, -math.Log(r.usualLoss()))
 		}
 	}
 	return sum
@@ -622,19 +664,13 @@
 		if r.set.CanCheck {
 			due = math.Min(due, r.checkDue(m))
 		}
-		rate := 0.0
 		for _, sub := range m.out {
-			if sub.at >= m.overtaken {
-				rate += 1 / sub.expected
-			}
-			if !sub.revoked && !sub.of.over && sub.of.kind.Effect == Repeatable {
-				if lost := sub.at + lostAfter*sub.expected; lost > r.now && sub.at < m.overtaken {
-					due = math.Min(due, lost)
-				}
+			if lost := sub.at + r.patience(m)*sub.expected; !sub.revoked && lost > r.now {
+				due = math.Min(due, lost)
 			}
 		}
-		if !m.doubted && rate > 0 {
-			due = math.Min(due, r.now+(doubt-m.silence(r.now))/rate+beat)
+		if len(m.out) > 0 && !m.doubted { // a fifth of an expected wait more of silence may be enough
+			due = math.Min(due, r.now+m.out[0].expected/5)
 		}
 	}
 	return math.Max(due, r.now+beat)
@@ -694,9 +730,9 @@
 	return best
 }
 
-// nextRevoke takes repeatable txns back so that they can go elsewhere: from a member in doubt, and where one
-// has been overtaken and is out for so long that it must be lost, if another try can still be in time. A txn
-// that is only long is then worked on twice.
+// nextRevoke takes txns that may be sent again back so that they are: from a member in doubt, and where the
+// answer is rather lost than late, if another try can still be in time. A txn that is only long is then worked
+// on twice.
 func (r *Router) nextRevoke() (Decision, bool) {
 	if !r.set.CanRevoke {
 		return Decision{}, false
@@ -704,12 +740,13 @@
 	for _, m := range r.order {
 		for _, sub := range m.out {
 			t, age := sub.of, r.now-sub.at
-			if sub.revoked || t.over || t.kind.Effect != Repeatable || len(t.subs) >= r.set.Submissions {
+			if sub.revoked || t.over || t.kind.Effect != Repeatable || len(t.subs) >= r.set.Submissions ||
+				t.kind.Effect == Referenced && age > t.kind.Window/2 {
 				continue
 			}
-			lost := sub.at < m.overtaken && age > lostAfter*sub.expected &&
-				r.now+t.use.usual(r.now, r.span, t.kind) < t.arrived+t.kind.SLA
-			if lost || m.doubted && age > sub.expected {
+			usual := t.use.usual(r.now, r.span, t.kind)
+			useful := r.now+usual < t.arrived+t.kind.SLA || t.kind.LateValue > 0 && r.now+usual < t.expiry
+			if useful && age > r.patience(m)*sub.expected || m.doubted && age > sub.expected {
 				sub.revoked = true
 				return Decision{Verb: Revoke, Txn: t.id, Seq: slices.Index(t.subs, sub)}, true
 			}
@@ -784,7 +821,7 @@
 	m.work.add(r.now, r.set.FallWindow, t.use.usual(r.now, r.span, t.kind))
 	d := Decision{Verb: Submit, Txn: t.id, Member: m.id}
 	if t.kind.Effect == Repeatable && !r.set.CanRevoke {
-		d.Wait = doubt * expected // in place of taking it back
+		d.Wait = r.patience(m) * expected // in place of taking it back
 	}
 	return d, true
 }
@@ -828,7 +865,7 @@
 
 // slowness is the member's smoothed latency against what is usual.
 func (m *member) slowness(now, span float64) float64 {
-	return (m.slow.read(now, span) + prior) / (m.seen.read(now, span) + prior)
+	return (m.slow.read(now, span) + prior) / (m.good.read(now, span) + prior)
 }
 
 // expects is how long an answer of the member to the txn should take.
@@ -878,7 +915,7 @@
 		}
 	}
 	if len(fresh) > 0 {
-		return r.draw(fresh)
+		return r.draw(t, fresh)
 	}
 	if !t.group.ready && r.set.CanCheck {
 		return nil // a fresh router: wait for the group's first check
@@ -893,7 +930,7 @@
 	}
 	if r.set.Lag != LagAnswers {
 		if len(likely) > 0 {
-			return r.draw(likely)
+			return r.draw(t, likely)
 		}
 		if len(t.subs) == 0 && len(rest) > 0 {
 			sort.SliceStable(rest, func(i, j int) bool { return rest[i].behind < rest[j].behind })
@@ -905,8 +942,8 @@
 	// a moment, as waiting operations do in the source. The wait is an eighth of the SLA time at most.
 	if len(unsure) > 0 && r.set.CanCheck && t.asked == Never {
 		t.asked = r.now
-		r.draw(unsure).prompt = true
-		r.draw(unsure).prompt = true
+		r.draw(t, unsure).prompt = true
+		r.draw(t, unsure).prompt = true
 		return nil
 	}
 	if r.now-t.asked < t.kind.SLA/8 {
@@ -931,7 +968,7 @@
 
 // draw picks one of the members by chance, weighted against smoothed latency times one plus requests in
 // flight.
-func (r *Router) draw(from []*member) *member {
+func (r *Router) draw(t *txn, from []*member) *member {
 	total := 0.0
 	weights := make([]float64, len(from))
 	for i, m := range from {
@@ -940,6 +977,9 @@
 		// Guards against members that fail or refuse quickly, whose latency would draw more txns to them.
 		well := (good + 1) / (good + bad + 1)
 		weights[i] = math.Pow(well, 4) * r.warmth(m) / (cost * cost)
+		if slices.ContainsFunc(t.subs, func(s *submission) bool { return s.to == m }) {
+			weights[i] /= 10 // it has not answered this one
+		}
 		total += weights[i]
 	}
 	x := r.chance() * total
