Cold members get a share that adds up; look only at what is busy, used or due

What may go to a cold member now adds up from a start by chance, against what the group's members committed on average; an absence counts as a restart only until the list had time to tell.

--- a/router/router.go
+++ b/router/router.go
@@ -62,7 +62,9 @@
 	checkSent  float64
 	checkOut   bool
 	downAt     float64
-	restarted  bool // its connections have broken
+	guessed    float64 // when it was last back from an absence that may have been a restart
+	allow      float64 // while it is cold: what it may be sent, in SLA time; Never: nothing counted yet
+	allowAt    float64
 	prompt     bool // check as soon as the least gap allows
 	ghosts     fade // submissions given up that the member may still be working on
 	lastAnswer float64
@@ -75,7 +77,6 @@
 	heard      fade    // submissions answered in any way
 	lost       fade    // submissions that seem to have got no answer
 	mute       float64 // expected waits of silence, of submissions that ended without an answer since the last
-	work       fade    // expected work sent, over the fall window
 	limit      float64 // how many of this router's submissions it may hold at once
 	tested     bool    // the limit has been found once
 	cutAt      float64 // when a refusal last cut the limit
@@ -86,7 +87,10 @@
 	ready   bool    // its first check has come back
 	used    bool    // it has had traffic here
 	held    float64 // when a txn last found no member to go to
+	checkAt float64 // when its next check may be due
 	arrived fade    // txns
+	offered fade    // their SLA times, which stand for their work: unlike latency, they hold still in a jam
+	done    fade    // SLA times of those committed
 	reads   fade    // reads that need a known position
 }
 
@@ -163,6 +167,9 @@
 	waiting []*txn
 	sorted  bool
 	cursor  int
+	busy    []*member // those that hold submissions
+	used    []*group  // those that have had traffic
+	born    float64
 	commits map[string]float64 // session: its last commit, where tokens are the router's own memory
 	pruneAt int
 	arrived fade
@@ -171,7 +178,6 @@
 	span    float64 // ms over which what is measured fades
 	uses    map[*TxnType]*usage
 	shares  map[string]*fade
-	flow    float64 // work sent to a warm member within the fall window
 
 	listed    map[string]bool
 	least     float64 // the shortest check period
@@ -213,16 +219,15 @@
 
 // At sets the time; all that follows until the next call happens then.
 func (r *Router) At(now float64) {
-	if passed := now - r.now; passed > 0 {
-		r.now = now
-		r.measure(passed)
+	if r.now = now; r.born == 0 {
+		r.born = now
 	}
 	r.cursor = 0
 	r.sorted = false
-	for _, m := range r.order {
+	for _, m := range r.busy {
 		// Guards against whatever takes txns and answers none: hung, vanished or cut off. Long pauses and one
 		// very long txn on an idle router look the same for a while; the first answer ends the doubt.
-		if quiet := r.silence(m); len(m.out) == 0 || m.doubted || quiet < doubt/2 {
+		if quiet := r.silence(m); m.doubted || quiet < doubt/2 {
 			continue
 		} else if m.doubted = quiet > doubt; m.doubted || now-m.checkSent > recheckGap {
 			r.recheck(m.group)
@@ -248,14 +253,16 @@
 	if m == nil {
 		m = &member{id: id, zone: zone, group: g, claim: Never, denial: Never, gtid: Never, started: Never,
 			checkSent: Never, lastAnswer: Never, lastSent: Never, cutAt: Never, prompt: g.used,
-			limit: firstLimit}
+			guessed: Never, allow: Never, limit: firstLimit}
 		r.members[id] = m
 		r.order = append(r.order, m)
 		g.members = append(g.members, m)
 	}
 	r.listed[id] = true
+	g.checkAt = r.now
 	if started > m.started {
-		r.begin(m, started)
+		m.started = started
+		m.begin()
 		m.prompt = g.used
 	}
 	if !r.set.SoftRemoval || state != Removed {
@@ -305,9 +312,10 @@
 	r.arrived.add(r.now, longMemory, 1)
 	r.span = math.Max(memory, math.Min(longMemory, sample*longMemory/r.arrived.sum))
 	g.arrived.add(r.now, r.span, 1)
+	g.offered.add(r.now, longMemory, kind.SLA)
+	g.checkAt = r.now
 	if !g.used { // checks wait for the first traffic: most routers use few groups
-		g.used = true
-		r.recheck(g)
+		r.use(g)
 	}
 	if kind.Level == Bounded && r.set.Lag == LagAnswers { // else members see to the bound themselves
 		g.reads.add(r.now, r.span, 1)
@@ -328,6 +336,12 @@
 	return true
 }
 
+func (r *Router) use(g *group) {
+	g.used = true
+	r.used = append(r.used, g)
+	r.recheck(g)
+}
+
 func (r *Router) wait(t *txn) {
 	t.placed = false
 	r.waiting = append(r.waiting, t)
@@ -397,6 +411,9 @@
 func (r *Router) answered(m *member, t *txn, sub *submission, how Outcome, rtt float64, role Role,
 	gtid float64) {
 	m.out = slices.DeleteFunc(m.out, func(o *submission) bool { return o == sub })
+	if len(m.out) == 0 {
+		r.busy = slices.DeleteFunc(r.busy, func(o *member) bool { return o == m })
+	}
 	switch how {
 	case Committed, Errored, Full, Miss:
 		m.lastAnswer, m.mute = r.now, 0
@@ -409,11 +426,11 @@
 			r.missed(m, t)
 		}
 	case ConnectFailed, Reset:
-		m.restarted = m.restarted || how == Reset
 		r.markDown(m)
 	}
 	switch {
 	case how == Committed:
+		m.group.done.add(r.now, longMemory, t.kind.SLA)
 		usual := t.use.usual(r.now, r.span, t.kind)
 		t.use.wait.add(r.now, r.span, rtt)
 		t.use.n.add(r.now, r.span, 1)
@@ -446,7 +463,7 @@
 	if sub.at >= m.overtaken {
 		m.mute += math.Min(waits, -math.Log(r.usualLoss()))
 	}
-	m.prompt = true
+	m.ask()
 	if m == r.primary(m.group) {
 		r.recheck(m.group)
 	}
@@ -547,7 +564,7 @@
 		return
 	}
 	m.behind = math.Max(m.behind, r.now-t.bound(r.now))
-	m.prompt = true
+	m.ask()
 }
 
 func (r *Router) markDown(m *member) {
@@ -559,9 +576,12 @@
 	r.recheck(m.group)
 }
 
+// ask has the member checked as soon as the least gap allows.
+func (m *member) ask() { m.prompt, m.group.checkAt = true, Never }
+
 func (r *Router) recheck(g *group) {
 	for _, m := range g.members {
-		m.prompt = true
+		m.ask()
 	}
 }
 
@@ -571,7 +591,7 @@
 	if m == nil {
 		return
 	}
-	m.checkOut = false
+	m.checkOut, m.group.checkAt = false, Never
 	if how == Full {
 		return // too crowded to be checked: it is there, and nothing else is told
 	}
@@ -582,19 +602,19 @@
 		}
 		return
 	}
-	// Guards against members that restart before the list says so: back after a reset, or after a while in
-	// which they could not be reached, they count as cold. It spares one needlessly that was only cut off.
-	if m.down && (m.restarted || r.now-m.downAt > restCheck) {
-		r.begin(m, r.now)
+	// Guards against members that restart before the list says so: back after an absence they count as cold
+	// until the list has had time to tell. Where it tells nothing this router alone could not reach it, as the
+	// next time will be.
+	if m.down && r.now-m.downAt > recheckGap && r.now-m.guessed > longMemory {
+		m.guessed = r.now
+		m.begin()
 	}
-	m.down, m.known, m.restarted = false, true, false
+	m.down, m.known = false, true
 }
 
 // begin starts a member's record of speed and limit anew; it is cold.
-func (r *Router) begin(m *member, at float64) {
-	m.started = at
-	m.limit, m.tested = math.Min(firstLimit, m.limit), false
-	m.work = fade{}
+func (m *member) begin() {
+	m.limit, m.tested, m.allow = math.Min(firstLimit, m.limit), false, Never
 }
 
 // Reported conveys a load report with a role and a position. It is dated by that position, since it may be
@@ -660,16 +680,18 @@
 	if len(r.waiting) > 0 {
 		due = r.now
 	}
-	for _, m := range r.order {
+	for _, g := range r.used {
 		if r.set.CanCheck {
-			due = math.Min(due, r.checkDue(m))
+			due = math.Min(due, g.checkAt)
 		}
+	}
+	for _, m := range r.busy {
 		for _, sub := range m.out {
 			if lost := sub.at + r.patience(m)*sub.expected; !sub.revoked && lost > r.now {
 				due = math.Min(due, lost)
 			}
 		}
-		if len(m.out) > 0 && !m.doubted { // a fifth of an expected wait more of silence may be enough
+		if !m.doubted { // a fifth of an expected wait more of silence may be enough
 			due = math.Min(due, r.now+m.out[0].expected/5)
 		}
 	}
@@ -680,18 +702,27 @@
 	if !r.set.CanCheck {
 		return Decision{}, false
 	}
-	for _, m := range r.order {
-		if r.checkDue(m) <= r.now {
-			m.prompt, m.checkOut, m.checkSent = false, true, r.now
-			return Decision{Verb: Check, Member: m.id}, true
+	for _, g := range r.used {
+		if g.checkAt > r.now {
+			continue
 		}
+		next := math.Inf(1)
+		for _, m := range g.members {
+			due := r.checkDue(m)
+			if due <= r.now {
+				m.prompt, m.checkOut, m.checkSent = false, true, r.now
+				return Decision{Verb: Check, Member: m.id}, true
+			}
+			next = math.Min(next, due)
+		}
+		g.checkAt = next
 	}
 	return Decision{}, false
 }
 
 func (r *Router) checkDue(m *member) float64 {
 	switch {
-	case m.barred || !m.group.used:
+	case m.barred:
 		return math.Inf(1)
 	case m.checkOut:
 		return m.checkSent + restCheck
@@ -737,7 +768,7 @@
 	if !r.set.CanRevoke {
 		return Decision{}, false
 	}
-	for _, m := range r.order {
+	for _, m := range r.busy {
 		for _, sub := range m.out {
 			t, age := sub.of, r.now-sub.at
 			if sub.revoked || t.over || t.kind.Effect != Repeatable || len(t.subs) >= r.set.Submissions ||
@@ -808,17 +839,20 @@
 	}
 	m := r.pick(t)
 	if m == nil {
-		t.group.held = r.now
+		t.group.held, t.group.checkAt = r.now, math.Min(t.group.checkAt, r.now)
 		return Decision{}, false
 	}
 	expected := r.expects(t, m)
 	sub := &submission{to: m, of: t, at: r.now, expected: expected, out: true}
 	t.subs = append(t.subs, sub)
+	if len(m.out) == 0 {
+		r.busy = append(r.busy, m)
+	}
 	m.out = append(m.out, sub)
 	t.out++
 	t.placed = true
 	m.lastSent = r.now
-	m.work.add(r.now, r.set.FallWindow, t.use.usual(r.now, r.span, t.kind))
+	m.allow -= t.kind.SLA
 	d := Decision{Verb: Submit, Txn: t.id, Member: m.id}
 	if t.kind.Effect == Repeatable && !r.set.CanRevoke {
 		d.Wait = r.patience(m) * expected // in place of taking it back
@@ -993,7 +1027,11 @@
 
 // warmth is the least share of its usual work that a member can do by now.
 func (r *Router) warmth(m *member) float64 {
-	return math.Min(1, r.set.ColdFrom+(1-r.set.ColdFrom)*(r.now-m.started)/r.set.WarmUp)
+	start := m.started
+	if r.now-m.guessed < r.set.AskWithin/2 {
+		start = math.Max(start, m.guessed)
+	}
+	return math.Min(1, r.set.ColdFrom+(1-r.set.ColdFrom)*(r.now-start)/r.set.WarmUp)
 }
 
 // fit is the one place that every send passes: it gives the member back if the txn may go there now, else
@@ -1017,37 +1055,35 @@
 	if m.doubted && (r.now-m.lastSent < recheckGap || t.kind.Effect != Repeatable) {
 		return nil
 	}
-	if r.warmth(m) < 1 && !r.bears(m, t) || !m.room(r.now, r.expects(t, m)) {
+	if !r.bears(m, t) || !m.room(r.now, r.expects(t, m)) {
 		return nil
 	}
 	return m
 }
 
-// bears tells whether a cold member can take one more (rule 4): what this router sends it within the fall
-// window stays under half the allowed multiple of the cold share of what it sends a warm member, which that
-// one bears.
+// bears tells whether a cold member can take one more (rule 4): what this router sends it stays under half the
+// allowed multiple of the cold share of what the group's members have committed here on average, which is at
+// most what a warm one can do. Many routers have a share of far less than a txn each: what they may send adds
+// up from a start by chance, so that together they take turns. Guards against a restart of any number of
+// members, which leaves the average standing; after a lull it spares them more than needed.
 func (r *Router) bears(m *member, t *txn) bool {
-	work := t.use.usual(r.now, r.span, t.kind)
-	may := math.Max(work, r.set.FallMultiple/2*r.warmth(m)*r.flow)
-	return m.work.read(r.now, r.set.FallWindow)+work <= may
-}
-
-// measure follows what this router sends to a warm member within the fall window. It guards against a
-// restart of most members at once, after which no warm ones are left to tell, and the few that are get all
-// there is.
-func (r *Router) measure(passed float64) {
-	sum, warm, all := 0.0, 0.0, 0.0
-	for _, m := range r.order {
-		if m.barred {
-			continue
-		}
-		all++
-		if r.warmth(m) >= 1 && !m.down {
-			warm++
-			sum += m.work.read(r.now, r.set.FallWindow)
-		}
+	g, w := m.group, r.warmth(m)
+	if w >= 1 {
+		return true
 	}
-	if warm >= all/2 && warm > 0 {
-		r.flow += (sum/warm - r.flow) * (1 - math.Exp(-passed/memory))
+	if m.allow == Never {
+		m.allow, m.allowAt = t.kind.SLA*r.chance(), r.now
+	}
+	n := 0.0
+	for _, o := range g.members {
+		if !o.barred {
+			n++
+		}
 	}
+	span := longMemory * (1 - math.Exp(-math.Max(memory, r.now-r.born)/longMemory))
+	flow := math.Max(g.done.read(r.now, longMemory), g.offered.read(r.now, longMemory)/4) / span / n
+	rate := r.set.FallMultiple / 2 * w * flow
+	m.allow = math.Min(m.allow+rate*(r.now-m.allowAt), math.Max(t.kind.SLA, rate*r.set.FallWindow))
+	m.allowAt = r.now
+	return m.allow >= t.kind.SLA
 }
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -115,7 +115,9 @@
 		p.now = number(w[1], 0)
 		if p.r == nil {
 			p.r = New(p.set, 1)
-			p.r.group(1).used = !p.unused
+			if !p.unused {
+				p.r.use(p.r.group(1))
+			}
 		}
 		p.r.At(p.now)
 		p.r.Rang()
