Take txns on by a chance that slow answers lower, low worth first

Answers that are not soon, from a member whose limit is at one already, now lower a router's chance of taking txns on; the chance falls with a txn's worth for its work. It sheds too much where a few slow members make many answers slow and nothing is full.

--- a/router/router.go
+++ b/router/router.go
@@ -28,6 +28,7 @@
 	rareLoss   = 0.001  // share of answers supposed lost on the way until some were
 	loseOdds   = 3.0    // that a txn is lost, not long, when it is given up on: most such are then no waste
 	firstLimit = 1.0    // submissions at once to a member not yet known: all routers may start together
+	reserve    = 1.5    // of the chance to be taken on, so that a few slow answers in a row change nothing
 	leastLimit = 0.2    // a fifth of the time, so that a member that recovers is still noticed
 )
 
@@ -105,25 +106,26 @@
 }
 
 type txn struct {
-	id      string
-	kind    *TxnType
-	use     *usage
-	group   *group
-	arrived float64 // the client's first try, as far as it can be told
-	expiry  float64
-	needs   float64 // the position a session or fresh read must see
-	session string
-	value   float64
-	rank    float64 // its place among those waiting
-	subs    []*submission
-	out     int
-	mayRun  float64 // when the earliest submission that may have run went out; Never: none may have
-	ranZone string
-	met     Outcome // how the last submission ended
-	asked   float64 // when checks were asked for on its behalf
-	repeat  bool    // taken for a client's repeat
-	placed  bool    // not waiting for a decision
-	over    bool    // it has had its final answer
+	id       string
+	kind     *TxnType
+	use      *usage
+	group    *group
+	arrived  float64 // the client's first try, as far as it can be told
+	expiry   float64
+	needs    float64 // the position a session or fresh read must see
+	session  string
+	value    float64
+	rank     float64 // its place among those waiting
+	subs     []*submission
+	out      int
+	mayRun   float64 // when the earliest submission that may have run went out; Never: none may have
+	ranZone  string
+	met      Outcome // how the last submission ended
+	asked    float64 // when checks were asked for on its behalf
+	admitted bool
+	repeat   bool // taken for a client's repeat
+	placed   bool // not waiting for a decision
+	over     bool // it has had its final answer
 }
 
 // usage is what one txn type has shown of itself.
@@ -170,6 +172,8 @@
 	busy    []*member // those that hold submissions
 	used    []*group  // those that have had traffic
 	born    float64
+	admit   [2]float64         // chance at which reads and writes of middling worth are taken on; over 1 is a reserve
+	worths  fade               // worth by work of what arrived
 	commits map[string]float64 // session: its last commit, where tokens are the router's own memory
 	pruneAt int
 	arrived fade
@@ -189,7 +193,7 @@
 	r := &Router{set: set, seed: seed, members: map[string]*member{}, groups: map[int]*group{},
 		txns: map[string]*txn{}, commits: map[string]float64{}, uses: map[*TxnType]*usage{},
 		shares: map[string]*fade{}, wantWatch: math.Inf(1), least: restCheck, alarmAt: math.Inf(1),
-		span: longMemory}
+		span: longMemory, admit: [2]float64{reserve, reserve}}
 	if set.Ask {
 		r.wantWatch = Never
 	}
@@ -331,6 +335,7 @@
 			t.value *= r.set.OverShareValue
 		}
 	}
+	r.worths.add(r.now, longMemory, t.value/kind.SLA)
 	r.txns[id] = t
 	r.wait(t)
 	return true
@@ -436,13 +441,18 @@
 		t.use.n.add(r.now, r.span, 1)
 		m.slow.add(r.now, r.span, rtt/usual)
 		m.good.add(r.now, r.span, 1)
+		r.steer(m, t, rtt < t.kind.SLA/2)
 		m.adapt(r.now, rtt < t.kind.SLA/2)
 	case how == Errored:
 		m.bad.add(r.now, r.span, 1)
 	case how == TimedOut || how == Revoked:
 		r.unanswered(m, t, sub)
 		m.ghosts.add(r.now, ghostly, math.Min(1, sub.expected/ghostly))
-	case how == Full && r.now-m.cutAt > 10*beat:
+	case how == Full:
+		r.steer(m, t, false)
+		if r.now-m.cutAt < 10*beat {
+			break
+		}
 		m.limit = math.Max(leastLimit, math.Min(m.limit, float64(len(m.out)+1))/2)
 		m.cutAt = r.now
 	}
@@ -459,6 +469,9 @@
 	m.bad.add(r.now, r.span, lost)
 	t.use.wait.add(r.now, r.span, (1-lost)*(r.now-sub.at+sub.expected))
 	t.use.n.add(r.now, r.span, 1-lost)
+	if lost < 0.5 {
+		r.steer(m, t, false)
+	}
 	m.adapt(r.now, false)
 	if sub.at >= m.overtaken {
 		m.mute += math.Min(waits, -math.Log(r.usualLoss()))
@@ -832,9 +845,38 @@
 	return t.value * (soon + t.kind.LateValue*math.Max(0, late-soon)) / usual
 }
 
+// steer moves the chance at which txns are taken on towards where one answer in five is not soon, as adapt does
+// for one member. Guards against jams of many routers of which none holds enough at a member to be limited
+// there: each answer moves one router a little, and all of them together the load.
+func (r *Router) steer(m *member, t *txn, soon bool) {
+	a := &r.admit[0]
+	if t.kind.Level == Write {
+		a = &r.admit[1]
+	}
+	if soon {
+		*a = math.Min(reserve, *a+0.05)
+	} else if m.limit <= 1 {
+		*a *= 0.8
+	}
+}
+
+// admits decides once for each txn, by what its worth for its work is against the others'.
+func (r *Router) admits(t *txn) bool {
+	a := r.admit[0]
+	if t.kind.Level == Write {
+		a = r.admit[1]
+	}
+	if a >= 1 || len(t.subs) > 0 || t.admitted {
+		return true
+	}
+	mean := r.worths.read(r.now, longMemory) / r.arrived.read(r.now, longMemory)
+	t.admitted = r.chance() < math.Pow(a, mean*t.kind.SLA/t.value)
+	return t.admitted
+}
+
 // place sends, ends or holds one waiting txn.
 func (r *Router) place(t *txn) (Decision, bool) {
-	if r.hopeless(t) {
+	if r.hopeless(t) || !r.admits(t) {
 		return r.end(t), true
 	}
 	m := r.pick(t)
