Ask a silent member once a submission; checks that err mark nothing down

An error of a check shows that the member is there; where no primary is known a write then asks members itself, since a miss is untouched. It might hurt where a process errs on checks and is sick.

--- a/router/router.go
+++ b/router/router.go
@@ -66,6 +66,7 @@
 	guessed    float64 // when it was last back from an absence that may have been a restart
 	allow      float64 // while it is cold: what it may be sent, in SLA time; Never: nothing counted yet
 	allowAt    float64
+	mum        bool // its last check came back with an error
 	prompt     bool // check as soon as the least gap allows
 	ghosts     fade // submissions given up that the member may still be working on
 	lastAnswer float64
@@ -233,8 +234,10 @@
 		// very long txn on an idle router look the same for a while; the first answer ends the doubt.
 		if quiet := r.silence(m); m.doubted || quiet < doubt/2 {
 			continue
-		} else if m.doubted = quiet > doubt; m.doubted || now-m.checkSent > recheckGap {
+		} else if m.doubted = quiet > doubt; m.doubted {
 			r.recheck(m.group)
+		} else if m.checkSent < m.out[0].at {
+			m.ask()
 		}
 	}
 }
@@ -426,9 +429,10 @@
 		r.heard.add(r.now, r.span, 1)
 		m.overtaken = math.Max(m.overtaken, sub.at)
 		m.doubted, m.down = false, false
+		thought := r.primary(m.group) == m
 		m.tell(role, r.now, gtid)
 		if how == Miss {
-			r.missed(m, t)
+			r.missed(m, t, thought)
 		}
 	case ConnectFailed, Reset:
 		r.markDown(m)
@@ -476,10 +480,6 @@
 	if sub.at >= m.overtaken {
 		m.mute += math.Min(waits, -math.Log(r.usualLoss()))
 	}
-	m.ask()
-	if m == r.primary(m.group) {
-		r.recheck(m.group)
-	}
 }
 
 // usualLoss is the share of this router's submissions that get no answer though they may run.
@@ -569,24 +569,30 @@
 
 // missed: a write's miss proves that the member is not primary, a read's that it is further behind than
 // thought.
-func (r *Router) missed(m *member, t *txn) {
+func (r *Router) missed(m *member, t *txn, thought bool) {
 	if t.kind.Level == Write || t.kind.Level == Fresh {
-		m.denial = r.now
-		m.known = false
-		r.recheck(m.group)
+		m.denial, m.known = r.now, false
+		if thought {
+			r.recheck(m.group)
+		}
 		return
 	}
 	m.behind = math.Max(m.behind, r.now-t.bound(r.now))
-	m.ask()
+	if r.now-m.checkSent > restCheck {
+		m.ask()
+	}
 }
 
 func (r *Router) markDown(m *member) {
 	if !m.down {
 		m.downAt = r.now
 	}
+	if r.primary(m.group) == m {
+		r.recheck(m.group)
+	}
 	m.down, m.known = true, false
 	m.denial = r.now
-	r.recheck(m.group)
+	m.ask()
 }
 
 // ask has the member checked as soon as the least gap allows.
@@ -609,8 +615,11 @@
 		return // too crowded to be checked: it is there, and nothing else is told
 	}
 	m.group.ready = true
+	// Guards against checks that fail where members serve: an answer since is the better evidence, and an error
+	// shows that the member is there. Where it says no more, the txns themselves ask (fit, pick).
+	m.mum = how == Errored
 	if how != Committed {
-		if !m.down {
+		if !m.down && !m.mum && m.lastAnswer < m.checkSent {
 			r.markDown(m)
 		}
 		return
@@ -959,10 +968,22 @@
 
 // pick chooses a member for the txn, or none: it waits.
 func (r *Router) pick(t *txn) *member {
+	pri := r.primary(t.group)
 	if t.kind.Level == Write || t.kind.Level == Fresh {
-		return r.fit(t, r.primary(t.group))
+		if pri != nil {
+			return r.fit(t, pri)
+		}
+		var mum []*member
+		for _, m := range t.group.members {
+			if m.mum && !m.known && r.now-m.denial > recheckGap && r.fit(t, m) != nil {
+				mum = append(mum, m)
+			}
+		}
+		if len(mum) == 0 {
+			return nil
+		}
+		return r.draw(t, mum)
 	}
-	pri := r.primary(t.group)
 	need := t.bound(r.now)
 	var fresh, likely, rest, unsure []*member
 	full := false
@@ -1018,8 +1039,8 @@
 	// a moment, as waiting operations do in the source. The wait is an eighth of the SLA time at most.
 	if len(unsure) > 0 && r.set.CanCheck && t.asked == Never {
 		t.asked = r.now
-		r.draw(t, unsure).prompt = true
-		r.draw(t, unsure).prompt = true
+		r.draw(t, unsure).ask()
+		r.draw(t, unsure).ask()
 		return nil
 	}
 	if r.now-t.asked < t.kind.SLA/8 {
@@ -1091,7 +1112,7 @@
 	if t.kind.Level != Any && r.set.Lag == LagAnswers && m.gtid < need && m != r.primary(m.group) {
 		return nil
 	}
-	if !m.known && r.set.CanCheck {
+	if !m.known && r.set.CanCheck && !m.mum {
 		return nil
 	}
 	if m.doubted && (r.now-m.lastSent < recheckGap || t.kind.Effect != Repeatable) {
