Where clients mark their repeats, only a marked try is taken for old

Short first tries (clients that come with little time left) were taken for repeats and declined unsent.

--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -137,7 +137,8 @@
 	case "JOB_IN":
 		id, tenant, session, kind := f.text("call"), f.maybe("userGroup"), f.maybe("clientKey"), f.text("class")
 		groupNo, age, ttl := int(f.number("groupNo")), f.orZero("tokenAgeMs"), f.number("ttl")/1000
-		if f.err == nil && !r.Arrive(id, tenant, session, kind, groupNo, age, ttl) {
+		marked := f.flag("retry")
+		if f.err == nil && !r.Arrive(id, tenant, session, kind, groupNo, age, ttl, marked) {
 			return fmt.Errorf("class: %q is not in the settings", kind)
 		}
 	case "RETURNED":
--- a/internal/drill/fields.go
+++ b/internal/drill/fields.go
@@ -124,6 +124,9 @@
 		OverShareValue: f.orZero("overShareWorth"), TxnTypes: map[string]*router.TxnType{},
 		Tenants: map[string]float64{}}
 	set.Ask = choice(f, "discovery", asks)
+	if f.get("clientHabits") != nil {
+		f.inner("clientHabits", func(c *fields) { set.MarksRepeats = c.flag("marksRetry") })
+	}
 	f.inner("contract", func(c *fields) {
 		set.AskWithin = c.orZero("askWithin") / 1000
 		set.SoftRemoval = c.flag("softRemoval")
--- a/router/router.go
+++ b/router/router.go
@@ -141,7 +141,7 @@
 // expiry; a try given another has what the earlier ones left. Guards against jams of clients' repeats, which
 // look new and can earn little or nothing any more. It misjudges the rare client that is impatient from the
 // start.
-func (u *usage) age(now float64, kind *TxnType, ttl float64) float64 {
+func (u *usage) age(now float64, kind *TxnType, ttl float64, marked bool) float64 {
 	if math.Abs(ttl-u.patience) <= kind.Expiry/50 { // a fiftieth: the clock's tick and the network
 		u.votes = min(u.votes+1, 10) // few, since all clients may change their habit at once
 		return 0
@@ -150,7 +150,7 @@
 		u.patience, u.votes = ttl, 1
 		return 0
 	}
-	if u.ended.read(now, 2*kind.Expiry) < 0.5 {
+	if !marked && u.ended.read(now, 2*kind.Expiry) < 0.5 {
 		return 0 // nobody can be back: clients have grown impatient
 	}
 	u.ended.add(now, 2*kind.Expiry, -1)
@@ -296,14 +296,18 @@
 	}
 }
 
-// Arrive takes a txn; false: its txn type is not in the settings.
-func (r *Router) Arrive(id, tenant, session, txnType string, groupNo int, tokenAge, ttl float64) bool {
+// Arrive takes a txn; false: its txn type is not in the settings. Where clients mark repeats, marked tells one.
+func (r *Router) Arrive(id, tenant, session, txnType string, groupNo int, tokenAge, ttl float64,
+	marked bool) bool {
 	kind := r.set.TxnTypes[txnType]
 	if kind == nil {
 		return false
 	}
 	g := r.group(groupNo)
-	age := r.uses[kind].age(r.now, kind, ttl)
+	age := r.uses[kind].age(r.now, kind, ttl, marked)
+	if r.set.MarksRepeats && !marked {
+		age = 0
+	}
 	t := &txn{id: id, kind: kind, use: r.uses[kind], group: g, arrived: r.now - age, repeat: age > 0,
 		expiry: r.now + ttl, needs: Never, session: session, mayRun: Never, asked: Never, value: kind.Value}
 	switch {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -16,7 +16,7 @@
 //	at 120                             the time; what follows happens then
 //	list whole a b:draining c@-5       members and states; @ the time of a start; "list changes" for changes only
 //	list failed
-//	arrive t1 TYPE ttl=500 age=20 session=s tenant=n
+//	arrive t1 TYPE ttl=500 age=20 session=s tenant=n marked
 //	returned t1 miss role=replica gtid=90 done     of the submission sent last
 //	checked a ok role=primary gtid=100             or another outcome
 //	gone t1
@@ -101,6 +101,7 @@
 		p.set.RetryAfter = number(o["retryafter"], 0)
 		_, p.set.Ask = o["ask"]
 		_, p.set.Remembered = o["remembered"]
+		_, p.set.MarksRepeats = o["marks"]
 		_, p.set.SoftRemoval = o["soft"]
 		_, p.unused = o["unused"]
 		p.set.Lag = lagWords[o["lag"]]
@@ -131,7 +132,9 @@
 	case "list":
 		return p.list(w[1:])
 	case "arrive":
-		if !p.r.Arrive(w[1], o["tenant"], o["session"], w[2], 1, number(o["age"], 0), number(o["ttl"], 1000)) {
+		_, marked := o["marked"]
+		if !p.r.Arrive(w[1], o["tenant"], o["session"], w[2], 1, number(o["age"], 0), number(o["ttl"], 1000),
+			marked) {
 			return fmt.Errorf("unknown txn type")
 		}
 	case "returned":
--- a/router/types.go
+++ b/router/types.go
@@ -88,6 +88,7 @@
 	SecondCopies   bool
 	RetryAfter     float64 // longest wait a client follows; 0 where none may be told
 	Lag            Lag
+	MarksRepeats   bool // clients mark the repeats of a txn
 	Remembered     bool // session tokens are the router's own memory
 	OverShareValue float64
 	TxnTypes       map[string]*TxnType
