--- a/router/router.go
+++ b/router/router.go
@@ -23,7 +23,6 @@
 	longMemory = 30000. // and at the most: trouble comes and goes in tens of seconds
 	sample     = 30.0   // txns that a memory should hold, so that one answer doesn't swing it
 	prior      = 3.0    // answers that what is supposed at first weighs as much as
-	ghostly    = 500.0  // ms over which given up work fades; its weight is its expected time over this
 	doubt      = 10.0   // expected waits of silence; one healthy chance in twenty thousand (e^-10)
 	rareLoss   = 0.001  // share of answers supposed lost on the way until some were
 	loseOdds   = 3.0    // that a txn is lost, not long, when it is given up on: most such are then no waste
@@ -68,7 +67,6 @@
 	allowAt    float64
 	mum        bool // its last check came back with an error
 	prompt     bool // check as soon as the least gap allows
-	ghosts     fade // submissions given up that the member may still be working on
 	lastAnswer float64
 	lastSent   float64
 	out        []*submission
@@ -455,7 +453,6 @@
 		m.bad.add(r.now, r.span, 1)
 	case how == TimedOut || how == Revoked:
 		r.unanswered(m, t, sub)
-		m.ghosts.add(r.now, ghostly, math.Min(1, sub.expected/ghostly))
 	case how == Full:
 		r.steer(m, t, false)
 		if r.now-m.cutAt < 10*beat {
@@ -531,10 +528,7 @@
 	return len(m.out) == 0 && now-m.lastSent >= expected/m.limit
 }
 
-// load is what the member holds of this router's, as far as known. What was given up on may run on there: it
-// still counts, fading. That guards against filling a jammed member again each time that something times out;
-// where members do drop such work, it spares them for a moment longer than needed.
-// Overtaken ones out for very long are taken for lost on the way and count no more.
+// load is what the member holds of this router's; what later answers have overtaken for very long is lost.
 func (m *member) load(now float64) float64 {
 	n := 0
 	for _, sub := range m.out {
@@ -542,7 +536,7 @@
 			n++
 		}
 	}
-	return float64(n) + m.ghosts.read(now, ghostly)
+	return float64(n)
 }
 
 // silence is how long the member has kept quiet, summed over what is out there, in expected waits, as far as
