--- a/router/router.go
+++ b/router/router.go
@@ -6,12 +6,12 @@
 package router
 
 import (
+	"cmp"
 	"encoding/binary"
 	"hash/fnv"
 	"maps"
 	"math"
 	"slices"
-	"sort"
 )
 
 const (
@@ -49,82 +49,72 @@
 
 // member is this router's own record of one server.
 type member struct {
-	id, zone   string
-	group      *group
-	barred     bool    // the list says that it drains or is gone
-	started    float64 // Never: long ago
-	known      bool    // some check or answer has come since it was last marked unknown
-	down       bool    // reset or failed to connect, and no check has gone through since
-	claim      float64 // when it was last known primary
-	denial     float64 // when it was last known not to be
-	gtid       float64 // a time up to which it surely has every commit
-	behind     float64 // how far behind it seemed at the last check or miss
-	checkSent  float64
-	checkOut   bool
-	downAt     float64
-	guessed    float64 // when it was last back from an absence that may have been a restart
-	allow      float64 // while it is cold: what it may be sent, in SLA time; Never: nothing counted yet
-	allowAt    float64
-	mum        bool // its last check came back with an error
-	prompt     bool // check as soon as the least gap allows
-	lastAnswer float64
-	lastSent   float64
-	out        []*submission
-	overtaken  float64 // when the latest submission that it has answered was sent
-	doubted    bool    // has been silent too long; cleared by any answer to a submission
-	slow, good fade    // latency against what is usual for the txn type; submissions answered well
-	bad        fade    // submissions refused, failed or lost
-	heard      fade    // submissions answered in any way
-	lost       fade    // submissions that seem to have got no answer
-	mute       float64 // expected waits of silence, of submissions that ended without an answer since the last
-	limit      float64 // how many of this router's submissions it may hold at once
-	tested     bool    // the limit has been found once
-	cutAt      float64 // when a refusal last cut the limit
+	id, zone         string
+	group            *group
+	barred           bool    // the list says that it drains or is gone
+	started          float64 // Never: long ago
+	known            bool    // some check or answer has come since it was last marked unknown
+	down             bool    // reset or failed to connect, and no check has gone through since
+	downAt           float64
+	claim, denial    float64 // when it was last known to be primary, and not to be
+	gtid             float64 // a time up to which it surely has every commit
+	behind           float64 // how far behind it seemed at the last check or miss
+	checkSent        float64
+	checkOut         bool
+	mum              bool    // its last check came back with an error
+	prompt           bool    // check as soon as the least gap allows
+	guessed          float64 // when it was last back from an absence that may have been a restart
+	allow, allowAt   float64 // while it is cold: what it may be sent, in SLA time; Never: nothing counted yet
+	lastAnswer       float64
+	lastSent         float64
+	out              []*submission
+	overtaken        float64 // when the latest submission that it has answered was sent
+	doubted          bool    // has been silent too long; cleared by any answer to a submission
+	mute             float64 // expected waits of silence, of submissions without an answer since the last
+	slow, good       fade    // latency against what is usual for the txn type; submissions answered well
+	bad, heard, lost fade    // submissions failed, refused or lost; answered in any way; rather lost than long
+	limit            float64 // how many of this router's submissions it may hold at once
+	tested           bool    // the limit has been found once
+	cutAt            float64 // when a refusal last cut the limit
 }
 
 type group struct {
-	members []*member
-	ready   bool    // its first check has come back
-	used    bool    // it has had traffic here
-	held    float64 // when a txn last found no member to go to
-	checkAt float64 // when its next check may be due
-	arrived fade    // txns
-	offered fade    // their SLA times, which stand for their work: unlike latency, they hold still in a jam
-	done    fade    // SLA times of those committed
-	reads   fade    // reads that need a known position
+	members       []*member
+	ready         bool    // its first check has come back
+	used          bool    // it has had traffic here
+	held          float64 // when a txn last found no member to go to
+	checkAt       float64 // when its next check may be due
+	arrived       fade    // txns
+	offered, done fade    // SLA times of those that came and were committed; unlike latency they hold still in a jam
+	reads         fade    // reads that need a known position
 }
 
 type submission struct {
-	to       *member
-	at       float64
-	expected float64
-	out      bool
-	missed   bool
-	revoked  bool
-	of       *txn
+	to                   *member
+	of                   *txn
+	at, expected         float64
+	out, missed, revoked bool
 }
 
 type txn struct {
-	id       string
-	kind     *TxnType
-	use      *usage
-	group    *group
-	arrived  float64 // the client's first try, as far as it can be told
-	expiry   float64
-	needs    float64 // the position a session or fresh read must see
-	session  string
-	value    float64
-	rank     float64 // its place among those waiting
-	subs     []*submission
-	out      int
-	mayRun   float64 // when the earliest submission that may have run went out; Never: none may have
-	ranZone  string
-	met      Outcome // how the last submission ended
-	asked    float64 // when checks were asked for on its behalf
-	admitted bool
-	repeat   bool // taken for a client's repeat
-	placed   bool // not waiting for a decision
-	over     bool // it has had its final answer
+	id, session     string
+	kind            *TxnType
+	use             *usage
+	group           *group
+	arrived, expiry float64 // the client's first try, as far as it can be told, and the end of this one
+	needs           float64 // the position a session or fresh read must see
+	value           float64
+	rank            float64 // its place among those waiting
+	subs            []*submission
+	out             int
+	mayRun          float64 // when the earliest submission that may have run went out; Never: none may have
+	ranZone         string
+	met             Outcome // how the last submission ended
+	asked           float64 // when checks were asked for on its behalf
+	admitted        bool
+	repeat          bool // taken for a client's repeat
+	placed          bool // not waiting for a decision
+	over            bool // it has had its final answer
 }
 
 // usage is what one txn type has shown of itself.
@@ -157,42 +147,38 @@
 
 // Router decides for one instance.
 type Router struct {
-	set     *Settings
-	seed    uint64
-	draws   uint64
-	now     float64
-	members map[string]*member
-	order   []*member // as first listed
-	groups  map[int]*group
-	txns    map[string]*txn
-	waiting []*txn
-	sorted  bool
-	cursor  int
-	busy    []*member // those that hold submissions
-	used    []*group  // those that have had traffic
-	born    float64
-	admit   [2]float64         // chance at which reads and writes of middling worth are taken on; over 1 is a reserve
-	worths  fade               // worth by work of what arrived
-	commits map[string]float64 // session: its last commit, where tokens are the router's own memory
-	pruneAt int
-	arrived fade
-	heard   fade
-	lost    fade
-	span    float64 // ms over which what is measured fades
-	uses    map[*TxnType]*usage
-	shares  map[string]*fade
-
-	listed    map[string]bool
-	least     float64 // the shortest check period
-	wantWatch float64 // when to ask for the list again
-	alarmAt   float64
+	set         *Settings
+	seed, draws uint64
+	now, born   float64
+	members     map[string]*member
+	order       []*member // as first listed
+	groups      map[int]*group
+	txns        map[string]*txn
+	waiting     []*txn
+	sorted      bool
+	cursor      int
+	busy        []*member          // those that hold submissions
+	used        []*group           // those that have had traffic
+	admit       map[bool]float64   // chance at which writes, or reads, of middling worth are taken on
+	worths      fade               // worth by work of what arrived
+	commits     map[string]float64 // session: its last commit, where tokens are the router's own memory
+	pruneAt     int
+	arrived     fade
+	heard, lost fade
+	span        float64 // ms over which what is measured fades
+	uses        map[*TxnType]*usage
+	shares      map[string]*fade
+	listed      map[string]bool
+	least       float64 // the shortest check period
+	wantWatch   float64 // when to ask for the list again
+	alarmAt     float64
 }
 
 func New(set *Settings, seed uint64) *Router {
 	r := &Router{set: set, seed: seed, members: map[string]*member{}, groups: map[int]*group{},
 		txns: map[string]*txn{}, commits: map[string]float64{}, uses: map[*TxnType]*usage{},
 		shares: map[string]*fade{}, wantWatch: math.Inf(1), least: restCheck, alarmAt: math.Inf(1),
-		span: longMemory, admit: [2]float64{reserve, reserve}}
+		span: longMemory, admit: map[bool]float64{false: reserve, true: reserve}}
 	if set.Ask {
 		r.wantWatch = Never
 	}
@@ -207,11 +193,8 @@
 
 func (r *Router) chance() float64 {
 	r.draws++
-	var b [16]byte
-	binary.LittleEndian.PutUint64(b[:8], r.seed)
-	binary.LittleEndian.PutUint64(b[8:], r.draws)
 	h := fnv.New64a()
-	h.Write(b[:])
+	h.Write(binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, r.seed), r.draws))
 	x := h.Sum64()
 	x ^= x >> 32 // FNV leaves its high bits poor on short inputs
 	x *= 0x9e3779b97f4a7c15
@@ -530,13 +513,13 @@
 
 // load is what the member holds of this router's; what later answers have overtaken for very long is lost.
 func (m *member) load(now float64) float64 {
-	n := 0
+	n := 0.0
 	for _, sub := range m.out {
 		if sub.at >= m.overtaken || now-sub.at < doubt*sub.expected {
 			n++
 		}
 	}
-	return float64(n)
+	return n
 }
 
 // silence is how long the member has kept quiet, summed over what is out there, in expected waits, as far as
@@ -555,13 +538,12 @@
 
 func (m *member) tell(role Role, at, gtid float64) {
 	m.gtid = math.Max(m.gtid, gtid)
+	m.known = m.known || role != Unsaid
 	switch role {
 	case Primary:
 		m.claim = math.Max(m.claim, at)
-		m.known = true
 	case Replica:
 		m.denial = math.Max(m.denial, at)
-		m.known = true
 	}
 }
 
@@ -678,14 +660,10 @@
 		r.wantWatch = r.now + r.set.AskWithin/2 // unless something is heard before
 		return Decision{Verb: Watch}, true
 	}
-	if d, ok := r.nextRevoke(); ok {
-		return d, true
-	}
-	if d, ok := r.nextTxn(); ok {
-		return d, true
-	}
-	if d, ok := r.nextCheck(); ok {
-		return d, true
+	for _, next := range []func() (Decision, bool){r.nextRevoke, r.nextTxn, r.nextCheck} {
+		if d, ok := next(); ok {
+			return d, true
+		}
 	}
 	if due := r.due(); due < r.alarmAt {
 		r.alarmAt = due
@@ -791,8 +769,7 @@
 	for _, m := range r.busy {
 		for _, sub := range m.out {
 			t, age := sub.of, r.now-sub.at
-			if sub.revoked || t.over || t.kind.Effect != Repeatable || len(t.subs) >= r.set.Submissions ||
-				t.kind.Effect == Referenced && age > t.kind.Window/2 {
+			if sub.revoked || t.over || t.kind.Effect != Repeatable || len(t.subs) >= r.set.Submissions {
 				continue
 			}
 			usual := t.use.usual(r.now, r.span, t.kind)
@@ -811,36 +788,21 @@
 		for _, t := range r.waiting {
 			t.rank = t.worth(r.now, r.span)
 		}
-		sort.SliceStable(r.waiting, func(i, j int) bool {
-			a, b := r.waiting[i], r.waiting[j]
-			if a.rank != b.rank {
-				return a.rank > b.rank
-			}
-			return a.expiry < b.expiry
+		slices.SortStableFunc(r.waiting, func(a, b *txn) int {
+			return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.expiry, b.expiry))
 		})
 		r.sorted = true
 	}
-	kept := r.waiting[:0]
-	var d Decision
-	acted := false
-	for i, t := range r.waiting {
-		if t.placed || t.over {
-			continue
+	for r.cursor < len(r.waiting) {
+		t := r.waiting[r.cursor]
+		r.cursor++
+		if d, ok := r.place(t); ok {
+			return d, true
 		}
-		if i >= r.cursor && !acted {
-			d, acted = r.place(t)
-			if acted {
-				r.cursor = len(kept)
-				continue
-			}
-		}
-		kept = append(kept, t)
-	}
-	r.waiting = kept
-	if !acted {
-		r.cursor = len(kept)
 	}
-	return d, acted
+	r.waiting = slices.DeleteFunc(r.waiting, func(t *txn) bool { return t.placed || t.over })
+	r.cursor = len(r.waiting)
+	return Decision{}, false
 }
 
 // worth is the value to be expected from sending the txn now, for each ms of work, if answers take as long as
@@ -856,23 +818,17 @@
 // for one member. Guards against jams of many routers of which none holds enough at a member to be limited
 // there: each answer moves one router a little, and all of them together the load.
 func (r *Router) steer(m *member, t *txn, soon bool) {
-	a := &r.admit[0]
-	if t.kind.Level == Write {
-		a = &r.admit[1]
-	}
+	write := t.kind.Level == Write
 	if soon {
-		*a = math.Min(reserve, *a+0.05)
+		r.admit[write] = math.Min(reserve, r.admit[write]+0.05)
 	} else if m.limit <= 1 {
-		*a *= 0.8
+		r.admit[write] *= 0.8
 	}
 }
 
 // admits decides once for each txn, by what its worth for its work is against the others'.
 func (r *Router) admits(t *txn) bool {
-	a := r.admit[0]
-	if t.kind.Level == Write {
-		a = r.admit[1]
-	}
+	a := r.admit[t.kind.Level == Write]
 	if a >= 1 || len(t.subs) > 0 || t.admitted {
 		return true
 	}
@@ -883,6 +839,9 @@
 
 // place sends, ends or holds one waiting txn.
 func (r *Router) place(t *txn) (Decision, bool) {
+	if t.placed || t.over {
+		return Decision{}, false
+	}
 	if r.hopeless(t) || !r.admits(t) {
 		return r.end(t), true
 	}
@@ -911,20 +870,12 @@
 
 // hopeless tells that nothing more can come of sending the txn.
 func (r *Router) hopeless(t *txn) bool {
-	usual := t.use.usual(r.now, r.span, t.kind)
-	switch {
-	case r.now >= t.expiry || len(t.subs) >= r.set.Submissions:
-		return true
-	case t.mayRun != Never && t.kind.Effect == OnceOnly:
-		return true
-	case t.kind.Level == Write && t.mayRun != Never && t.met == Reset:
-		return true // DESIGN: a write that met a reset ends in error
-	case t.mayRun != Never && t.kind.Effect == Referenced && r.now-t.mayRun > t.kind.Window:
-		return true
-	case t.kind.LateValue == 0 && r.now+usual > t.arrived+t.kind.SLA:
-		return true
-	}
-	return r.now+usual > t.expiry
+	usual, ran := t.use.usual(r.now, r.span, t.kind), t.mayRun != Never
+	return len(t.subs) >= r.set.Submissions || r.now+usual > t.expiry ||
+		ran && t.kind.Effect == OnceOnly ||
+		ran && t.kind.Level == Write && t.met == Reset || // DESIGN: a write that met a reset ends in error
+		ran && t.kind.Effect == Referenced && r.now-t.mayRun > t.kind.Window ||
+		t.kind.LateValue == 0 && r.now+usual > t.arrived+t.kind.SLA
 }
 
 func (r *Router) end(t *txn) Decision {
@@ -971,42 +922,32 @@
 		if pri != nil {
 			return r.fit(t, pri)
 		}
-		var mum []*member
 		for _, m := range t.group.members {
 			if m.mum && !m.known && r.now-m.denial > recheckGap && r.fit(t, m) != nil {
-				mum = append(mum, m)
+				return m
 			}
 		}
-		if len(mum) == 0 {
-			return nil
-		}
-		return r.draw(t, mum)
+		return nil
 	}
 	need := t.bound(r.now)
 	var fresh, likely, rest, unsure []*member
 	full := false
 	for _, m := range t.group.members {
-		if r.fit(t, m) == nil {
-			full = full || m != pri && m.gtid >= need && !m.doubted
-			near := m.known && m.gtid < need && r.now-m.behind >= need
-			if near && m != pri && !m.doubted && !m.barred {
-				unsure = append(unsure, m)
-			}
-			continue
-		}
-		if m.doubted {
-			return m // its trial is due
-		}
-		if m == pri || t.turnedAway(m) {
-			continue
-		}
+		fits, near := r.fit(t, m) != nil, r.now-m.behind >= need
 		switch {
-		case m.gtid >= need:
+		case fits && m.doubted:
+			return m // its trial is due
+		case m == pri || m.doubted || m.barred || m.down || t.turnedAway(m):
+		case fits && m.gtid >= need:
 			fresh = append(fresh, m)
-		case r.now-m.behind >= need:
+		case fits && near:
 			likely = append(likely, m)
-		default:
+		case fits:
 			rest = append(rest, m)
+		case m.gtid >= need:
+			full = true
+		case near && m.known:
+			unsure = append(unsure, m)
 		}
 	}
 	if len(fresh) > 0 {
@@ -1028,8 +969,7 @@
 			return r.draw(t, likely)
 		}
 		if len(t.subs) == 0 && len(rest) > 0 {
-			sort.SliceStable(rest, func(i, j int) bool { return rest[i].behind < rest[j].behind })
-			return rest[0]
+			return slices.MinFunc(rest, func(a, b *member) int { return cmp.Compare(a.behind, b.behind) })
 		}
 		return r.fit(t, pri)
 	}
@@ -1053,12 +993,7 @@
 
 // turnedAway tells whether the member has already answered this txn with a miss.
 func (t *txn) turnedAway(m *member) bool {
-	for _, sub := range t.subs {
-		if sub.to == m && sub.missed {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(t.subs, func(s *submission) bool { return s.to == m && s.missed })
 }
 
 // draw picks one of the members by chance, weighted against smoothed latency times one plus requests in
@@ -1106,17 +1041,12 @@
 		return nil
 	}
 	// Rule 5: where members answer whatever they hold, only a known position will do.
-	need := t.bound(r.now)
-	if t.kind.Level != Any && r.set.Lag == LagAnswers && m.gtid < need && m != r.primary(m.group) {
-		return nil
-	}
-	if !m.known && r.set.CanCheck && !m.mum {
-		return nil
-	}
-	if m.doubted && (r.now-m.lastSent < recheckGap || t.kind.Effect != Repeatable) {
+	if t.kind.Level != Any && r.set.Lag == LagAnswers && m.gtid < t.bound(r.now) && m != r.primary(m.group) {
 		return nil
 	}
-	if !r.bears(m, t) || !m.room(r.now, r.expects(t, m)) {
+	if !m.known && r.set.CanCheck && !m.mum ||
+		m.doubted && (r.now-m.lastSent < recheckGap || t.kind.Effect != Repeatable) ||
+		!r.bears(m, t) || !m.room(r.now, r.expects(t, m)) {
 		return nil
 	}
 	return m
