--- a/router/router.go
+++ b/router/router.go
@@ -25,7 +25,7 @@
 	prior      = 3.0    // answers that what is supposed at first weighs as much as
 	doubt      = 10.0   // expected waits of silence; one healthy chance in twenty thousand (e^-10)
 	rareLoss   = 0.001  // share of answers supposed lost on the way until some were
-	loseOdds   = 3.0    // that a txn is lost, not long, when it is given up on: most such are then no waste
+	lostAfter  = 5.5    // expected waits; one healthy txn in 250 takes longer (e^-5.5)
 	firstLimit = 1.0    // submissions at once to a member not yet known: all routers may start together
 	reserve    = 1.5    // of the chance to be taken on, so that a few slow answers in a row change nothing
 	leastLimit = 0.2    // a fifth of the time, so that a member that recovers is still noticed
@@ -49,33 +49,33 @@
 
 // member is this router's own record of one server.
 type member struct {
-	id, zone         string
-	group            *group
-	barred           bool    // the list says that it drains or is gone
-	started          float64 // Never: long ago
-	known            bool    // some check or answer has come since it was last marked unknown
-	down             bool    // reset or failed to connect, and no check has gone through since
-	downAt           float64
-	claim, denial    float64 // when it was last known to be primary, and not to be
-	gtid             float64 // a time up to which it surely has every commit
-	behind           float64 // how far behind it seemed at the last check or miss
-	checkSent        float64
-	checkOut         bool
-	mum              bool    // its last check came back with an error
-	prompt           bool    // check as soon as the least gap allows
-	guessed          float64 // when it was last back from an absence that may have been a restart
-	allow, allowAt   float64 // while it is cold: what it may be sent, in SLA time; Never: nothing counted yet
-	lastAnswer       float64
-	lastSent         float64
-	out              []*submission
-	overtaken        float64 // when the latest submission that it has answered was sent
-	doubted          bool    // has been silent too long; cleared by any answer to a submission
-	mute             float64 // expected waits of silence, of submissions without an answer since the last
-	slow, good       fade    // latency against what is usual for the txn type; submissions answered well
-	bad, heard, lost fade    // submissions failed, refused or lost; answered in any way; rather lost than long
-	limit            float64 // how many of this router's submissions it may hold at once
-	tested           bool    // the limit has been found once
-	cutAt            float64 // when a refusal last cut the limit
+	id, zone       string
+	group          *group
+	barred         bool    // the list says that it drains or is gone
+	started        float64 // Never: long ago
+	known          bool    // some check or answer has come since it was last marked unknown
+	down           bool    // reset or failed to connect, and no check has gone through since
+	downAt         float64
+	claim, denial  float64 // when it was last known to be primary, and not to be
+	gtid           float64 // a time up to which it surely has every commit
+	behind         float64 // how far behind it seemed at the last check or miss
+	checkSent      float64
+	checkOut       bool
+	mum            bool    // its last check came back with an error
+	prompt         bool    // check as soon as the least gap allows
+	guessed        float64 // when it was last back from an absence that may have been a restart
+	allow, allowAt float64 // while it is cold: what it may be sent, in SLA time; Never: nothing counted yet
+	lastAnswer     float64
+	lastSent       float64
+	out            []*submission
+	overtaken      float64 // when the latest submission that it has answered was sent
+	doubted        bool    // has been silent too long; cleared by any answer to a submission
+	mute           float64 // expected waits of silence, of submissions without an answer since the last
+	slow, good     fade    // latency against what is usual for the txn type; submissions answered well
+	bad            fade    // submissions failed, refused or lost
+	limit          float64 // how many of this router's submissions it may hold at once
+	tested         bool    // the limit has been found once
+	cutAt          float64 // when a refusal last cut the limit
 }
 
 type group struct {
@@ -410,7 +410,6 @@
 	switch how {
 	case Committed, Errored, Full, Miss:
 		m.lastAnswer, m.mute = r.now, 0
-		m.heard.add(r.now, r.span, 1)
 		r.heard.add(r.now, r.span, 1)
 		m.overtaken = math.Max(m.overtaken, sub.at)
 		m.doubted, m.down = false, false
@@ -450,9 +449,8 @@
 // likely where many are lost and others are quick. What is long counts as at least that slow, else only those
 // that were answered would count.
 func (r *Router) unanswered(m *member, t *txn, sub *submission) {
-	waits, loss := (r.now-sub.at)/sub.expected, r.loss(m)
+	waits, loss := (r.now-sub.at)/sub.expected, r.usualLoss()
 	lost := loss / (loss + (1-loss)*math.Exp(-waits))
-	m.lost.add(r.now, r.span, lost)
 	r.lost.add(r.now, r.span, lost)
 	m.bad.add(r.now, r.span, lost)
 	t.use.wait.add(r.now, r.span, (1-lost)*(r.now-sub.at+sub.expected))
@@ -472,17 +470,6 @@
 	return (lost + prior*rareLoss) / (lost + r.heard.read(r.now, r.span) + prior)
 }
 
-func (r *Router) loss(m *member) float64 {
-	lost := m.lost.read(r.now, r.span)
-	return (lost + prior*r.usualLoss()) / (lost + m.heard.read(r.now, r.span) + prior)
-}
-
-// patience is after how many expected waits a submission is rather lost than long.
-func (r *Router) patience(m *member) float64 {
-	loss := r.loss(m)
-	return math.Max(5, math.Log(loseOdds*(1-loss)/loss))
-}
-
 // adapt moves the limit towards where one answer in five is not soon: where waits fall off exponentially and
 // soon is half the SLA time, one in twenty-five is then late, while the member is still kept busy. It guards
 // against overload from any cause (surges, clients' repeats, slow or cold members, fewer members left): what
@@ -685,7 +672,7 @@
 	}
 	for _, m := range r.busy {
 		for _, sub := range m.out {
-			if lost := sub.at + r.patience(m)*sub.expected; !sub.revoked && lost > r.now {
+			if lost := sub.at + lostAfter*sub.expected; !sub.revoked && lost > r.now {
 				due = math.Min(due, lost)
 			}
 		}
@@ -774,7 +761,7 @@
 			}
 			usual := t.use.usual(r.now, r.span, t.kind)
 			useful := r.now+usual < t.arrived+t.kind.SLA || t.kind.LateValue > 0 && r.now+usual < t.expiry
-			if useful && age > r.patience(m)*sub.expected || m.doubted && age > sub.expected {
+			if useful && age > lostAfter*sub.expected || m.doubted && age > sub.expected {
 				sub.revoked = true
 				return Decision{Verb: Revoke, Txn: t.id, Seq: slices.Index(t.subs, sub)}, true
 			}
@@ -863,7 +850,7 @@
 	m.allow -= t.kind.SLA
 	d := Decision{Verb: Submit, Txn: t.id, Member: m.id}
 	if t.kind.Effect == Repeatable && !r.set.CanRevoke {
-		d.Wait = r.patience(m) * expected // in place of taking it back
+		d.Wait = lostAfter * expected // in place of taking it back
 	}
 	return d, true
 }
