Cold members by the best flow seen; chances apart for primaries and replicas

The best average flow is kept, three quarters of the multiple are used in place of half, and answers steer the chance of their own kind of target; reads that fall to a primary pass its chance too.

--- a/router/router.go
+++ b/router/router.go
@@ -79,14 +79,13 @@
 }
 
 type group struct {
-	members       []*member
-	ready         bool    // its first check has come back
-	used          bool    // it has had traffic here
-	held          float64 // when a txn last found no member to go to
-	checkAt       float64 // when its next check may be due
-	arrived       fade    // txns
-	offered, done fade    // SLA times of those that came and were committed; unlike latency they hold still in a jam
-	reads         fade    // reads that need a known position
+	members []*member
+	ready   bool    // its first check has come back
+	used    bool    // it has had traffic here
+	held    float64 // when a txn last found no member to go to
+	checkAt float64 // when its next check may be due
+	arrived fade    // txns
+	reads   fade    // reads that need a known position
 }
 
 type submission struct {
@@ -159,11 +158,13 @@
 	cursor      int
 	busy        []*member          // those that hold submissions
 	used        []*group           // those that have had traffic
-	admit       map[bool]float64   // chance at which writes, or reads, of middling worth are taken on
+	admit       map[bool]float64   // chance to take txns of middling worth on, for replicas and for primaries
 	worths      fade               // worth by work of what arrived
 	commits     map[string]float64 // session: its last commit, where tokens are the router's own memory
 	pruneAt     int
 	arrived     fade
+	done        fade    // SLA times of the txns committed; unlike latency they hold still in a jam
+	flow        float64 // the most of them that one member has had a ms, on average
 	heard, lost fade
 	span        float64 // ms over which what is measured fades
 	uses        map[*TxnType]*usage
@@ -304,7 +305,6 @@
 	r.arrived.add(r.now, longMemory, 1)
 	r.span = math.Max(memory, math.Min(longMemory, sample*longMemory/r.arrived.sum))
 	g.arrived.add(r.now, r.span, 1)
-	g.offered.add(r.now, longMemory, kind.SLA)
 	g.checkAt = r.now
 	if !g.used { // checks wait for the first traffic: most routers use few groups
 		r.use(g)
@@ -423,20 +423,20 @@
 	}
 	switch {
 	case how == Committed:
-		m.group.done.add(r.now, longMemory, t.kind.SLA)
+		r.follow(t)
 		usual := t.use.usual(r.now, r.span, t.kind)
 		t.use.wait.add(r.now, r.span, rtt)
 		t.use.n.add(r.now, r.span, 1)
 		m.slow.add(r.now, r.span, rtt/usual)
 		m.good.add(r.now, r.span, 1)
-		r.steer(m, t, rtt < t.kind.SLA/2)
+		r.steer(m, rtt < t.kind.SLA/2)
 		m.adapt(r.now, rtt < t.kind.SLA/2)
 	case how == Errored:
 		m.bad.add(r.now, r.span, 1)
 	case how == TimedOut || how == Revoked:
 		r.unanswered(m, t, sub)
 	case how == Full:
-		r.steer(m, t, false)
+		r.steer(m, false)
 		if r.now-m.cutAt < 10*beat {
 			break
 		}
@@ -456,7 +456,7 @@
 	t.use.wait.add(r.now, r.span, (1-lost)*(r.now-sub.at+sub.expected))
 	t.use.n.add(r.now, r.span, 1-lost)
 	if lost < 0.5 {
-		r.steer(m, t, false)
+		r.steer(m, false)
 	}
 	m.adapt(r.now, false)
 	if sub.at >= m.overtaken {
@@ -804,24 +804,20 @@
 // steer moves the chance at which txns are taken on towards where one answer in five is not soon, as adapt does
 // for one member. Guards against jams of many routers of which none holds enough at a member to be limited
 // there: each answer moves one router a little, and all of them together the load.
-func (r *Router) steer(m *member, t *txn, soon bool) {
-	write := t.kind.Level == Write
+func (r *Router) steer(m *member, soon bool) {
+	pri := m == r.primary(m.group)
 	if soon {
-		r.admit[write] = math.Min(reserve, r.admit[write]+0.05)
+		r.admit[pri] = math.Min(reserve, r.admit[pri]+0.05)
 	} else if m.limit <= 1 {
-		r.admit[write] *= 0.8
+		r.admit[pri] *= 0.8
 	}
 }
 
-// admits decides once for each txn, by what its worth for its work is against the others'.
-func (r *Router) admits(t *txn) bool {
-	a := r.admit[t.kind.Level == Write]
-	if a >= 1 || len(t.subs) > 0 || t.admitted {
-		return true
-	}
+// admits decides, by what a txn's worth for its work is against the others', whether to take it on, and once
+// more whether it may fall to a primary.
+func (r *Router) admits(t *txn, pri bool) bool {
 	mean := r.worths.read(r.now, longMemory) / r.arrived.read(r.now, longMemory)
-	t.admitted = r.chance() < math.Pow(a, mean*t.kind.SLA/t.value)
-	return t.admitted
+	return r.admit[pri] >= 1 || r.chance() < math.Pow(r.admit[pri], mean*t.kind.SLA/t.value)
 }
 
 // place sends, ends or holds one waiting txn.
@@ -829,10 +825,15 @@
 	if t.placed || t.over {
 		return Decision{}, false
 	}
-	if r.hopeless(t) || !r.admits(t) {
+	write := t.kind.Level == Write || t.kind.Level == Fresh
+	if r.hopeless(t) || !t.admitted && !r.admits(t, write) {
 		return r.end(t), true
 	}
+	t.admitted = true
 	m := r.pick(t)
+	if m != nil && m == r.primary(m.group) && !write && !r.admits(t, true) {
+		return r.end(t), true
+	}
 	if m == nil {
 		t.group.held, t.group.checkAt = r.now, math.Min(t.group.checkAt, r.now)
 		return Decision{}, false
@@ -1040,28 +1041,32 @@
 }
 
 // bears tells whether a cold member can take one more (rule 4): what this router sends it stays under half the
-// allowed multiple of the cold share of what the group's members have committed here on average, which is at
-// most what a warm one can do. Many routers have a share of far less than a txn each: what they may send adds
-// up from a start by chance, so that together they take turns. Guards against a restart of any number of
-// members, which leaves the average standing; after a lull it spares them more than needed.
+// allowed multiple of the cold share of what a member has committed here. Many routers have a share of far less
+// than a txn each: what they may send adds up from a start by chance, so that together they take turns.
 func (r *Router) bears(m *member, t *txn) bool {
-	g, w := m.group, r.warmth(m)
+	w := r.warmth(m)
 	if w >= 1 {
 		return true
 	}
 	if m.allow == Never {
 		m.allow, m.allowAt = t.kind.SLA*r.chance(), r.now
 	}
-	n := 0.0
-	for _, o := range g.members {
-		if !o.barred {
-			n++
-		}
-	}
-	span := longMemory * (1 - math.Exp(-math.Max(memory, r.now-r.born)/longMemory))
-	flow := math.Max(g.done.read(r.now, longMemory), g.offered.read(r.now, longMemory)/4) / span / n
-	rate := r.set.FallMultiple / 2 * w * flow
+	rate := r.set.FallMultiple * 0.75 * w * r.flow
 	m.allow = math.Min(m.allow+rate*(r.now-m.allowAt), math.Max(t.kind.SLA, rate*r.set.FallWindow))
 	m.allowAt = r.now
 	return m.allow >= t.kind.SLA
 }
+
+// follow keeps the best that members have committed on average, which is at most what warm ones can do. It
+// guards against restarts of any number of members and against lulls, which leave nothing to measure.
+func (r *Router) follow(t *txn) {
+	up := 0.0
+	for _, m := range r.order {
+		if !m.barred && !m.down {
+			up++
+		}
+	}
+	r.done.add(r.now, longMemory, t.kind.SLA)
+	span := longMemory * (1 - math.Exp(-math.Max(longMemory/3, r.now-r.born)/longMemory))
+	r.flow = math.Max(r.flow, r.done.sum/span/up)
+}
