--- a/router/router.go
+++ b/router/router.go
@@ -994,7 +994,7 @@
 		cost := m.slowness(r.now, r.span) * (1 + m.load(r.now))
 		// Guards against members that fail or refuse quickly, whose latency would draw more txns to them.
 		well := (good + 1) / (good + bad + 1)
-		weights[i] = math.Pow(well, 4) * r.warmth(m) / (cost * cost)
+		weights[i] = math.Pow(well, 4) / (cost * cost)
 		if slices.ContainsFunc(t.subs, func(s *submission) bool { return s.to == m }) {
 			weights[i] /= 10 // it has not answered this one
 		}
@@ -1040,7 +1040,7 @@
 	return m
 }
 
-// bears tells whether a cold member can take one more (rule 4): what this router sends it stays under half the
+// bears tells whether a cold member can take one more (rule 4): what this router sends it stays under the
 // allowed multiple of the cold share of what a member has committed here. Many routers have a share of far less
 // than a txn each: what they may send adds up from a start by chance, so that together they take turns.
 func (r *Router) bears(m *member, t *txn) bool {
@@ -1051,7 +1051,7 @@
 	if m.allow == Never {
 		m.allow, m.allowAt = t.kind.SLA*r.chance(), r.now
 	}
-	rate := r.set.FallMultiple * 0.75 * w * r.flow
+	rate := r.set.FallMultiple * w * r.flow
 	m.allow = math.Min(m.allow+rate*(r.now-m.allowAt), math.Max(t.kind.SLA, rate*r.set.FallWindow))
 	m.allowAt = r.now
 	return m.allow >= t.kind.SLA
