--- a/router/router.go
+++ b/router/router.go
@@ -430,7 +430,7 @@
 		m.slow.add(r.now, r.span, rtt/usual)
 		m.good.add(r.now, r.span, 1)
 		r.steer(m, rtt < t.kind.SLA/2)
-		m.adapt(r.now, rtt < t.kind.SLA/2)
+		m.adapt(rtt < t.kind.SLA/2)
 	case how == Errored:
 		m.bad.add(r.now, r.span, 1)
 	case how == TimedOut || how == Revoked:
@@ -458,7 +458,7 @@
 	if lost < 0.5 {
 		r.steer(m, false)
 	}
-	m.adapt(r.now, false)
+	m.adapt(false)
 	if sub.at >= m.overtaken {
 		m.mute += math.Min(waits, -math.Log(r.usualLoss()))
 	}
@@ -475,13 +475,13 @@
 // against overload from any cause (surges, clients' repeats, slow or cold members, fewer members left): what
 // a member can't take in time is held here, in order of worth, in place of jamming its queue. It may hold
 // back too much on a router with so little traffic that its limit seldom moves.
-func (m *member) adapt(now float64, soon bool) {
+func (m *member) adapt(soon bool) {
 	step := math.Max(0.1, m.limit/50)
 	switch {
 	case !soon:
 		m.limit = math.Max(leastLimit, m.limit-4*step*math.Min(1, m.limit))
 		m.tested = true
-	case m.load(now)+1 < m.limit-1:
+	case float64(len(m.out))+1 < m.limit-1:
 	case m.tested:
 		m.limit += step
 	default:
@@ -493,22 +493,11 @@
 // each keep one txn at a member that can't bear them all.
 func (m *member) room(now, expected float64) bool {
 	if m.limit >= 1 {
-		return m.load(now) < m.limit
+		return float64(len(m.out)) < m.limit
 	}
 	return len(m.out) == 0 && now-m.lastSent >= expected/m.limit
 }
 
-// load is what the member holds of this router's; what later answers have overtaken for very long is lost.
-func (m *member) load(now float64) float64 {
-	n := 0.0
-	for _, sub := range m.out {
-		if sub.at >= m.overtaken || now-sub.at < doubt*sub.expected {
-			n++
-		}
-	}
-	return n
-}
-
 // silence is how long the member has kept quiet, summed over what is out there, in expected waits, as far as
 // losses on the way don't explain it. What others sent later have overtaken tells nothing: it is lost, or
 // long, but the member is at work.
@@ -947,7 +936,7 @@
 	// Guards against any shortage of replicas (lost, slow, lagging, a surge): where each that would do is at
 	// its limit, a read uses what the primary has to spare. Half its room stays for writes.
 	if full {
-		if pri != nil && pri.load(r.now) < pri.limit/2 {
+		if pri != nil && float64(len(pri.out)) < pri.limit/2 {
 			return r.fit(t, pri)
 		}
 		return nil
@@ -991,7 +980,7 @@
 	weights := make([]float64, len(from))
 	for i, m := range from {
 		good, bad := m.good.read(r.now, r.span), m.bad.read(r.now, r.span)
-		cost := m.slowness(r.now, r.span) * (1 + m.load(r.now))
+		cost := m.slowness(r.now, r.span) * (1 + float64(len(m.out)))
 		// Guards against members that fail or refuse quickly, whose latency would draw more txns to them.
 		well := (good + 1) / (good + bad + 1)
 		weights[i] = math.Pow(well, 4) / (cost * cost)
