--- a/router/router.go
+++ b/router/router.go
@@ -111,7 +111,6 @@
 	met             Outcome // how the last submission ended
 	asked           float64 // when checks were asked for on its behalf
 	admitted        bool
-	repeat          bool // taken for a client's repeat
 	placed          bool // not waiting for a decision
 	over            bool // it has had its final answer
 }
@@ -124,10 +123,9 @@
 	votes    int
 }
 
-// age guesses how long a client has been trying already. Most tries are given one time, a share of the
-// expiry; a try given another has what the earlier ones left. Guards against jams of clients' repeats, which
-// look new and can earn little or nothing any more. It misjudges the rare client that is impatient from the
-// start.
+// age guesses how long a client has been trying already. Most tries are given one time; a try given another
+// has what the earlier ones left. Guards against jams of clients' repeats, which look new and can earn little
+// any more. It misjudges the rare client that is impatient from the start.
 func (u *usage) age(now float64, kind *TxnType, ttl float64, marked bool) float64 {
 	if math.Abs(ttl-u.patience) <= kind.Expiry/50 { // a fiftieth: the clock's tick and the network
 		u.votes = min(u.votes+1, 10) // few, since all clients may change their habit at once
@@ -183,6 +181,9 @@
 	if set.Ask {
 		r.wantWatch = Never
 	}
+	for name := range set.Tenants {
+		r.shares[name] = &fade{}
+	}
 	for _, kind := range set.TxnTypes {
 		r.uses[kind] = &usage{}
 		if kind.Level == Bounded {
@@ -212,8 +213,8 @@
 	r.cursor = 0
 	r.sorted = false
 	for _, m := range r.busy {
-		// Guards against whatever takes txns and answers none: hung, vanished or cut off. Long pauses and one
-		// very long txn on an idle router look the same for a while; the first answer ends the doubt.
+		// Guards against whatever takes txns and answers none: hung, vanished or cut off. Long pauses look the
+		// same for a while; the first answer ends the doubt.
 		if quiet := r.silence(m); m.doubted || quiet < doubt/2 {
 			continue
 		} else if m.doubted = quiet > doubt; m.doubted {
@@ -290,8 +291,8 @@
 	if r.set.MarksRepeats && !marked {
 		age = 0
 	}
-	t := &txn{id: id, kind: kind, use: r.uses[kind], group: g, arrived: r.now - age, repeat: age > 0,
-		expiry: r.now + ttl, needs: Never, session: session, mayRun: Never, asked: Never, value: kind.Value}
+	t := &txn{id: id, kind: kind, use: r.uses[kind], group: g, arrived: r.now - age, expiry: r.now + ttl,
+		needs: Never, session: session, mayRun: Never, asked: Never, value: kind.Value}
 	switch {
 	case kind.Level == Session && r.set.Remembered:
 		if at, ok := r.commits[session]; ok {
@@ -312,14 +313,9 @@
 	if kind.Level == Bounded && r.set.Lag == LagAnswers { // else members see to the bound themselves
 		g.reads.add(r.now, r.span, 1)
 	}
-	if quota, ok := r.set.Tenants[tenant]; ok {
-		f := r.shares[tenant]
-		if f == nil {
-			f = &fade{}
-			r.shares[tenant] = f
-		}
+	if f := r.shares[tenant]; f != nil {
 		f.add(r.now, r.span, 1)
-		if f.read(r.now, r.span)*1000/r.span > quota/float64(r.set.Routers) {
+		if f.sum*1000/r.span > r.set.Tenants[tenant]/float64(r.set.Routers) {
 			t.value *= r.set.OverShareValue
 		}
 	}
@@ -364,11 +360,9 @@
 		}
 		t.ranZone = m.zone
 	}
-	t.over = t.over || done
-	switch {
-	case t.over:
+	if t.over = t.over || done; t.over {
 		r.forget(t)
-	case t.placed && t.out == 0:
+	} else if t.placed && t.out == 0 {
 		r.wait(t)
 	}
 }
@@ -400,6 +394,12 @@
 	}
 }
 
+// lose counts a txn that ends unserved and whose client may come back.
+func (r *Router) lose(t *txn) {
+	t.use.ended.add(r.now, 2*t.kind.Expiry, 1)
+	r.forget(t)
+}
+
 // answered updates the record of a member from the end of a submission to it.
 func (r *Router) answered(m *member, t *txn, sub *submission, how Outcome, rtt float64, role Role,
 	gtid float64) {
@@ -437,11 +437,10 @@
 		r.unanswered(m, t, sub)
 	case how == Full:
 		r.steer(m, false)
-		if r.now-m.cutAt < 10*beat {
-			break
+		if r.now-m.cutAt >= 10*beat {
+			m.limit = math.Max(leastLimit, math.Min(m.limit, float64(len(m.out)+1))/2)
+			m.cutAt = r.now
 		}
-		m.limit = math.Max(leastLimit, math.Min(m.limit, float64(len(m.out)+1))/2)
-		m.cutAt = r.now
 	}
 }
 
@@ -472,9 +471,8 @@
 
 // adapt moves the limit towards where one answer in five is not soon: where waits fall off exponentially and
 // soon is half the SLA time, one in twenty-five is then late, while the member is still kept busy. It guards
-// against overload from any cause (surges, clients' repeats, slow or cold members, fewer members left): what
-// a member can't take in time is held here, in order of worth, in place of jamming its queue. It may hold
-// back too much on a router with so little traffic that its limit seldom moves.
+// against overload from any cause: what a member can't take in time is held here, in order of worth, in place
+// of jamming its queue. It may hold back too much where a limit seldom moves.
 func (m *member) adapt(soon bool) {
 	step := math.Max(0.1, m.limit/50)
 	switch {
@@ -499,8 +497,7 @@
 }
 
 // silence is how long the member has kept quiet, summed over what is out there, in expected waits, as far as
-// losses on the way don't explain it. What others sent later have overtaken tells nothing: it is lost, or
-// long, but the member is at work.
+// losses on the way don't explain it. What later answers have overtaken is lost, or long, and tells nothing.
 func (r *Router) silence(m *member) float64 {
 	sum := m.mute
 	for _, sub := range m.out {
@@ -580,9 +577,8 @@
 		}
 		return
 	}
-	// Guards against members that restart before the list says so: back after an absence they count as cold
-	// until the list has had time to tell. Where it tells nothing this router alone could not reach it, as the
-	// next time will be.
+	// Guards against restarts before the list says so: back after an absence a member counts as cold until the
+	// list has had time to tell. Where it tells nothing, this router alone could not reach the member.
 	if m.down && r.now-m.downAt > recheckGap && r.now-m.guessed > longMemory {
 		m.guessed = r.now
 		m.begin()
@@ -607,20 +603,10 @@
 // Gone says that the client of a txn has left; nothing is owed any more.
 func (r *Router) Gone(id string) {
 	if t := r.txns[id]; t != nil {
-		t.unserved(r.now)
-		r.forget(t)
+		r.lose(t)
 	}
 }
 
-// unserved counts a txn whose client may come back; a repeat counts half, lest a false guess feed on itself.
-func (t *txn) unserved(now float64) {
-	weight := 1.0
-	if t.repeat {
-		weight = 0.5
-	}
-	t.use.ended.add(now, 2*t.kind.Expiry, weight)
-}
-
 // Rang says that an alarm has come.
 func (r *Router) Rang() {
 	if r.now > r.alarmAt-beat/2 {
@@ -706,10 +692,9 @@
 	return m.checkSent + r.period(m)
 }
 
-// period follows need. It is well inside the smallest bound where enough reads need positions to pay for the
-// checks. At rest it lets some txns pay for each check, so that many routers with little traffic don't
-// burden members with more checks than txns; a member marked unknown or down is asked after sooner, and all
-// are while txns wait for a primary.
+// period follows need: well inside the smallest bound where enough reads need positions to pay for the checks;
+// at rest some txns pay for each check, lest many routers with little traffic burden members with more checks
+// than txns; sooner for a member marked unknown or down, and for all while txns wait for a primary.
 func (r *Router) period(m *member) float64 {
 	g := m.group
 	if p := r.primary(g); (p == nil || p.doubted) && r.now-g.held < recheckGap {
@@ -735,9 +720,8 @@
 	return best
 }
 
-// nextRevoke takes txns that may be sent again back so that they are: from a member in doubt, and where the
-// answer is rather lost than late, if another try can still be in time. A txn that is only long is then worked
-// on twice.
+// nextRevoke takes repeatable txns back to send them again: from a member in doubt, and where the answer is
+// rather lost than late, if another try can still be in time. One that is only long is worked on twice.
 func (r *Router) nextRevoke() (Decision, bool) {
 	if !r.set.CanRevoke {
 		return Decision{}, false
@@ -856,15 +840,13 @@
 }
 
 func (r *Router) end(t *txn) Decision {
-	r.forget(t)
-	t.unserved(r.now)
+	r.lose(t)
 	promise := t.kind.Effect == Repeatable || t.kind.Effect == Referenced && t.kind.Scope == ScopeAll
 	if t.mayRun != Never && !promise {
 		return Decision{Verb: RollBack, Txn: t.id}
 	}
-	// What is declined here can't be answered in time by a repeat either, so the client is told to stay away
-	// as long as it may be told; that spares members in a jam, and may be longer than needed after a short
-	// one.
+	// A repeat could not be answered in time either, so the client is told to stay away as long as it may be;
+	// that may be longer than needed after a short jam.
 	return Decision{Verb: Decline, Txn: t.id, Wait: r.set.RetryAfter}
 }
 
@@ -933,8 +915,8 @@
 	if !t.group.ready && r.set.CanCheck {
 		return nil // a fresh router: wait for the group's first check
 	}
-	// Guards against any shortage of replicas (lost, slow, lagging, a surge): where each that would do is at
-	// its limit, a read uses what the primary has to spare. Half its room stays for writes.
+	// Guards against any shortage of replicas: where each that would do is at its limit, a read uses what the
+	// primary has to spare. Half its room stays for writes.
 	if full {
 		if pri != nil && float64(len(pri.out)) < pri.limit/2 {
 			return r.fit(t, pri)
@@ -951,7 +933,7 @@
 		return r.fit(t, pri)
 	}
 	// Nobody is known fresh enough, but some seemed near enough when last checked: ask two of those and wait
-	// a moment, as waiting operations do in the source. The wait is an eighth of the SLA time at most.
+	// an eighth of the SLA time at most, as waiting operations do in the source.
 	if len(unsure) > 0 && r.set.CanCheck && t.asked == Never {
 		t.asked = r.now
 		r.draw(t, unsure).ask()
