Only submissions too rare for any limit steer the chance

Now an answer that is not soon lowers the chance only if even the least limit would not have held its submission back, by the limit's nearness to one.

--- a/router/router.go
+++ b/router/router.go
@@ -89,10 +89,10 @@
 }
 
 type submission struct {
-	to                   *member
-	of                   *txn
-	at, expected         float64
-	out, missed, revoked bool
+	to                         *member
+	of                         *txn
+	at, expected               float64
+	out, missed, revoked, rare bool // rare: the least limit would not have held it back
 }
 
 type txn struct {
@@ -429,14 +429,14 @@
 		t.use.n.add(r.now, r.span, 1)
 		m.slow.add(r.now, r.span, rtt/usual)
 		m.good.add(r.now, r.span, 1)
-		r.steer(m, rtt < t.kind.SLA/2)
+		r.steer(sub, rtt < t.kind.SLA/2)
 		m.adapt(rtt < t.kind.SLA/2)
 	case how == Errored:
 		m.bad.add(r.now, r.span, 1)
 	case how == TimedOut || how == Revoked:
 		r.unanswered(m, t, sub)
 	case how == Full:
-		r.steer(m, false)
+		r.steer(sub, false)
 		if r.now-m.cutAt >= 10*beat {
 			m.limit = math.Max(leastLimit, math.Min(m.limit, float64(len(m.out)+1))/2)
 			m.cutAt = r.now
@@ -455,7 +455,7 @@
 	t.use.wait.add(r.now, r.span, (1-lost)*(r.now-sub.at+sub.expected))
 	t.use.n.add(r.now, r.span, 1-lost)
 	if lost < 0.5 {
-		r.steer(m, false)
+		r.steer(sub, false)
 	}
 	m.adapt(false)
 	if sub.at >= m.overtaken {
@@ -775,14 +775,14 @@
 }
 
 // steer moves the chance at which txns are taken on towards where one answer in five is not soon, as adapt does
-// for one member. Guards against jams of many routers of which none holds enough at a member to be limited
-// there: each answer moves one router a little, and all of them together the load.
-func (r *Router) steer(m *member, soon bool) {
-	pri := m == r.primary(m.group)
+// for one member. Guards against jams of many routers that each send a member too little to be held back by its
+// limit, even by the least: each answer moves one router a little, and all of them together the load.
+func (r *Router) steer(sub *submission, soon bool) {
+	pri := sub.to == r.primary(sub.to.group)
 	if soon {
 		r.admit[pri] = math.Min(reserve, r.admit[pri]+0.05)
-	} else if m.limit <= 1 {
-		r.admit[pri] *= 0.8
+	} else if sub.rare {
+		r.admit[pri] -= 0.2 * r.admit[pri] / math.Max(1, sub.to.limit)
 	}
 }
 
@@ -812,7 +812,8 @@
 		return Decision{}, false
 	}
 	expected := r.expects(t, m)
-	sub := &submission{to: m, of: t, at: r.now, expected: expected, out: true}
+	sub := &submission{to: m, of: t, at: r.now, expected: expected, out: true,
+		rare: r.now-m.lastSent > expected/leastLimit}
 	t.subs = append(t.subs, sub)
 	if len(m.out) == 0 {
 		r.busy = append(r.busy, m)
