--- a/router/router.go
+++ b/router/router.go
@@ -780,9 +780,9 @@
 func (r *Router) steer(sub *submission, soon bool) {
 	pri := sub.to == r.primary(sub.to.group)
 	if soon {
-		r.admit[pri] = math.Min(reserve, r.admit[pri]+0.05)
+		r.admit[pri] = math.Min(reserve, r.admit[pri]+0.075)
 	} else if sub.rare {
-		r.admit[pri] -= 0.2 * r.admit[pri] / math.Max(1, sub.to.limit)
+		r.admit[pri] -= 0.3 * r.admit[pri] / math.Max(1, sub.to.limit)
 	}
 }
 
