A full connection table is no dead member; close idle connections while tables are full

Now only the member is asked, left alone for an expected wait, and while passing checks prove tables full each connection is closed when it falls idle. Told from dead members by those checks. Costs a handshake a submission while it lasts.

--- a/router/router.go
+++ b/router/router.go
@@ -61,6 +61,7 @@
 	behind         float64 // how far behind it seemed at the last check or miss
 	checkSent      float64
 	checkOut       bool
+	shut           bool    // it refused the last connection: down, or only full
 	mum            bool    // its last check came back with an error
 	prompt         bool    // check as soon as the least gap allows
 	guessed        float64 // when it was last back from an absence that may have been a restart
@@ -161,8 +162,10 @@
 	commits     map[string]float64 // session: its last commit, where tokens are the router's own memory
 	pruneAt     int
 	arrived     fade
-	done        fade    // SLA times of the txns committed; unlike latency they hold still in a jam
-	flow        float64 // the most of them that one member has had a ms, on average
+	done        fade      // SLA times of the txns committed; unlike latency they hold still in a jam
+	flow        float64   // the most of them that one member has had a ms, on average
+	crowded     fade      // connections refused by members whose checks went on
+	idle        []*member // whose connections are to be closed
 	heard, lost fade
 	span        float64 // ms over which what is measured fades
 	uses        map[*TxnType]*usage
@@ -406,19 +409,24 @@
 	m.out = slices.DeleteFunc(m.out, func(o *submission) bool { return o == sub })
 	if len(m.out) == 0 {
 		r.busy = slices.DeleteFunc(r.busy, func(o *member) bool { return o == m })
+		if r.crowded.read(r.now, longMemory) > 0.5 {
+			r.idle = append(r.idle, m)
+		}
 	}
 	switch how {
 	case Committed, Errored, Full, Miss:
 		m.lastAnswer, m.mute = r.now, 0
 		r.heard.add(r.now, r.span, 1)
 		m.overtaken = math.Max(m.overtaken, sub.at)
-		m.doubted, m.down = false, false
+		m.doubted, m.down, m.shut = false, false, false
 		thought := r.primary(m.group) == m
 		m.tell(role, r.now, gtid)
 		if how == Miss {
 			r.missed(m, t, thought)
 		}
 	case ConnectFailed, Reset:
+		m.bad.add(r.now, r.span, 1)
+		m.shut = how == ConnectFailed
 		r.markDown(m)
 	}
 	switch {
@@ -540,11 +548,12 @@
 	if !m.down {
 		m.downAt = r.now
 	}
-	if r.primary(m.group) == m {
+	if r.primary(m.group) == m && !m.shut {
 		r.recheck(m.group)
 	}
-	m.down, m.known = true, false
-	m.denial = r.now
+	if m.down, m.known = true, false; !m.shut {
+		m.denial = r.now
+	}
 	m.ask()
 }
 
@@ -572,13 +581,17 @@
 	// shows that the member is there. Where it says no more, the txns themselves ask (fit, pick).
 	m.mum = how == Errored
 	if how != Committed {
-		if !m.down && !m.mum && m.lastAnswer < m.checkSent {
+		if (!m.down || m.shut) && !m.mum && m.lastAnswer < m.checkSent {
+			m.down, m.shut = false, false
 			r.markDown(m)
 		}
 		return
 	}
 	// Guards against restarts before the list says so: back after an absence a member counts as cold until the
 	// list has had time to tell. Where it tells nothing, this router alone could not reach the member.
+	if m.shut && m.down {
+		r.crowded.add(r.now, longMemory, 1)
+	}
 	if m.down && r.now-m.downAt > recheckGap && r.now-m.guessed > longMemory {
 		m.guessed = r.now
 		m.begin()
@@ -588,6 +601,7 @@
 
 // begin starts a member's record of speed and limit anew; it is cold.
 func (m *member) begin() {
+	m.denial = math.Max(m.denial, m.downAt) // if it was primary, it may be no more
 	m.limit, m.tested, m.allow = math.Min(firstLimit, m.limit), false, Never
 }
 
@@ -622,6 +636,12 @@
 		r.wantWatch = r.now + r.set.AskWithin/2 // unless something is heard before
 		return Decision{Verb: Watch}, true
 	}
+	// Guards against full connection tables: idle connections here keep other routers out. Costs a handshake.
+	if n := len(r.idle); n > 0 {
+		m := r.idle[n-1]
+		r.idle = r.idle[:n-1]
+		return Decision{Verb: Close, Member: m.id}, true
+	}
 	for _, next := range []func() (Decision, bool){r.nextRevoke, r.nextTxn, r.nextCheck} {
 		if d, ok := next(); ok {
 			return d, true
@@ -1004,7 +1024,8 @@
 	if t.kind.Level != Any && r.set.Lag == LagAnswers && m.gtid < t.bound(r.now) && m != r.primary(m.group) {
 		return nil
 	}
-	if !m.known && r.set.CanCheck && !m.mum ||
+	// Guards against full connection tables: where checks pass all the same, the member is left alone for a wait.
+	if m.shut && r.now-m.lastSent < r.expects(t, m) || !m.known && r.set.CanCheck && !m.mum ||
 		m.doubted && (r.now-m.lastSent < recheckGap || t.kind.Effect != Repeatable) ||
 		!r.bears(m, t) || !m.room(r.now, r.expects(t, m)) {
 		return nil
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -35,7 +35,7 @@
 	roleWords  = map[string]Role{"": Unsaid, "primary": Primary, "replica": Replica}
 	stateWords = map[string]State{"up": Up, "draining": Draining, "removed": Removed}
 	verbWords  = map[Verb]string{Submit: "submit", Revoke: "revoke", Decline: "decline", RollBack: "rollback",
-		Check: "check", Watch: "watch", Alarm: "alarm"}
+		Check: "check", Watch: "watch", Close: "close", Alarm: "alarm"}
 )
 
 func TestScenarios(t *testing.T) {
--- a/router/types.go
+++ b/router/types.go
@@ -117,6 +117,7 @@
 	RollBack
 	Check
 	Watch
+	Close // the idle connections to a member
 	Alarm
 )
 
