--- a/router/router.go
+++ b/router/router.go
@@ -49,34 +49,28 @@
 
 // member is this router's own record of one server.
 type member struct {
-	id, zone       string
-	group          *group
-	barred         bool    // the list says that it drains or is gone
-	started        float64 // Never: long ago
-	known          bool    // some check or answer has come since it was last marked unknown
-	down           bool    // reset or failed to connect, and no check has gone through since
-	downAt         float64
-	claim, denial  float64 // when it was last known to be primary, and not to be
-	gtid           float64 // a time up to which it surely has every commit
-	behind         float64 // how far behind it seemed at the last check or miss
-	checkSent      float64
-	checkOut       bool
-	shut           bool    // it refused the last connection: down, or only full
-	mum            bool    // its last check came back with an error
-	prompt         bool    // check as soon as the least gap allows
-	guessed        float64 // when it was last back from an absence that may have been a restart
-	allow, allowAt float64 // while it is cold: what it may be sent, in SLA time; Never: nothing counted yet
-	lastAnswer     float64
-	lastSent       float64
-	out            []*submission
-	overtaken      float64 // when the latest submission that it has answered was sent
-	doubted        bool    // has been silent too long; cleared by any answer to a submission
-	mute           float64 // expected waits of silence, of submissions without an answer since the last
-	slow, good     fade    // latency against what is usual for the txn type; submissions answered well
-	bad            fade    // submissions failed, refused or lost
-	limit          float64 // how many of this router's submissions it may hold at once
-	tested         bool    // the limit has been found once
-	cutAt          float64 // when a refusal last cut the limit
+	id, zone                        string
+	group                           *group
+	barred                          bool    // the list says that it drains or is gone
+	started                         float64 // Never: long ago
+	known                           bool    // some check or answer has come since it was last marked unknown
+	down                            bool    // reset or failed to connect, and no check has gone through since
+	claim, denial                   float64 // when it was last known to be primary, and not to be
+	gtid                            float64 // a time up to which it surely has every commit
+	behind                          float64 // how far behind it seemed at the last check or miss
+	shut                            bool    // it refused the last connection: down, or only full
+	mum                             bool    // its last check came back with an error
+	prompt, checkOut                bool    // check as soon as the least gap allows; one is out
+	downAt, guessed                 float64 // when it went down, and was last back from what may have been a restart
+	allow, allowAt                  float64 // while it is cold: what it may be sent, in SLA time; Never: nothing counted yet
+	checkSent, lastAnswer, lastSent float64
+	out                             []*submission
+	overtaken                       float64 // when the latest submission that it has answered was sent
+	doubted                         bool    // has been silent too long; cleared by any answer to a submission
+	slow, good                      fade    // latency against what is usual for the txn type; submissions answered well
+	bad                             fade    // submissions failed, refused or lost
+	limit                           float64 // how many of this router's submissions it may hold at once
+	tested                          bool    // the limit has been found once
 }
 
 type group struct {
@@ -145,35 +139,33 @@
 
 // Router decides for one instance.
 type Router struct {
-	set         *Settings
-	seed, draws uint64
-	now, born   float64
-	members     map[string]*member
-	order       []*member // as first listed
-	groups      map[int]*group
-	txns        map[string]*txn
-	waiting     []*txn
-	sorted      bool
-	cursor      int
-	busy        []*member          // those that hold submissions
-	used        []*group           // those that have had traffic
-	admit       map[bool]float64   // chance to take txns of middling worth on, for replicas and for primaries
-	worths      fade               // worth by work of what arrived
-	commits     map[string]float64 // session: its last commit, where tokens are the router's own memory
-	pruneAt     int
-	arrived     fade
-	done        fade      // SLA times of the txns committed; unlike latency they hold still in a jam
-	flow        float64   // the most of them that one member has had a ms, on average
-	crowded     fade      // connections refused by members whose checks went on
-	idle        []*member // whose connections are to be closed
-	heard, lost fade
-	span        float64 // ms over which what is measured fades
-	uses        map[*TxnType]*usage
-	shares      map[string]*fade
-	listed      map[string]bool
-	least       float64 // the shortest check period
-	wantWatch   float64 // when to ask for the list again
-	alarmAt     float64
+	set                  *Settings
+	seed, draws          uint64
+	now, born            float64
+	members              map[string]*member
+	order                []*member // as first listed
+	groups               map[int]*group
+	txns                 map[string]*txn
+	waiting              []*txn
+	cursor               int // which of them was looked at last; sorted: since the last input
+	sorted               bool
+	busy                 []*member          // those that hold submissions
+	used                 []*group           // those that have had traffic
+	admit                map[bool]float64   // chance to take txns of middling worth on, for replicas and for primaries
+	worths               fade               // worth by work of what arrived
+	commits              map[string]float64 // session: its last commit, where tokens are the router's own memory
+	done                 fade               // SLA times of the txns committed; unlike latency they hold still in a jam
+	flow                 float64            // the most of them that one member has had a ms, on average
+	crowded              fade               // connections refused by members whose checks went on
+	idle                 []*member          // whose connections are to be closed
+	arrived, heard, lost fade               // txns; submissions answered in any way, and rather lost than long
+	span                 float64            // ms over which what is measured fades
+	uses                 map[*TxnType]*usage
+	shares               map[string]*fade // by tenant
+	listed               map[string]bool
+	pruneAt              int
+	least                float64 // the shortest check period
+	wantWatch, alarmAt   float64 // when to ask for the list again; the alarm that is out
 }
 
 func New(set *Settings, seed uint64) *Router {
@@ -245,7 +237,7 @@
 	m := r.members[id]
 	if m == nil {
 		m = &member{id: id, zone: zone, group: g, claim: Never, denial: Never, gtid: Never, started: Never,
-			checkSent: Never, lastAnswer: Never, lastSent: Never, cutAt: Never, prompt: g.used,
+			checkSent: Never, lastAnswer: Never, lastSent: Never, prompt: g.used,
 			guessed: Never, allow: Never, limit: firstLimit}
 		r.members[id] = m
 		r.order = append(r.order, m)
@@ -274,8 +266,7 @@
 	}
 }
 
-// ListFailed says that a call failed or the subscription broke. Asking again waits a little and differs from
-// router to router, so that many of them don't jam the list's service.
+// ListFailed says that a call failed or the subscription broke. Many routers must not ask again at once.
 func (r *Router) ListFailed() {
 	if r.set.Ask {
 		r.wantWatch = math.Min(r.wantWatch, r.now+r.set.AskWithin/8*(0.5+r.chance()))
@@ -370,8 +361,7 @@
 	}
 }
 
-// remember keeps the last commit of a session, and each time their number has doubled drops those that every
-// member has by now.
+// remember keeps a session's last commit, and at times drops those that every member has by now.
 func (r *Router) remember(session string, gtid float64) {
 	if gtid == Never {
 		gtid = r.now
@@ -415,7 +405,7 @@
 	}
 	switch how {
 	case Committed, Errored, Full, Miss:
-		m.lastAnswer, m.mute = r.now, 0
+		m.lastAnswer = r.now
 		r.heard.add(r.now, r.span, 1)
 		m.overtaken = math.Max(m.overtaken, sub.at)
 		m.doubted, m.down, m.shut = false, false, false
@@ -438,23 +428,17 @@
 		m.slow.add(r.now, r.span, rtt/usual)
 		m.good.add(r.now, r.span, 1)
 		r.steer(sub, rtt < t.kind.SLA/2)
-		m.adapt(rtt < t.kind.SLA/2)
 	case how == Errored:
 		m.bad.add(r.now, r.span, 1)
 	case how == TimedOut || how == Revoked:
 		r.unanswered(m, t, sub)
 	case how == Full:
 		r.steer(sub, false)
-		if r.now-m.cutAt >= 10*beat {
-			m.limit = math.Max(leastLimit, math.Min(m.limit, float64(len(m.out)+1))/2)
-			m.cutAt = r.now
-		}
 	}
 }
 
-// unanswered weighs whether a submission without an answer was lost on the way, or only long: the one grows
-// likely where many are lost and others are quick. What is long counts as at least that slow, else only those
-// that were answered would count.
+// unanswered weighs whether a submission without an answer was lost on the way, or is only long and counts as
+// at least that slow: the one grows likely where others are quick and many are lost.
 func (r *Router) unanswered(m *member, t *txn, sub *submission) {
 	waits, loss := (r.now-sub.at)/sub.expected, r.usualLoss()
 	lost := loss / (loss + (1-loss)*math.Exp(-waits))
@@ -465,10 +449,6 @@
 	if lost < 0.5 {
 		r.steer(sub, false)
 	}
-	m.adapt(false)
-	if sub.at >= m.overtaken {
-		m.mute += math.Min(waits, -math.Log(r.usualLoss()))
-	}
 }
 
 // usualLoss is the share of this router's submissions that get no answer though they may run.
@@ -495,8 +475,7 @@
 	}
 }
 
-// room tells whether the member may hold one more. A limit below one is a share of the time: many routers may
-// each keep one txn at a member that can't bear them all.
+// room tells whether the member may hold one more. A limit below one is a share of the time.
 func (m *member) room(now, expected float64) bool {
 	if m.limit >= 1 {
 		return float64(len(m.out)) < m.limit
@@ -507,7 +486,7 @@
 // silence is how long the member has kept quiet, summed over what is out there, in expected waits, as far as
 // losses on the way don't explain it. What later answers have overtaken is lost, or long, and tells nothing.
 func (r *Router) silence(m *member) float64 {
-	sum := m.mute
+	sum := 0.0
 	for _, sub := range m.out {
 		if sub.at >= m.overtaken {
 			waits := (r.now - math.Max(sub.at, m.lastAnswer)) / sub.expected
@@ -528,8 +507,7 @@
 	}
 }
 
-// missed: a write's miss proves that the member is not primary, a read's that it is further behind than
-// thought.
+// missed: a write's miss proves that the member is not primary, a read's that it is further behind.
 func (r *Router) missed(m *member, t *txn, thought bool) {
 	if t.kind.Level == Write || t.kind.Level == Fresh {
 		m.denial, m.known = r.now, false
@@ -578,7 +556,7 @@
 	}
 	m.group.ready = true
 	// Guards against checks that fail where members serve: an answer since is the better evidence, and an error
-	// shows that the member is there. Where it says no more, the txns themselves ask (fit, pick).
+	// shows that it is there. The txns themselves then ask (fit, pick).
 	m.mum = how == Errored
 	if how != Committed {
 		if (!m.down || m.shut) && !m.mum && m.lastAnswer < m.checkSent {
@@ -605,8 +583,8 @@
 	m.limit, m.tested, m.allow = math.Min(firstLimit, m.limit), false, Never
 }
 
-// Reported conveys a load report with a role and a position. It is dated by that position, since it may be
-// old and nothing else tells how old: a primary stands at the present, a replica a little before.
+// Reported conveys a report of role and position. It may be old, so it is dated by that position: a primary
+// stands at the present, a replica a little before.
 func (r *Router) Reported(node string, role Role, gtid float64) {
 	if m := r.members[node]; m != nil {
 		m.tell(role, gtid, gtid)
@@ -785,8 +763,7 @@
 	return Decision{}, false
 }
 
-// worth is the value to be expected from sending the txn now, for each ms of work, if answers take as long as
-// usual and their times fall off exponentially.
+// worth is the value to be expected for each ms of work if answers take as long as usual, exponentially.
 func (t *txn) worth(now, span float64) float64 {
 	usual := t.use.usual(now, span, t.kind)
 	late := 1 - math.Exp(math.Min(0, now-t.expiry)/usual)
@@ -804,6 +781,7 @@
 	} else if sub.rare {
 		r.admit[pri] -= 0.3 * r.admit[pri] / math.Max(1, sub.to.limit)
 	}
+	sub.to.adapt(soon)
 }
 
 // admits decides, by what a txn's worth for its work is against the others', whether to take it on, and once
@@ -976,29 +954,23 @@
 	return slices.ContainsFunc(t.subs, func(s *submission) bool { return s.to == m && s.missed })
 }
 
-// draw picks one of the members by chance, weighted against smoothed latency times one plus requests in
-// flight.
+// draw picks one by chance, weighted against smoothed latency times one plus submissions out.
 func (r *Router) draw(t *txn, from []*member) *member {
-	total := 0.0
-	weights := make([]float64, len(from))
-	for i, m := range from {
+	var best *member
+	top := Never
+	for _, m := range from {
 		good, bad := m.good.read(r.now, r.span), m.bad.read(r.now, r.span)
 		cost := m.slowness(r.now, r.span) * (1 + float64(len(m.out)))
 		// Guards against members that fail or refuse quickly, whose latency would draw more txns to them.
-		well := (good + 1) / (good + bad + 1)
-		weights[i] = math.Pow(well, 4) / (cost * cost)
+		weight := math.Pow((good+1)/(good+bad+1), 4) / (cost * cost)
 		if slices.ContainsFunc(t.subs, func(s *submission) bool { return s.to == m }) {
-			weights[i] /= 10 // it has not answered this one
+			weight /= 10 // it has not answered this one
 		}
-		total += weights[i]
-	}
-	x := r.chance() * total
-	for i, w := range weights {
-		if x -= w; x < 0 {
-			return from[i]
+		if x := math.Log(r.chance()) / weight; best == nil || x > top {
+			best, top = m, x
 		}
 	}
-	return from[len(from)-1]
+	return best
 }
 
 // warmth is the least share of its usual work that a member can do by now.
@@ -1010,8 +982,7 @@
 	return math.Min(1, r.set.ColdFrom+(1-r.set.ColdFrom)*(r.now-start)/r.set.WarmUp)
 }
 
-// fit is the one place that every send passes: it gives the member back if the txn may go there now, else
-// nil.
+// fit is the one place that every send passes: it gives the member back if the txn may go there now.
 func (r *Router) fit(t *txn, m *member) *member {
 	if m == nil || m.barred || m.down || t.placed || t.over || t.out > 0 && !r.set.SecondCopies {
 		return nil
