--- a/internal/drill/fields.go
+++ b/internal/drill/fields.go
@@ -138,7 +138,6 @@
 	f.inner("permissions", func(c *fields) {
 		set.Submissions = int(c.number("attemptsCap"))
 		set.CanCheck, set.CanRevoke = c.flag("probes"), c.flag("cancel")
-		set.SecondCopies = c.flag("secondCopies")
 		if c.flag("retryAfter") {
 			set.RetryAfter = c.orZero("maxRetryAfter") / 1000
 		}
--- a/router/router.go
+++ b/router/router.go
@@ -61,13 +61,13 @@
 	shut                            bool    // it refused the last connection: down, or only full
 	mum                             bool    // its last check came back with an error
 	prompt, checkOut                bool    // check as soon as the least gap allows; one is out
-	downAt, guessed                 float64 // when it went down, and was last back from what may have been a restart
-	allow, allowAt                  float64 // while it is cold: what it may be sent, in SLA time; Never: nothing counted yet
+	downAt, guessed                 float64 // went down; was last back from a possible restart
+	allow, allowAt                  float64 // while cold: SLA time it may be sent; Never: nothing counted
 	checkSent, lastAnswer, lastSent float64
 	out                             []*submission
 	overtaken                       float64 // when the latest submission that it has answered was sent
 	doubted                         bool    // has been silent too long; cleared by any answer to a submission
-	slow, good                      fade    // latency against what is usual for the txn type; submissions answered well
+	slow, good                      fade    // latency against the usual; submissions committed
 	bad                             fade    // submissions failed, refused or lost
 	limit                           float64 // how many of this router's submissions it may hold at once
 	tested                          bool    // the limit has been found once
@@ -75,7 +75,6 @@
 
 type group struct {
 	members []*member
-	ready   bool    // its first check has come back
 	used    bool    // it has had traffic here
 	held    float64 // when a txn last found no member to go to
 	checkAt float64 // when its next check may be due
@@ -100,13 +99,12 @@
 	value           float64
 	rank            float64 // its place among those waiting
 	subs            []*submission
-	out             int
 	mayRun          float64 // when the earliest submission that may have run went out; Never: none may have
 	ranZone         string
 	met             Outcome // how the last submission ended
 	asked           float64 // when checks were asked for on its behalf
 	admitted        bool
-	placed          bool // not waiting for a decision
+	placed          bool // a submission is out
 	over            bool // it has had its final answer
 }
 
@@ -118,9 +116,8 @@
 	votes    int
 }
 
-// age guesses how long a client has been trying already. Most tries are given one time; a try given another
-// has what the earlier ones left. Guards against jams of clients' repeats, which look new and can earn little
-// any more. It misjudges the rare client that is impatient from the start.
+// age guesses how long a client has been trying: most tries are given one time, a repeat what earlier ones
+// left. Guards against jams of repeats that look new. It misjudges a client impatient from the start.
 func (u *usage) age(now float64, kind *TxnType, ttl float64, marked bool) float64 {
 	if math.Abs(ttl-u.patience) <= kind.Expiry/50 { // a fiftieth: the clock's tick and the network
 		u.votes = min(u.votes+1, 10) // few, since all clients may change their habit at once
@@ -151,10 +148,10 @@
 	sorted               bool
 	busy                 []*member          // those that hold submissions
 	used                 []*group           // those that have had traffic
-	admit                map[bool]float64   // chance to take txns of middling worth on, for replicas and for primaries
+	admit                map[bool]float64   // chance to take txns on, for replicas and primaries
 	worths               fade               // worth by work of what arrived
 	commits              map[string]float64 // session: its last commit, where tokens are the router's own memory
-	done                 fade               // SLA times of the txns committed; unlike latency they hold still in a jam
+	done                 fade               // SLA times committed; unlike latency they hold still in a jam
 	flow                 float64            // the most of them that one member has had a ms, on average
 	crowded              fade               // connections refused by members whose checks went on
 	idle                 []*member          // whose connections are to be closed
@@ -198,8 +195,6 @@
 	return float64(x>>11) / (1 << 53)
 }
 
-// Inputs
-
 // At sets the time; all that follows until the next call happens then.
 func (r *Router) At(now float64) {
 	if r.now = now; r.born == 0 {
@@ -257,9 +252,7 @@
 
 func (r *Router) ListEnd(whole bool) {
 	for _, m := range r.order {
-		if whole && !r.listed[m.id] && !r.set.SoftRemoval {
-			m.barred = true
-		}
+		m.barred = m.barred || whole && !r.listed[m.id] && !r.set.SoftRemoval
 	}
 	if r.set.Ask && r.wantWatch != Never {
 		r.wantWatch = math.Inf(1)
@@ -273,7 +266,7 @@
 	}
 }
 
-// Arrive takes a txn; false: its txn type is not in the settings. Where clients mark repeats, marked tells one.
+// Arrive takes a txn; false: its txn type is not in the settings. marked: its client says it is a repeat.
 func (r *Router) Arrive(id, tenant, session, txnType string, groupNo int, tokenAge, ttl float64,
 	marked bool) bool {
 	kind := r.set.TxnTypes[txnType]
@@ -326,7 +319,6 @@
 }
 
 func (r *Router) wait(t *txn) {
-	t.placed = false
 	r.waiting = append(r.waiting, t)
 	r.sorted = false
 }
@@ -344,19 +336,13 @@
 	if how == Committed && t.kind.Level == Write && r.set.Remembered && t.session != "" {
 		r.remember(t.session, gtid)
 	}
-	sub.out, sub.missed = false, how == Miss
-	t.out--
-	t.met = how
-	switch how {
-	case Errored, TimedOut, Reset, Revoked:
-		if t.mayRun == Never || sub.at < t.mayRun {
-			t.mayRun = sub.at
-		}
-		t.ranZone = m.zone
+	sub.out, sub.missed, t.placed, t.met = false, how == Miss, false, how
+	if t.mayRun == Never && (how == Errored || how == TimedOut || how == Reset || how == Revoked) {
+		t.mayRun, t.ranZone = sub.at, m.zone
 	}
 	if t.over = t.over || done; t.over {
 		r.forget(t)
-	} else if t.placed && t.out == 0 {
+	} else {
 		r.wait(t)
 	}
 }
@@ -379,15 +365,14 @@
 	}
 }
 
-// forget drops a txn that has had its final answer once none of its submissions is out any more.
+// forget drops a txn that has had its final answer once no submission of it is out any more.
 func (r *Router) forget(t *txn) {
-	t.over = true
-	if t.out == 0 {
+	if t.over = true; !t.placed {
 		delete(r.txns, t.id)
 	}
 }
 
-// lose counts a txn that ends unserved and whose client may come back.
+// lose counts a txn whose client may come back.
 func (r *Router) lose(t *txn) {
 	t.use.ended.add(r.now, 2*t.kind.Expiry, 1)
 	r.forget(t)
@@ -457,10 +442,9 @@
 	return (lost + prior*rareLoss) / (lost + r.heard.read(r.now, r.span) + prior)
 }
 
-// adapt moves the limit towards where one answer in five is not soon: where waits fall off exponentially and
-// soon is half the SLA time, one in twenty-five is then late, while the member is still kept busy. It guards
-// against overload from any cause: what a member can't take in time is held here, in order of worth, in place
-// of jamming its queue. It may hold back too much where a limit seldom moves.
+// adapt moves the limit towards where one answer in five is not soon: with exponential waits, and half the
+// SLA time as soon, one in twenty-five is then late. It guards against overload from any cause: what a member
+// can't take in time is held here, by worth. It may hold back too much where a limit seldom moves.
 func (m *member) adapt(soon bool) {
 	step := math.Max(0.1, m.limit/50)
 	switch {
@@ -526,12 +510,13 @@
 	if !m.down {
 		m.downAt = r.now
 	}
-	if r.primary(m.group) == m && !m.shut {
-		r.recheck(m.group)
-	}
-	if m.down, m.known = true, false; !m.shut {
+	if !m.shut {
+		if r.primary(m.group) == m {
+			r.recheck(m.group)
+		}
 		m.denial = r.now
 	}
+	m.down, m.known = true, false
 	m.ask()
 }
 
@@ -554,12 +539,13 @@
 	if how == Full {
 		return // too crowded to be checked: it is there, and nothing else is told
 	}
-	m.group.ready = true
 	// Guards against checks that fail where members serve: an answer since is the better evidence, and an error
 	// shows that it is there. The txns themselves then ask (fit, pick).
-	m.mum = how == Errored
-	if how != Committed {
-		if (!m.down || m.shut) && !m.mum && m.lastAnswer < m.checkSent {
+	if m.mum = how == Errored; m.mum {
+		m.down = false
+		return
+	} else if how != Committed {
+		if (!m.down || m.shut) && m.lastAnswer < m.checkSent {
 			m.down, m.shut = false, false
 			r.markDown(m)
 		}
@@ -569,15 +555,14 @@
 	// list has had time to tell. Where it tells nothing, this router alone could not reach the member.
 	if m.shut && m.down {
 		r.crowded.add(r.now, longMemory, 1)
-	}
-	if m.down && r.now-m.downAt > recheckGap && r.now-m.guessed > longMemory {
+	} else if m.down && r.now-m.downAt > recheckGap && r.now-m.guessed > longMemory {
 		m.guessed = r.now
 		m.begin()
 	}
 	m.down, m.known = false, true
 }
 
-// begin starts a member's record of speed and limit anew; it is cold.
+// begin starts a cold member's record of speed and limit anew.
 func (m *member) begin() {
 	m.denial = math.Max(m.denial, m.downAt) // if it was primary, it may be no more
 	m.limit, m.tested, m.allow = math.Min(firstLimit, m.limit), false, Never
@@ -599,15 +584,12 @@
 	}
 }
 
-// Rang says that an alarm has come.
 func (r *Router) Rang() {
 	if r.now > r.alarmAt-beat/2 {
 		r.alarmAt = math.Inf(1)
 	}
 }
 
-// Decisions
-
 // Next gives the next decision; false: none is left.
 func (r *Router) Next() (Decision, bool) {
 	if r.wantWatch <= r.now {
@@ -638,10 +620,8 @@
 	if len(r.waiting) > 0 {
 		due = r.now
 	}
-	for _, g := range r.used {
-		if r.set.CanCheck {
-			due = math.Min(due, g.checkAt)
-		}
+	for n := 0; r.set.CanCheck && n < len(r.used); n++ {
+		due = math.Min(due, r.used[n].checkAt)
 	}
 	for _, m := range r.busy {
 		for _, sub := range m.out {
@@ -690,9 +670,9 @@
 	return m.checkSent + r.period(m)
 }
 
-// period follows need: well inside the smallest bound where enough reads need positions to pay for the checks;
-// at rest some txns pay for each check, lest many routers with little traffic burden members with more checks
-// than txns; sooner for a member marked unknown or down, and for all while txns wait for a primary.
+// period follows need: well inside the smallest bound where enough reads need positions to pay for it; at
+// rest some txns pay for each check, lest many routers with little traffic send more checks than txns; sooner
+// for a member marked unknown or down, and for all while txns wait for a primary.
 func (r *Router) period(m *member) float64 {
 	g := m.group
 	if p := r.primary(g); (p == nil || p.doubted) && r.now-g.held < recheckGap {
@@ -771,9 +751,9 @@
 	return t.value * (soon + t.kind.LateValue*math.Max(0, late-soon)) / usual
 }
 
-// steer moves the chance at which txns are taken on towards where one answer in five is not soon, as adapt does
-// for one member. Guards against jams of many routers that each send a member too little to be held back by its
-// limit, even by the least: each answer moves one router a little, and all of them together the load.
+// steer moves the chance of taking txns on to where one answer in five is not soon, as adapt does a limit.
+// Guards against jams of many routers that each send a member too little for even the least limit to hold
+// back: each answer moves one router a little, and all together the load. Slow members alone move it too.
 func (r *Router) steer(sub *submission, soon bool) {
 	pri := sub.to == r.primary(sub.to.group)
 	if soon {
@@ -784,8 +764,7 @@
 	sub.to.adapt(soon)
 }
 
-// admits decides, by what a txn's worth for its work is against the others', whether to take it on, and once
-// more whether it may fall to a primary.
+// admits decides by worth for work, against the others', whether to take a txn on, or let a primary have it.
 func (r *Router) admits(t *txn, pri bool) bool {
 	mean := r.worths.read(r.now, longMemory) / r.arrived.read(r.now, longMemory)
 	return r.admit[pri] >= 1 || r.chance() < math.Pow(r.admit[pri], mean*t.kind.SLA/t.value)
@@ -817,8 +796,7 @@
 		r.busy = append(r.busy, m)
 	}
 	m.out = append(m.out, sub)
-	t.out++
-	t.placed = true
+	t.placed = true // so that no other goes out before it has returned
 	m.lastSent = r.now
 	m.allow -= t.kind.SLA
 	d := Decision{Verb: Submit, Txn: t.id, Member: m.id}
@@ -844,8 +822,7 @@
 	if t.mayRun != Never && !promise {
 		return Decision{Verb: RollBack, Txn: t.id}
 	}
-	// A repeat could not be answered in time either, so the client is told to stay away as long as it may be;
-	// that may be longer than needed after a short jam.
+	// A repeat could not be answered in time either; the wait may be longer than needed after a short jam.
 	return Decision{Verb: Decline, Txn: t.id, Wait: r.set.RetryAfter}
 }
 
@@ -860,7 +837,6 @@
 	return (m.slow.read(now, span) + prior) / (m.good.read(now, span) + prior)
 }
 
-// expects is how long an answer of the member to the txn should take.
 func (r *Router) expects(t *txn, m *member) float64 {
 	return t.use.usual(r.now, r.span, t.kind) * m.slowness(r.now, r.span)
 }
@@ -911,9 +887,6 @@
 	if len(fresh) > 0 {
 		return r.draw(t, fresh)
 	}
-	if !t.group.ready && r.set.CanCheck {
-		return nil // a fresh router: wait for the group's first check
-	}
 	// Guards against any shortage of replicas: where each that would do is at its limit, a read uses what the
 	// primary has to spare. Half its room stays for writes.
 	if full {
@@ -931,8 +904,7 @@
 		}
 		return r.fit(t, pri)
 	}
-	// Nobody is known fresh enough, but some seemed near enough when last checked: ask two of those and wait
-	// an eighth of the SLA time at most, as waiting operations do in the source.
+	// None is known fresh enough, some seemed so: ask two, wait a moment, as waiting operations do (DESIGN).
 	if len(unsure) > 0 && r.set.CanCheck && t.asked == Never {
 		t.asked = r.now
 		r.draw(t, unsure).ask()
@@ -984,7 +956,7 @@
 
 // fit is the one place that every send passes: it gives the member back if the txn may go there now.
 func (r *Router) fit(t *txn, m *member) *member {
-	if m == nil || m.barred || m.down || t.placed || t.over || t.out > 0 && !r.set.SecondCopies {
+	if m == nil || m.barred || m.down || t.placed || t.over {
 		return nil
 	}
 	// Rule 2: a referenced txn that may have run stays where its repeats are discarded.
@@ -995,7 +967,7 @@
 	if t.kind.Level != Any && r.set.Lag == LagAnswers && m.gtid < t.bound(r.now) && m != r.primary(m.group) {
 		return nil
 	}
-	// Guards against full connection tables: where checks pass all the same, the member is left alone for a wait.
+	// Guards against full connection tables: where checks pass all the same, a pause.
 	if m.shut && r.now-m.lastSent < r.expects(t, m) || !m.known && r.set.CanCheck && !m.mum ||
 		m.doubted && (r.now-m.lastSent < recheckGap || t.kind.Effect != Repeatable) ||
 		!r.bears(m, t) || !m.room(r.now, r.expects(t, m)) {
@@ -1004,9 +976,9 @@
 	return m
 }
 
-// bears tells whether a cold member can take one more (rule 4): what this router sends it stays under the
-// allowed multiple of the cold share of what a member has committed here. Many routers have a share of far less
-// than a txn each: what they may send adds up from a start by chance, so that together they take turns.
+// bears tells whether a cold member can take one more (rule 4): what this router sends stays under the allowed
+// multiple of the cold share of what a member has committed here. Where that is far less than a txn for each
+// of many routers, it adds up from a start by chance, so that together they take turns.
 func (r *Router) bears(m *member, t *txn) bool {
 	w := r.warmth(m)
 	if w >= 1 {
@@ -1021,8 +993,8 @@
 	return m.allow >= t.kind.SLA
 }
 
-// follow keeps the best that members have committed on average, which is at most what warm ones can do. It
-// guards against restarts of any number of members and against lulls, which leave nothing to measure.
+// follow keeps the best that members have committed on average, at most what warm ones can do. Guards against
+// restarts of many members and lulls, which leave nothing to measure.
 func (r *Router) follow(t *txn) {
 	up := 0.0
 	for _, m := range r.order {
--- a/router/types.go
+++ b/router/types.go
@@ -85,7 +85,6 @@
 	Submissions    int // at most, for one txn
 	CanCheck       bool
 	CanRevoke      bool
-	SecondCopies   bool
 	RetryAfter     float64 // longest wait a client follows; 0 where none may be told
 	Lag            Lag
 	MarksRepeats   bool // clients mark the repeats of a txn
