--- a/router/router.go
+++ b/router/router.go
@@ -977,8 +977,8 @@
 }
 
 // bears tells whether a cold member can take one more (rule 4): what this router sends stays under the allowed
-// multiple of the cold share of what a member has committed here. Where that is far less than a txn for each
-// of many routers, it adds up from a start by chance, so that together they take turns.
+// multiple of the cold share of what a member has committed here. Where that is far less than a txn for
+// each of many routers, it adds up from a start by chance, so that together they take turns.
 func (r *Router) bears(m *member, t *txn) bool {
 	w := r.warmth(m)
 	if w >= 1 {
