--- a/router/router.go
+++ b/router/router.go
@@ -372,7 +372,6 @@
 	}
 }
 
-// lose counts a txn whose client may come back.
 func (r *Router) lose(t *txn) {
 	t.use.ended.add(r.now, 2*t.kind.Expiry, 1)
 	r.forget(t)
@@ -826,9 +825,9 @@
 	return Decision{Verb: Decline, Txn: t.id, Wait: r.set.RetryAfter}
 }
 
-// usual is the smoothed time from submission to answer of a txn type, over all members.
+// usual is the smoothed time to an answer of a txn type, over all members. Until some are in, a quarter of
+// the SLA time is supposed: whoever set it expects answers well inside it.
 func (u *usage) usual(now, span float64, kind *TxnType) float64 {
-	// Until some answers are in, a quarter of the SLA time: whoever set it expects answers well inside it.
 	return (u.wait.read(now, span) + prior*kind.SLA/4) / (u.n.read(now, span) + prior)
 }
 
@@ -921,7 +920,6 @@
 	return r.fit(t, pri)
 }
 
-// turnedAway tells whether the member has already answered this txn with a miss.
 func (t *txn) turnedAway(m *member) bool {
 	return slices.ContainsFunc(t.subs, func(s *submission) bool { return s.to == m && s.missed })
 }
@@ -938,6 +936,9 @@
 		if slices.ContainsFunc(t.subs, func(s *submission) bool { return s.to == m }) {
 			weight /= 10 // it has not answered this one
 		}
+		if m.zone == r.set.Zone {
+			weight *= 2 // crossing has a price; more would jam zones with few members
+		}
 		if x := math.Log(r.chance()) / weight; best == nil || x > top {
 			best, top = m, x
 		}
@@ -976,9 +977,9 @@
 	return m
 }
 
-// bears tells whether a cold member can take one more (rule 4): what this router sends stays under the allowed
-// multiple of the cold share of what a member has committed here. Where that is far less than a txn for
-// each of many routers, it adds up from a start by chance, so that together they take turns.
+// bears tells whether a cold member can take one more (rule 4): what goes there from here stays under the
+// allowed multiple of the cold share of what a member has committed here. Where that is far less than a txn
+// for each of many routers it adds up from a start by chance, so that together they take turns.
 func (r *Router) bears(m *member, t *txn) bool {
 	w := r.warmth(m)
 	if w >= 1 {
@@ -993,8 +994,7 @@
 	return m.allow >= t.kind.SLA
 }
 
-// follow keeps the best that members have committed on average, at most what warm ones can do. Guards against
-// restarts of many members and lulls, which leave nothing to measure.
+// follow keeps the best average that members have committed. Guards against restarts of many, and lulls.
 func (r *Router) follow(t *txn) {
 	up := 0.0
 	for _, m := range r.order {
