--- a/router/router.go
+++ b/router/router.go
@@ -856,7 +856,8 @@
 			return r.fit(t, pri)
 		}
 		for _, m := range t.group.members {
-			if m.mum && !m.known && r.now-m.denial > recheckGap && r.fit(t, m) != nil {
+			asks := m.mum && !m.known || !r.set.CanCheck // the txn does, where checks tell nothing
+			if asks && r.now-m.denial > recheckGap && r.fit(t, m) != nil {
 				return m
 			}
 		}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -104,6 +104,8 @@
 		_, p.set.MarksRepeats = o["marks"]
 		_, p.set.SoftRemoval = o["soft"]
 		_, p.unused = o["unused"]
+		_, blind := o["nochecks"]
+		p.set.CanCheck = !blind
 		p.set.Lag = lagWords[o["lag"]]
 		return nil
 	case "type":
