Count members when the list changes; a commit after all have drained no longer spoils the cold share

follow divided by the members up at each commit: none after an answer of the last, drained one, and its cold replacement then got nothing until it was warm (scenario drained_all fails on the text before). Members that were down raised the average too. The most that were ever up, counted in ListEnd, can do neither, and the loop leaves the hot path. Beside it: usual, slowness and worth are the router's, without times threaded through; what only the primary takes is told in one place; a long line of the adapter.

--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -323,8 +323,8 @@
 }
 
 var verbs = map[router.Verb]string{router.Submit: "HAND_OFF", router.Revoke: "REVOKE",
-	router.Decline: "SAY_NO", router.RollBack: "FAIL", router.Check: "HEALTH_CHECK", router.Watch: "WATCH", router.Close: "RELEASE",
-	router.Alarm: "SET_ALARM"}
+	router.Decline: "SAY_NO", router.RollBack: "FAIL", router.Check: "HEALTH_CHECK",
+	router.Watch: "WATCH", router.Close: "RELEASE", router.Alarm: "SET_ALARM"}
 
 func (p *player) write(name string, d router.Decision) {
 	p.buf = append(p.buf[:0], '{')
--- a/router/router.go
+++ b/router/router.go
@@ -153,6 +153,7 @@
 	commits              map[string]float64 // session: its last commit, where tokens are the router's own memory
 	done                 fade               // SLA times committed; unlike latency they hold still in a jam
 	flow                 float64            // the most of them that one member has had a ms, on average
+	most                 float64            // members up at once, by the list
 	crowded              fade               // connections refused by members whose checks went on
 	idle                 []*member          // whose connections are to be closed
 	arrived, heard, lost fade               // txns; submissions answered in any way, and rather lost than long
@@ -251,9 +252,13 @@
 }
 
 func (r *Router) ListEnd(whole bool) {
+	up := 0.0
 	for _, m := range r.order {
-		m.barred = m.barred || whole && !r.listed[m.id] && !r.set.SoftRemoval
+		if m.barred = m.barred || whole && !r.listed[m.id] && !r.set.SoftRemoval; !m.barred {
+			up++
+		}
 	}
+	r.most = math.Max(r.most, up)
 	if r.set.Ask && r.wantWatch != Never {
 		r.wantWatch = math.Inf(1)
 	}
@@ -406,7 +411,7 @@
 	switch {
 	case how == Committed:
 		r.follow(t)
-		usual := t.use.usual(r.now, r.span, t.kind)
+		usual := r.usual(t)
 		t.use.wait.add(r.now, r.span, rtt)
 		t.use.n.add(r.now, r.span, 1)
 		m.slow.add(r.now, r.span, rtt/usual)
@@ -492,7 +497,7 @@
 
 // missed: a write's miss proves that the member is not primary, a read's that it is further behind.
 func (r *Router) missed(m *member, t *txn, thought bool) {
-	if t.kind.Level == Write || t.kind.Level == Fresh {
+	if t.needsPrimary() {
 		m.denial, m.known = r.now, false
 		if thought {
 			r.recheck(m.group)
@@ -709,7 +714,7 @@
 			if sub.revoked || t.over || t.kind.Effect != Repeatable || len(t.subs) >= r.set.Submissions {
 				continue
 			}
-			usual := t.use.usual(r.now, r.span, t.kind)
+			usual := r.usual(t)
 			useful := r.now+usual < t.arrived+t.kind.SLA || t.kind.LateValue > 0 && r.now+usual < t.expiry
 			if useful && age > lostAfter*sub.expected || m.doubted && age > sub.expected {
 				sub.revoked = true
@@ -723,7 +728,7 @@
 func (r *Router) nextTxn() (Decision, bool) {
 	if !r.sorted {
 		for _, t := range r.waiting {
-			t.rank = t.worth(r.now, r.span)
+			t.rank = r.worth(t)
 		}
 		slices.SortStableFunc(r.waiting, func(a, b *txn) int {
 			return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.expiry, b.expiry))
@@ -743,10 +748,10 @@
 }
 
 // worth is the value to be expected for each ms of work if answers take as long as usual, exponentially.
-func (t *txn) worth(now, span float64) float64 {
-	usual := t.use.usual(now, span, t.kind)
-	late := 1 - math.Exp(math.Min(0, now-t.expiry)/usual)
-	soon := 1 - math.Exp(math.Min(0, now-t.arrived-t.kind.SLA)/usual)
+func (r *Router) worth(t *txn) float64 {
+	usual := r.usual(t)
+	late := 1 - math.Exp(math.Min(0, r.now-t.expiry)/usual)
+	soon := 1 - math.Exp(math.Min(0, r.now-t.arrived-t.kind.SLA)/usual)
 	return t.value * (soon + t.kind.LateValue*math.Max(0, late-soon)) / usual
 }
 
@@ -774,13 +779,12 @@
 	if t.placed || t.over {
 		return Decision{}, false
 	}
-	write := t.kind.Level == Write || t.kind.Level == Fresh
-	if r.hopeless(t) || !t.admitted && !r.admits(t, write) {
+	if r.hopeless(t) || !t.admitted && !r.admits(t, t.needsPrimary()) {
 		return r.end(t), true
 	}
 	t.admitted = true
 	m := r.pick(t)
-	if m != nil && m == r.primary(m.group) && !write && !r.admits(t, true) {
+	if m != nil && m == r.primary(m.group) && !t.needsPrimary() && !r.admits(t, true) {
 		return r.end(t), true
 	}
 	if m == nil {
@@ -807,7 +811,7 @@
 
 // hopeless tells that nothing more can come of sending the txn.
 func (r *Router) hopeless(t *txn) bool {
-	usual, ran := t.use.usual(r.now, r.span, t.kind), t.mayRun != Never
+	usual, ran := r.usual(t), t.mayRun != Never
 	return len(t.subs) >= r.set.Submissions || r.now+usual > t.expiry ||
 		ran && t.kind.Effect == OnceOnly ||
 		ran && t.kind.Level == Write && t.met == Reset || // DESIGN: a write that met a reset ends in error
@@ -827,17 +831,17 @@
 
 // usual is the smoothed time to an answer of a txn type, over all members. Until some are in, a quarter of
 // the SLA time is supposed: whoever set it expects answers well inside it.
-func (u *usage) usual(now, span float64, kind *TxnType) float64 {
-	return (u.wait.read(now, span) + prior*kind.SLA/4) / (u.n.read(now, span) + prior)
+func (r *Router) usual(t *txn) float64 {
+	return (t.use.wait.read(r.now, r.span) + prior*t.kind.SLA/4) / (t.use.n.read(r.now, r.span) + prior)
 }
 
 // slowness is the member's smoothed latency against what is usual.
-func (m *member) slowness(now, span float64) float64 {
-	return (m.slow.read(now, span) + prior) / (m.good.read(now, span) + prior)
+func (r *Router) slowness(m *member) float64 {
+	return (m.slow.read(r.now, r.span) + prior) / (m.good.read(r.now, r.span) + prior)
 }
 
 func (r *Router) expects(t *txn, m *member) float64 {
-	return t.use.usual(r.now, r.span, t.kind) * m.slowness(r.now, r.span)
+	return r.usual(t) * r.slowness(m)
 }
 
 // bound is the position that the txn must see if sent now.
@@ -848,10 +852,12 @@
 	return t.needs
 }
 
+func (t *txn) needsPrimary() bool { return t.kind.Level == Write || t.kind.Level == Fresh }
+
 // pick chooses a member for the txn, or none: it waits.
 func (r *Router) pick(t *txn) *member {
 	pri := r.primary(t.group)
-	if t.kind.Level == Write || t.kind.Level == Fresh {
+	if t.needsPrimary() {
 		if pri != nil {
 			return r.fit(t, pri)
 		}
@@ -931,7 +937,7 @@
 	top := Never
 	for _, m := range from {
 		good, bad := m.good.read(r.now, r.span), m.bad.read(r.now, r.span)
-		cost := m.slowness(r.now, r.span) * (1 + float64(len(m.out)))
+		cost := r.slowness(m) * (1 + float64(len(m.out)))
 		// Guards against members that fail or refuse quickly, whose latency would draw more txns to them.
 		weight := math.Pow((good+1)/(good+bad+1), 4) / (cost * cost)
 		if slices.ContainsFunc(t.subs, func(s *submission) bool { return s.to == m }) {
@@ -995,15 +1001,10 @@
 	return m.allow >= t.kind.SLA
 }
 
-// follow keeps the best average that members have committed. Guards against restarts of many, and lulls.
+// follow keeps the best average that members have committed, over the most that were ever up, lest a loss of
+// many raises it. Guards against restarts of many, and lulls.
 func (r *Router) follow(t *txn) {
-	up := 0.0
-	for _, m := range r.order {
-		if !m.barred && !m.down {
-			up++
-		}
-	}
 	r.done.add(r.now, longMemory, t.kind.SLA)
 	span := longMemory * (1 - math.Exp(-math.Max(longMemory/3, r.now-r.born)/longMemory))
-	r.flow = math.Max(r.flow, r.done.sum/span/up)
+	r.flow = math.Max(r.flow, r.done.sum/span/r.most)
 }
