--- /dev/null
+++ b/cmd/wayloft/config.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"github.com/valyala/fastjson"
+
+	"wayloft/internal/discovery"
+	"wayloft/internal/settings"
+	"wayloft/router"
+)
+
+// config is all that a router is told at its start.
+type config struct {
+	name, listen, discovery string
+	seed                    uint64
+	memory                  int // bytes
+	sockets                 int
+	known                   *discovery.List
+	set                     *router.Settings
+	host                    *settings.Host
+}
+
+const leastSockets = 64 // below it there is no room for sessions and members beside what the program needs itself
+
+// load reads the configuration; its error names the field at fault.
+func load(path string) (*config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: not JSON: %w", path, err)
+	}
+	c, err := decode(v)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+func decode(v *fastjson.Value) (*config, error) {
+	if v.Type() != fastjson.TypeObject {
+		return nil, errors.New("must be an object")
+	}
+	f := &settings.Fields{V: v}
+	c := &config{name: f.Text("name"), listen: f.Text("listen"), discovery: f.Text("discovery")}
+	seed := f.Text("seed")
+	f.Inner("limits", func(l *settings.Fields) {
+		c.memory, c.sockets = int(l.Number("memory_mb")*(1<<20)), int(l.Number("sockets"))
+		if l.Err == nil && c.sockets < leastSockets {
+			l.Fail("sockets", fmt.Sprintf("%d at least", leastSockets))
+		}
+		if l.Err == nil && c.memory <= 0 {
+			l.Fail("memory_mb", "more than 0")
+		}
+	})
+	if f.Err != nil {
+		return nil, f.Err
+	}
+	for _, addr := range []struct{ key, value string }{{"listen", c.listen}, {"discovery", c.discovery}} {
+		if _, _, err := net.SplitHostPort(addr.value); err != nil {
+			return nil, fmt.Errorf("%s: %w", addr.key, err)
+		}
+	}
+	var err error
+	if c.seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("seed: must be 64 bits in hexadecimal, not %q", seed)
+	}
+	if c.known, err = discovery.Decode(v.Get("known")); err != nil {
+		return nil, fmt.Errorf("known: %w", err)
+	}
+	facts := v.Get("settings")
+	if facts == nil || facts.Type() != fastjson.TypeObject {
+		return nil, errors.New("settings: must be an object")
+	}
+	if c.set, c.host, err = settings.Decode(facts); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if c.host.DialTimeout <= 0 || c.host.IdleClose <= 0 {
+		return nil, errors.New("settings: permissions.dialTimeout, permissions.idleClose: must be more than 0")
+	}
+	return c, nil
+}
--- /dev/null
+++ b/cmd/wayloft/main.go
@@ -0,0 +1,63 @@
+// Wayloft is the real router: one process that carries clients' txns to database members and decides with the same
+// module as on the bench. This package owns the command line, the configuration and the start and end of the
+// process; it must never decide about a txn.
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/alecthomas/kong"
+	"github.com/sirupsen/logrus"
+)
+
+type where struct {
+	Config string `help:"Configuration file." env:"PROXY_CONFIG" required:"" type:"path" placeholder:"FILE"`
+}
+
+type checkCmd struct{ where }
+
+func (c *checkCmd) Run() error {
+	conf, err := load(c.Config)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: ok: %s listens on %s, %d members known, %d txn types\n", c.Config, conf.name, conf.listen,
+		len(conf.known.Entries), len(conf.set.TxnTypes))
+	return nil
+}
+
+type versionCmd struct{}
+
+func (versionCmd) Run() error {
+	version, commit := "unknown", ""
+	if info, ok := debug.ReadBuildInfo(); ok {
+		version = info.Main.Version
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				commit = " " + s.Value
+			}
+		}
+	}
+	fmt.Printf("wayloft %s%s\n", version, commit)
+	return nil
+}
+
+var cli struct {
+	Serve   serveCmd   `cmd:"" help:"Serve until SIGTERM, then answer all that was taken and exit."`
+	Check   checkCmd   `cmd:"" help:"Read the configuration and say what is wrong with it."`
+	Version versionCmd `cmd:"" help:"Print the version."`
+}
+
+func main() {
+	ctx := kong.Parse(&cli, kong.Name("wayloft"),
+		kong.Description("A read/write splitter for database clusters."), kong.UsageOnError())
+	logrus.SetOutput(os.Stderr)
+	logrus.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, DisableColors: true,
+		TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	if err := ctx.Run(); err != nil {
+		logrus.Error(err)
+		os.Exit(1)
+	}
+}
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -13,6 +13,7 @@
 
 	"github.com/valyala/fastjson"
 
+	"wayloft/internal/settings"
 	"wayloft/router"
 )
 
@@ -70,29 +71,29 @@
 	if v.Type() != fastjson.TypeObject {
 		return errors.New("not an object")
 	}
-	f := &fields{v: v}
-	op := f.text("op")
-	if f.err != nil {
-		return f.err
+	f := &settings.Fields{V: v}
+	op := f.Text("op")
+	if f.Err != nil {
+		return f.Err
 	}
 	if err := p.event(op, f); err != nil {
 		return fmt.Errorf("%s: %w", op, err)
 	}
-	if f.err != nil {
-		return fmt.Errorf("%s: %w", op, f.err)
+	if f.Err != nil {
+		return fmt.Errorf("%s: %w", op, f.Err)
 	}
 	return nil
 }
 
-func (p *player) event(op string, f *fields) error {
+func (p *player) event(op string, f *settings.Fields) error {
 	if op == "BATCH" {
 		if p.inside {
 			return errors.New("the batch before it has not ended")
 		}
 		p.inside = true
-		p.now = f.number("wall") / 1000
-		p.seq = int64(f.number("frame"))
-		return f.err
+		p.now = f.Number("wall") / 1000
+		p.seq = int64(f.Number("frame"))
+		return f.Err
 	}
 	if !p.inside {
 		return errors.New("outside a batch")
@@ -101,125 +102,125 @@
 	case "EOF_BATCH":
 		return p.reply()
 	case "SNAPSHOT_ROWS":
-		n := int(f.number("ref"))
-		hosts := f.v.Get("hosts")
-		if f.err == nil && (n < 0 || n >= len(p.lists)) {
+		n := int(f.Number("ref"))
+		hosts := f.V.Get("hosts")
+		if f.Err == nil && (n < 0 || n >= len(p.lists)) {
 			return fmt.Errorf("ref %d: must be 0 to %d", n, len(p.lists)-1)
 		}
-		if f.err == nil && (hosts == nil || hosts.Type() != fastjson.TypeArray) {
+		if f.Err == nil && (hosts == nil || hosts.Type() != fastjson.TypeArray) {
 			return errors.New("hosts: must be an array")
 		}
-		if f.err == nil {
+		if f.Err == nil {
 			p.lists[n] = hosts.MarshalTo(nil)
 		}
-		return f.err
+		return f.Err
 	case "BEGIN":
 		return p.begin(f)
 	case "HALT":
 		i := p.instance(f)
-		if f.err == nil {
+		if f.Err == nil {
 			delete(p.all, i.name)
 		}
-		return f.err
+		return f.Err
 	case "BACKENDS_CHANGED", "JOB_IN", "RETURNED", "CLIENT_GONE", "TIMEOUT_FIRED", "ECHO",
 		"FIRST_BYTE", "WHISPER": // the last two ask for nothing here
 	default:
 		return errors.New("unknown event")
 	}
 	i := p.instance(f)
-	if f.err != nil {
-		return f.err
+	if f.Err != nil {
+		return f.Err
 	}
 	r := i.router
 	switch op {
 	case "BACKENDS_CHANGED":
 		return p.list(i, f)
 	case "JOB_IN":
-		id, tenant, session, kind := f.text("call"), f.maybe("userGroup"), f.maybe("clientKey"), f.text("class")
-		groupNo, age, ttl := int(f.number("groupNo")), f.orZero("tokenAgeMs"), f.number("ttl")/1000
-		marked := f.flag("retry")
-		if f.err == nil && !r.Arrive(id, tenant, session, kind, groupNo, age, ttl, marked) {
+		id, tenant, session, kind := f.Text("call"), f.Maybe("userGroup"), f.Maybe("clientKey"), f.Text("class")
+		groupNo, age, ttl := int(f.Number("groupNo")), f.OrZero("tokenAgeMs"), f.Number("ttl")/1000
+		marked := f.Flag("retry")
+		if f.Err == nil && !r.Arrive(id, tenant, session, kind, groupNo, age, ttl, marked) {
 			return fmt.Errorf("class: %q is not in the settings", kind)
 		}
 	case "RETURNED":
 		how := outcome(f)
 		role, gtid := router.Unsaid, router.Never
-		if mark := int64(f.orZero("mark")); mark != 0 {
+		if mark := int64(f.OrZero("mark")); mark != 0 {
 			role = router.Role(mark & 3)
 			if mark>>2 != 0 {
 				gtid = i.zero + float64(mark>>2)
 			}
 		}
-		id, seq, node, rtt := f.text("call"), int(f.orZero("seqNo")), f.text("node"), f.orZero("rtt")/1000
-		if done := f.flag("terminal"); f.err == nil {
+		id, seq, node, rtt := f.Text("call"), int(f.OrZero("seqNo")), f.Text("node"), f.OrZero("rtt")/1000
+		if done := f.Flag("terminal"); f.Err == nil {
 			r.Returned(id, seq, node, how, rtt, done, role, gtid)
 			p.report(i, node, f)
 		}
 	case "ECHO":
 		how := outcome(f)
-		if node := f.text("node"); f.err == nil {
+		if node := f.Text("node"); f.Err == nil {
 			r.Checked(node, how)
 			p.report(i, node, f)
 		}
 	case "CLIENT_GONE":
-		if id := f.text("call"); f.err == nil {
+		if id := f.Text("call"); f.Err == nil {
 			r.Gone(id)
 		}
 	case "TIMEOUT_FIRED":
 		r.Rang()
 	}
-	return f.err
+	return f.Err
 }
 
 var outcomes = map[int]router.Outcome{200: router.Committed, 500: router.Errored, 503: router.Full,
 	504: router.TimedOut, 502: router.ConnectFailed, 598: router.Reset, 499: router.Revoked, 410: router.Moot,
 	404: router.Miss}
 
-func outcome(f *fields) router.Outcome {
-	code := int(f.number("how"))
+func outcome(f *settings.Fields) router.Outcome {
+	code := int(f.Number("how"))
 	how, known := outcomes[code]
-	if f.err == nil && !known {
-		f.err = fmt.Errorf("how: unknown outcome %d", code)
+	if f.Err == nil && !known {
+		f.Err = fmt.Errorf("how: unknown outcome %d", code)
 	}
 	return how
 }
 
-func (p *player) report(i *instance, node string, f *fields) {
-	load := &fields{v: f.v.Get("load")}
-	if load.v == nil || load.v.Type() == fastjson.TypeNull {
+func (p *player) report(i *instance, node string, f *settings.Fields) {
+	load := &settings.Fields{V: f.V.Get("load")}
+	if load.V == nil || load.V.Type() == fastjson.TypeNull {
 		return
 	}
-	if load.v.Type() != fastjson.TypeObject {
-		f.fail("load", "an object")
+	if load.V.Type() != fastjson.TypeObject {
+		f.Fail("load", "an object")
 		return
 	}
-	if load.v.Exists("x0") {
+	if load.V.Exists("x0") {
 		role := router.Replica
-		if load.orZero("x1") >= 0.5 {
+		if load.OrZero("x1") >= 0.5 {
 			role = router.Primary
 		}
-		i.router.Reported(node, role, i.zero+load.number("x0")*1000)
+		i.router.Reported(node, role, i.zero+load.Number("x0")*1000)
 	}
-	if f.err == nil {
-		f.err = load.err
+	if f.Err == nil {
+		f.Err = load.Err
 	}
 }
 
-func (p *player) list(i *instance, f *fields) error {
-	mode := f.text("mode")
+func (p *player) list(i *instance, f *settings.Fields) error {
+	mode := f.Text("mode")
 	switch mode {
 	case "X":
 		i.router.ListFailed()
-		return f.err
+		return f.Err
 	case "D", "F", "C":
 	default:
-		if f.err == nil {
+		if f.Err == nil {
 			return fmt.Errorf("mode: unknown %q", mode)
 		}
 	}
-	n := int(f.number("ref"))
-	if f.err != nil {
-		return f.err
+	n := int(f.Number("ref"))
+	if f.Err != nil {
+		return f.Err
 	}
 	if n < 0 || n >= len(p.lists) || p.lists[n] == nil {
 		return fmt.Errorf("ref: list %d was never set", n)
@@ -230,14 +231,14 @@
 	}
 	i.router.ListStart()
 	for _, row := range rows.GetArray() {
-		e := &fields{v: row}
-		id, zone, groupNo, word := e.text("node"), e.maybe("dc"), int(e.orZero("group")), e.text("state")
+		e := &settings.Fields{V: row}
+		id, zone, groupNo, word := e.Text("node"), e.Maybe("dc"), int(e.OrZero("group")), e.Text("state")
 		started := router.Never
-		if at := e.orZero("startTime"); at > 0 {
+		if at := e.OrZero("startTime"); at > 0 {
 			started = at / 1000
 		}
-		if e.err != nil {
-			return fmt.Errorf("ref: list %d: %w", n, e.err)
+		if e.Err != nil {
+			return fmt.Errorf("ref: list %d: %w", n, e.Err)
 		}
 		state, known := states[word]
 		if !known {
@@ -251,11 +252,11 @@
 
 var states = map[string]router.State{"up": router.Up, "draining": router.Draining, "removed": router.Removed}
 
-func (p *player) instance(f *fields) *instance {
-	name := f.text("router")
+func (p *player) instance(f *settings.Fields) *instance {
+	name := f.Text("router")
 	i := p.all[name]
-	if f.err == nil && i == nil {
-		f.err = fmt.Errorf("router: %q has not begun", name)
+	if f.Err == nil && i == nil {
+		f.Err = fmt.Errorf("router: %q has not begun", name)
 	}
 	if i != nil {
 		p.hear(i)
@@ -271,11 +272,11 @@
 	}
 }
 
-func (p *player) begin(f *fields) error {
-	name, facts := f.text("router"), f.v.Get("facts")
-	seed := f.v.Get("rngSeed")
-	if f.err != nil {
-		return f.err
+func (p *player) begin(f *settings.Fields) error {
+	name, facts := f.Text("router"), f.V.Get("facts")
+	seed := f.V.Get("rngSeed")
+	if f.Err != nil {
+		return f.Err
 	}
 	if facts == nil || facts.Type() != fastjson.TypeObject {
 		return errors.New("facts: must be an object")
@@ -283,7 +284,7 @@
 	if seed == nil || seed.Type() != fastjson.TypeNumber {
 		return errors.New("rngSeed: must be a number")
 	}
-	set, zero, err := settings(facts)
+	set, host, err := settings.Decode(facts)
 	if err != nil {
 		return fmt.Errorf("facts: %w", err)
 	}
@@ -292,7 +293,7 @@
 	if err != nil {
 		n = uint64(int64(seed.GetFloat64()))
 	}
-	i := &instance{name: name, router: router.New(set, n), zero: zero}
+	i := &instance{name: name, router: router.New(set, n), zero: host.Zero}
 	p.all[name] = i
 	p.hear(i)
 	return nil
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,56 @@
+// Package exchange is where the two sides meet: one txn, what its client said, until when it waits, and its one
+// final answer. It owns the rule that there is exactly one; it must never know a socket of either side.
+package exchange
+
+import (
+	"wayloft/internal/must"
+	"wayloft/internal/pg"
+)
+
+// Answer is how a txn ended.
+type Answer struct {
+	Committed []byte // what a member answered, whole and byte for byte; nil where it was not committed
+	Declined  bool   // else rolled back
+	Wait      float64
+}
+
+// Txn is one txn on its way.
+type Txn struct {
+	*pg.Statement
+	Arrived, Expiry float64 // ms
+
+	over    bool
+	deliver func(Answer)
+}
+
+// New takes a txn in; deliver is called once, unless its client leaves first.
+func New(s *pg.Statement, arrived float64, deliver func(Answer)) *Txn {
+	return &Txn{Statement: s, Arrived: arrived, Expiry: arrived + s.Wait, deliver: deliver}
+}
+
+// Over tells whether nothing is owed any more.
+func (t *Txn) Over() bool { return t.over }
+
+func (t *Txn) finish(a Answer) {
+	must.Hold(!t.over, "one final answer for a txn")
+	if !t.over {
+		t.over = true
+		t.deliver(a)
+	}
+}
+
+// Commit passes on what a member answered.
+func (t *Txn) Commit(rows []byte) { t.finish(Answer{Committed: rows}) }
+
+// Decline says that trying again is harmless, after so many ms if that is more than 0.
+func (t *Txn) Decline(wait float64) { t.finish(Answer{Declined: true, Wait: wait}) }
+
+// RollBack promises nothing.
+func (t *Txn) RollBack() { t.finish(Answer{}) }
+
+// Leave says that the client has gone away; it reports whether an answer was still owed.
+func (t *Txn) Leave() bool {
+	owed := !t.over
+	t.over = true
+	return owed
+}
--- /dev/null
+++ b/internal/host/host.go
@@ -0,0 +1,164 @@
+package host
+
+import (
+	"errors"
+	"time"
+
+	"wayloft/internal/exchange"
+	"wayloft/internal/must"
+	"wayloft/router"
+)
+
+// Members carries submissions and checks to members. How each ended comes back by Returned and Checked.
+type Members interface {
+	Submit(txn *exchange.Txn, seq int, member string, wait float64)
+	Revoke(txn string, seq int)
+	Check(member string)
+	CloseIdle(member string)
+}
+
+// Host drives one module: events go in, decisions are pulled and carried out, and an alarm is kept for it. It
+// carries out, it must never decide.
+type Host struct {
+	*Loop
+	router  *router.Router
+	members Members
+	watch   func()
+	open    map[string]*entry
+	fresh   bool // the module has heard something
+	alarm   *time.Timer
+}
+
+// entry is a txn that is not over, or has a submission out.
+type entry struct {
+	txn       *exchange.Txn
+	sent, out int
+}
+
+// What Arrive finds wrong.
+var (
+	ErrTxnType = errors.New("txn type is not in the settings")
+	ErrID      = errors.New("id is in use")
+)
+
+// New makes a host; watch asks for the list.
+func New(loop *Loop, r *router.Router, watch func()) *Host {
+	return &Host{Loop: loop, router: r, watch: watch, open: map[string]*entry{}}
+}
+
+// Use names who carries submissions.
+func (h *Host) Use(m Members) { h.members = m }
+
+// Run runs the loop until it ends.
+func (h *Host) Run() { h.Loop.Run(h.settle) }
+
+// hear tells the module the time before the first input of a batch.
+func (h *Host) hear() *router.Router {
+	if !h.fresh {
+		h.fresh = true
+		h.router.At(h.Now())
+	}
+	return h.router
+}
+
+// Arrive takes a txn in.
+func (h *Host) Arrive(t *exchange.Txn) error {
+	if h.open[t.ID] != nil {
+		return ErrID
+	}
+	age := 0.0
+	if t.After > 0 {
+		// The module reads 0 as no position, and t.Arrived - age is exactly the position.
+		if age = t.Arrived - t.After; age == 0 {
+			age = 1e-300
+		}
+	}
+	if !h.hear().Arrive(t.ID, t.Tenant, t.Session, t.TxnType, t.Group, age, t.Expiry-t.Arrived, t.Marked) {
+		return ErrTxnType
+	}
+	h.open[t.ID] = &entry{txn: t}
+	return nil
+}
+
+// Gone says that the client of a txn has left.
+func (h *Host) Gone(t *exchange.Txn) {
+	if t.Leave() {
+		h.hear().Gone(t.ID)
+		h.forget(t.ID)
+	}
+}
+
+// Returned says how a submission ended; rows is what the member answered, where it committed.
+func (h *Host) Returned(t *exchange.Txn, seq int, member string, how router.Outcome, took float64,
+	role router.Role, gtid float64, rows []byte) {
+	done := t.Over() || how == router.Committed
+	h.hear().Returned(t.ID, seq, member, how, took, done, role, gtid)
+	if how == router.Committed && !t.Over() {
+		t.Commit(rows)
+	}
+	h.open[t.ID].out--
+	h.forget(t.ID)
+}
+
+// Checked says how a check ended, and what the member reported of itself.
+func (h *Host) Checked(member string, how router.Outcome) { h.hear().Checked(member, how) }
+
+// Reported conveys a member's report.
+func (h *Host) Reported(member string, role router.Role, gtid float64) {
+	h.hear().Reported(member, role, gtid)
+}
+
+// List gives the module to be told of the list.
+func (h *Host) List() *router.Router { return h.hear() }
+
+// forget drops a txn once nothing can come of it; until then its id is in use.
+func (h *Host) forget(id string) {
+	if e := h.open[id]; e.txn.Over() && e.out == 0 {
+		delete(h.open, id)
+	}
+}
+
+func (h *Host) settle() {
+	if !h.fresh {
+		return
+	}
+	h.fresh = false
+	for d, more := h.router.Next(); more; d, more = h.router.Next() {
+		h.do(d)
+	}
+}
+
+func (h *Host) do(d router.Decision) {
+	switch d.Verb {
+	case router.Submit, router.Decline, router.RollBack:
+		e := h.open[d.Txn]
+		must.Hold(e != nil && !e.txn.Over() && e.out == 0, "decisions are for open txns with nothing out")
+		if e == nil || e.txn.Over() {
+			return
+		}
+		switch d.Verb {
+		case router.Submit:
+			e.sent++
+			e.out++
+			h.members.Submit(e.txn, e.sent-1, d.Member, d.Wait)
+		case router.Decline:
+			e.txn.Decline(d.Wait)
+		case router.RollBack:
+			e.txn.RollBack()
+		}
+		h.forget(d.Txn)
+	case router.Revoke:
+		h.members.Revoke(d.Txn, d.Seq)
+	case router.Check:
+		h.members.Check(d.Member)
+	case router.Watch:
+		h.watch()
+	case router.Close:
+		h.members.CloseIdle(d.Member)
+	case router.Alarm:
+		if h.alarm != nil {
+			h.alarm.Stop()
+		}
+		h.alarm = h.After(d.At-h.Now(), func() { h.hear().Rang() })
+	}
+}
--- /dev/null
+++ b/internal/host/loop.go
@@ -0,0 +1,244 @@
+// Package host runs the router. This file owns the one goroutine on which everything happens, its mailbox, its
+// clock, its timers and the sockets, which one nbio poller serves; it must never know what the bytes mean.
+package host
+
+import (
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/lesismal/nbio"
+)
+
+const (
+	mailbox   = 256     // events that wait at most; whoever posts more waits instead
+	readSize  = 1 << 16 // bytes read at once
+	mostLeft  = 1 << 20 // bytes that a peer leaves unread at most before its connection ends
+	lingering = time.Second
+)
+
+// Loop is the goroutine and all that wakes it.
+type Loop struct {
+	mail   chan func()
+	soon   []func() // what the goroutine leaves for itself
+	start  time.Time
+	wall   float64
+	now    float64
+	ended  bool
+	engine *nbio.Engine
+	accept func(*Conn)
+}
+
+// Handler hears of its connection's bytes and its end, on the loop.
+type Handler interface {
+	Data([]byte)
+	Closed()
+}
+
+// Conn is a connection. But for what the poller calls it belongs to the loop.
+type Conn struct {
+	loop    *Loop
+	nb      *nbio.Conn
+	handler Handler
+	asked   int64
+	written atomic.Int64
+	after   atomic.Int64 // end once so many bytes are written; 0: don't
+	closed  bool
+}
+
+// NewLoop makes a loop that can hold this many descriptors.
+func NewLoop(descriptors int) *Loop {
+	now := time.Now()
+	l := &Loop{mail: make(chan func(), mailbox), start: now, wall: float64(now.UnixMicro()) / 1000}
+	l.now = l.wall
+	nbio.MaxOpenFiles = descriptors + 64
+	return l
+}
+
+// Now is the Unix time in ms at which the present batch of events is taken to happen.
+func (l *Loop) Now() float64 { return l.now }
+
+// tick moves the clock: one reading at the start, and the monotonic clock since.
+func (l *Loop) tick() { l.now = l.wall + float64(time.Since(l.start).Microseconds())/1000 }
+
+// Post has f run on the loop; it waits while the mailbox is full and must not be called on the loop.
+func (l *Loop) Post(f func()) { l.mail <- f }
+
+// Soon has f run on the loop after what is running; it must be called on the loop.
+func (l *Loop) Soon(f func()) { l.soon = append(l.soon, f) }
+
+// After has f run on the loop in so many ms, unless it is stopped. One that is stopped late may still run.
+func (l *Loop) After(ms float64, f func()) *time.Timer {
+	return time.AfterFunc(time.Duration(max(0, ms)*float64(time.Millisecond)), func() { l.Post(f) })
+}
+
+// End has Run return.
+func (l *Loop) End() { l.ended = true }
+
+// Run handles events in batches, each followed by settle, until End.
+func (l *Loop) Run(settle func()) {
+	for !l.ended {
+		if len(l.soon) == 0 {
+			f := <-l.mail
+			l.tick()
+			f()
+		} else {
+			l.tick()
+		}
+		for n := len(l.mail); n > 0; n-- {
+			(<-l.mail)()
+		}
+		for len(l.soon) > 0 {
+			now := l.soon
+			l.soon = nil
+			for _, f := range now {
+				f()
+			}
+		}
+		settle()
+	}
+}
+
+// Listen starts the poller, and gives accept each connection that comes in on the listener, before its bytes.
+func (l *Loop) Listen(listener net.Listener, accept func(*Conn)) error {
+	l.accept = accept
+	e := nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: []string{listener.Addr().String()}, NPoller: 1,
+		ReadBufferSize: readSize, MaxWriteBufferSize: mostLeft, EpollMod: nbio.EPOLLET,
+		Listen: func(string, string) (net.Listener, error) { return listener, nil }})
+	e.OnOpen(func(nb *nbio.Conn) {
+		if nb.Session() != nil {
+			return // dialled
+		}
+		c := &Conn{loop: l, nb: nb}
+		nb.SetSession(c)
+		l.Post(func() { l.accept(c) })
+	})
+	e.OnData(func(nb *nbio.Conn, data []byte) {
+		if c, ok := nb.Session().(*Conn); ok {
+			data = append([]byte(nil), data...)
+			l.Post(func() {
+				if !c.closed && c.handler != nil {
+					c.handler.Data(data)
+				}
+			})
+		}
+	})
+	e.OnWrittenSize(func(nb *nbio.Conn, _ []byte, n int) {
+		if c, ok := nb.Session().(*Conn); ok {
+			if sum := c.written.Add(int64(n)); sum == c.after.Load() {
+				l.engine.Async(func() { l.Post(c.finish) })
+			}
+		}
+	})
+	e.OnClose(func(nb *nbio.Conn, _ error) {
+		if c, ok := nb.Session().(*Conn); ok {
+			l.Post(c.gone)
+		}
+	})
+	l.engine = e
+	return e.Start()
+}
+
+// Dial connects within so many ms; done hears of it once, with nil if nothing came of it. The poller's own way to
+// dial is not used: nbio 1.6.8 takes the first four of sixteen bytes for an IPv4 address and connects to 0.0.0.0.
+func (l *Loop) Dial(addr string, ms float64, done func(*Conn)) {
+	go func() {
+		c, err := l.dial(addr, time.Duration(ms*float64(time.Millisecond)))
+		l.Post(func() {
+			if err != nil {
+				c = nil
+			}
+			done(c)
+		})
+	}()
+}
+
+func (l *Loop) dial(addr string, within time.Duration) (*Conn, error) {
+	std, err := net.DialTimeout("tcp", addr, within)
+	if err != nil {
+		return nil, err
+	}
+	nb, err := nbio.NBConn(std)
+	if err != nil {
+		std.Close()
+		return nil, err
+	}
+	c := &Conn{loop: l, nb: nb}
+	nb.SetSession(c)
+	_, err = l.engine.AddConn(nb)
+	return c, err
+}
+
+// control does something to the descriptor while it is surely the connection's own.
+func (c *Conn) control(f func(fd int) error) error {
+	c.nb.Lock()
+	defer c.nb.Unlock()
+	if closed, _ := c.nb.IsClosed(); closed {
+		return net.ErrClosed
+	}
+	raw, err := c.nb.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var inner error
+	if err := raw.Control(func(fd uintptr) { inner = f(int(fd)) }); err != nil {
+		return err
+	}
+	return inner
+}
+
+// Handle names who hears of the connection from now on.
+func (c *Conn) Handle(h Handler) { c.handler = h }
+
+// Write sends b, now or as the peer takes it. If it fails, Closed follows.
+func (c *Conn) Write(b []byte) {
+	if c.closed || c.after.Load() > 0 {
+		return
+	}
+	c.asked += int64(len(b))
+	if _, err := c.nb.Write(b); err != nil {
+		c.loop.Soon(c.gone)
+	}
+}
+
+// Sent tells whether the system has taken the last byte of all that was written.
+func (c *Conn) Sent() bool { return c.written.Load() == c.asked }
+
+func (c *Conn) gone() {
+	if !c.closed {
+		c.closed = true
+		if c.handler != nil {
+			c.handler.Closed()
+		}
+	}
+}
+
+// Close ends the connection at once; Closed does not follow.
+func (c *Conn) Close() {
+	c.closed = true
+	c.nb.Close()
+}
+
+// Finish ends it once the peer has what was written. It then waits a moment for the peer to close, since closing
+// before all of its bytes are read would reset the connection and take the last answer away from it.
+func (c *Conn) Finish() {
+	if c.closed || c.after.Load() > 0 {
+		return
+	}
+	c.after.Store(c.asked)
+	if c.Sent() {
+		c.finish()
+	}
+}
+
+func (c *Conn) finish() {
+	if !c.closed {
+		c.control(func(fd int) error { return syscall.Shutdown(fd, syscall.SHUT_WR) })
+		c.loop.After(float64(lingering.Milliseconds()), func() {
+			if !c.closed {
+				c.nb.Close()
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/members/answer.go
@@ -0,0 +1,113 @@
+package members
+
+import (
+	"strconv"
+
+	"wayloft/internal/pg"
+	"wayloft/router"
+)
+
+// through is the stage of a link whose answer is whole.
+const through = 3
+
+var outcomes = map[string]router.Outcome{pg.NoPrimary: router.Miss, pg.TooOld: router.Miss, pg.Refused: router.Full,
+	pg.NotNow: router.Full}
+
+// outcome is what an error's code says; whatever the protocol doesn't name may have run.
+func outcome(code string) router.Outcome {
+	if how, known := outcomes[code]; known {
+		return how
+	}
+	return router.Errored
+}
+
+var roles = map[string]router.Role{"source": router.Primary, "copy": router.Replica}
+
+// Data takes bytes in. An answer is kept until it is whole; whatever breaks the protocol breaks the connection.
+func (l *link) Data(b []byte) {
+	l.in.Feed(b)
+	for l.to.links[l] {
+		m, ok, err := l.in.Next()
+		if !ok && err == nil {
+			return
+		}
+		if err != nil || !l.message(m) {
+			l.Closed()
+			return
+		}
+	}
+}
+
+// message takes one message in; false: it does not belong here.
+func (l *link) message(m pg.Message) bool {
+	switch m.Kind {
+	case pg.Skip, pg.AuthOK:
+		return true
+	case pg.Parameter:
+		l.parameter(m.Name, m.Text)
+		return true
+	case pg.Failure:
+		if l.job == nil || !l.ready {
+			return false
+		}
+		l.err = m.Failure
+		return true
+	case pg.Ready:
+		return l.letIn() || l.finish()
+	}
+	if l.job == nil || !l.ready || l.err != nil || len(l.rows)+len(m.Raw) > longest {
+		return false
+	}
+	switch {
+	case m.Kind == pg.Columns && l.stage == 0:
+		l.stage, l.width = 1, m.Count
+	case m.Kind == pg.Row && l.stage == 1 && m.Count == l.width:
+		if l.cell == nil {
+			l.cell = append([]byte{}, m.Cell...)
+		}
+	case m.Kind == pg.Complete && l.stage == 1:
+		l.stage = 2
+	default:
+		return false
+	}
+	l.rows = append(l.rows, m.Raw...)
+	return true
+}
+
+// letIn takes the first readiness, after which the job that the connection was made for goes out.
+func (l *link) letIn() bool {
+	if l.ready || l.job == nil {
+		return false
+	}
+	l.ready = true
+	l.take(l.job)
+	return true
+}
+
+// finish takes the readiness after an answer.
+func (l *link) finish() bool {
+	j := l.job
+	if j == nil || l.err == nil && l.stage != 2 {
+		return false
+	}
+	how := router.Committed
+	if l.err != nil {
+		l.rows, how = nil, outcome(l.err.Code)
+	}
+	l.stage = through
+	l.all.end(j, how)
+	return true
+}
+
+func (l *link) parameter(name, value string) {
+	switch name {
+	case "rank":
+		l.role = roles[value]
+	case "as_of":
+		if x, err := strconv.ParseFloat(value, 64); err == nil && x > 0 {
+			l.gtid = x
+		}
+	case "vitals":
+		l.vital = value
+	}
+}
--- /dev/null
+++ b/internal/members/members.go
@@ -0,0 +1,352 @@
+// Package members serves the members' side: it owns the connections to each member, the submissions and checks that
+// travel on them, and their time-outs. It must never know a client, send what was not decided, or call something
+// never run that may have.
+package members
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"wayloft/internal/discovery"
+	"wayloft/internal/exchange"
+	"wayloft/internal/host"
+	"wayloft/internal/must"
+	"wayloft/internal/pg"
+	"wayloft/router"
+)
+
+const (
+	longest  = 160 << 10 // bytes of one answer
+	user     = "api"
+	database = "ledger"
+	rest     = 0.75 // of the time after which a member closes an idle connection: then it is closed here
+)
+
+// Limits are the platform's.
+type Limits struct {
+	DialTimeout float64 // ms, until a connection is up, and for a check
+	IdleClose   float64 // ms
+	Reports     bool    // a check asks for a report
+	Links       int     // connections in all
+}
+
+// Members holds all connections.
+type Members struct {
+	host   *host.Host
+	limits Limits
+	byID   map[string]*member
+	links  int
+	jobs   map[string]*job // the submission that is out for a txn
+	Full   int             // submissions and checks for which no connection was left
+}
+
+type member struct {
+	id, addr string
+	barred   bool
+	started  float64
+	idle     []*link // newest last
+	links    map[*link]bool
+}
+
+// job is one submission or check.
+type job struct {
+	txn   *exchange.Txn // nil: a check
+	seq   int
+	to    *member
+	at    float64
+	until float64
+	timer *time.Timer
+	link  *link // nil while it is dialled
+	over  bool
+}
+
+// link is one connection to a member; one job at a time travels on it.
+type link struct {
+	all   *Members
+	to    *member
+	conn  *host.Conn
+	in    *pg.Reader
+	job   *job
+	ready bool    // it is let in
+	asked bool    // the job's query has been written
+	since float64 // idle since
+
+	rows  []byte // what came of the answer
+	stage int    // 0: nothing; then columns, complete
+	width int
+	cell  []byte
+	err   *pg.Error
+	role  router.Role
+	gtid  float64
+	vital string
+}
+
+// New makes the side; host hears how submissions and checks end.
+func New(h *host.Host, l Limits) *Members {
+	m := &Members{host: h, limits: l, byID: map[string]*member{}, jobs: map[string]*job{}}
+	m.retire()
+	return m
+}
+
+// List takes a list in, whole or of changes. Submissions that are out go on; unsent ones to a member that drains or
+// is gone end, since what was decided before the list told so must not go out long after.
+func (a *Members) List(l *discovery.List) {
+	told := map[string]bool{}
+	for _, e := range l.Entries {
+		told[e.ID] = true
+		m := a.byID[e.ID]
+		if m == nil {
+			m = &member{id: e.ID, links: map[*link]bool{}}
+			a.byID[e.ID] = m
+		}
+		if m.addr != e.Addr || m.started != e.Started {
+			a.CloseIdle(e.ID)
+		}
+		m.addr, m.started, m.barred = e.Addr, e.Started, e.State != router.Up
+	}
+	for id, m := range a.byID {
+		if m.barred = m.barred || l.Whole && !told[id]; m.barred {
+			a.CloseIdle(id)
+		}
+	}
+	for _, j := range a.jobs {
+		if j.to.barred && (j.link == nil || !j.link.asked) {
+			a.host.Soon(func() { a.end(j, router.Moot) })
+		}
+	}
+}
+
+// CloseIdle closes the idle connections to a member.
+func (a *Members) CloseIdle(id string) {
+	if m := a.byID[id]; m != nil {
+		for len(m.idle) > 0 {
+			m.idle[len(m.idle)-1].drop()
+		}
+	}
+}
+
+// retire closes connections before the member does, lest a submission crosses its close and counts as a reset.
+func (a *Members) retire() {
+	now, age := a.host.Now(), a.limits.IdleClose*rest
+	for _, m := range a.byID {
+		for len(m.idle) > 0 && now-m.idle[0].since > age {
+			m.idle[0].drop()
+		}
+	}
+	a.host.After(age/10, a.retire)
+}
+
+// Submit sends a txn to a member, with its own time-out if wait is more than 0.
+func (a *Members) Submit(t *exchange.Txn, seq int, id string, wait float64) {
+	j := &job{txn: t, seq: seq, at: a.host.Now(), until: t.Expiry}
+	if wait > 0 {
+		j.until = min(j.until, j.at+wait)
+	}
+	a.jobs[t.ID] = j
+	a.begin(j, id)
+}
+
+// Check asks a member how it is.
+func (a *Members) Check(id string) {
+	now := a.host.Now()
+	a.begin(&job{at: now, until: now + a.limits.DialTimeout}, id)
+}
+
+// Revoke gives a submission up.
+func (a *Members) Revoke(txn string, seq int) {
+	if j := a.jobs[txn]; j != nil && j.seq == seq {
+		a.host.Soon(func() { a.end(j, router.Revoked) })
+	}
+}
+
+func (a *Members) begin(j *job, id string) {
+	m := a.byID[id]
+	must.Hold(m != nil, "submissions and checks go to listed members")
+	if m == nil || j.until <= j.at {
+		j.to = &member{id: id}
+		a.host.Soon(func() { a.end(j, router.Moot) })
+		return
+	}
+	j.to = m
+	j.timer = a.host.After(j.until-j.at, func() { a.end(j, router.TimedOut) })
+	if n := len(m.idle); n > 0 {
+		l := m.idle[n-1]
+		m.idle = m.idle[:n-1]
+		l.take(j)
+		return
+	}
+	if !a.makeRoom() {
+		a.Full++
+		a.host.Soon(func() { a.end(j, router.Moot) })
+		return
+	}
+	a.links++
+	a.host.Dial(m.addr, a.limits.DialTimeout, func(c *host.Conn) { a.dialled(j, c) })
+}
+
+// makeRoom closes the connection that has been idle longest where the limit is reached.
+func (a *Members) makeRoom() bool {
+	if a.links < a.limits.Links {
+		return true
+	}
+	var oldest *link
+	for _, m := range a.byID {
+		if len(m.idle) > 0 && (oldest == nil || m.idle[0].since < oldest.since) {
+			oldest = m.idle[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.drop()
+	return true
+}
+
+// dialled goes on with a connection that is up, or none. Until the member has let it in nothing has been asked.
+func (a *Members) dialled(j *job, c *host.Conn) {
+	if c == nil {
+		a.links--
+		a.end(j, router.ConnectFailed)
+		return
+	}
+	l := &link{all: a, to: j.to, conn: c, in: pg.NewReader(true, longest)}
+	j.to.links[l] = true
+	c.Handle(l)
+	if j.over {
+		l.drop()
+		return
+	}
+	l.job, j.link = j, l
+	c.Write(pg.AppendStartup(nil, user, database))
+	a.host.After(j.at+a.limits.DialTimeout-a.host.Now(), func() {
+		if !l.ready && l.job != nil {
+			a.end(l.job, router.ConnectFailed)
+		}
+	})
+}
+
+// take writes the job's query.
+func (l *link) take(j *job) {
+	l.job, j.link, l.asked = j, l, true
+	l.rows, l.stage, l.width, l.cell, l.err, l.role, l.gtid, l.vital = nil, 0, 0, nil, nil, router.Unsaid,
+		router.Never, ""
+	switch {
+	case j.txn != nil:
+		l.conn.Write(j.txn.AppendQuery(nil, j.until-l.all.host.Now()))
+	case l.all.limits.Reports:
+		l.conn.Write(pg.AppendQuery(nil, "SHOW vitals"))
+	default:
+		l.conn.Write(pg.AppendQuery(nil, "SELECT 1"))
+	}
+}
+
+// drop closes the connection; a job on it must have been taken off it.
+func (l *link) drop() {
+	if l.to.links[l] {
+		delete(l.to.links, l)
+		for n, other := range l.to.idle {
+			if other == l {
+				l.to.idle = append(l.to.idle[:n], l.to.idle[n+1:]...)
+				break
+			}
+		}
+		l.all.links--
+		l.conn.Close()
+	}
+}
+
+// Closed says that the connection has ended by itself.
+func (l *link) Closed() {
+	if j := l.job; j != nil {
+		l.all.end(j, l.broken())
+	}
+	l.drop()
+}
+
+// broken tells what an end of the connection means for its job: it never ran if its last byte was not written, and
+// an error that came before the end is still an answer.
+func (l *link) broken() router.Outcome {
+	switch {
+	case l.err != nil:
+		return outcome(l.err.Code)
+	case l.sent():
+		return router.Reset
+	}
+	return router.ConnectFailed
+}
+
+// sent tells whether the last byte of the job's query is written, so that it may run.
+func (l *link) sent() bool { return l.asked && l.conn.Sent() }
+
+// end gives a job its outcome, once. A connection whose answer is not through is closed before anyone hears of it.
+func (a *Members) end(j *job, how router.Outcome) {
+	if j.over {
+		return
+	}
+	j.over = true
+	if j.timer != nil {
+		j.timer.Stop()
+	}
+	l := j.link
+	if j.txn != nil && (how == router.TimedOut || how == router.Revoked) && (l == nil || !l.sent()) {
+		how = router.Moot // given up before it was written: that says nothing of the member
+	}
+	var rows []byte
+	role, gtid := router.Unsaid, router.Never
+	if l != nil {
+		l.job, l.asked = nil, false
+		rows, role, gtid = l.rows, l.role, l.gtid
+		if l.stage == through {
+			l.rest()
+		} else {
+			l.drop()
+		}
+	}
+	if j.txn == nil {
+		a.checked(j, how, l)
+		return
+	}
+	must.Hold(a.jobs[j.txn.ID] == j, "one submission of a txn at a time")
+	delete(a.jobs, j.txn.ID)
+	a.host.Returned(j.txn, j.seq, j.to.id, how, a.host.Now()-j.at, role, gtid, rows)
+	if l != nil {
+		a.reported(j.to.id, l.vital)
+	}
+}
+
+// rest keeps the connection for the next job.
+func (l *link) rest() {
+	if l.to.barred || l.in.Pending() > 0 {
+		l.drop()
+		return
+	}
+	l.since = l.all.host.Now()
+	l.to.idle = append(l.to.idle, l)
+}
+
+func (a *Members) checked(j *job, how router.Outcome, l *link) {
+	a.host.Checked(j.to.id, how)
+	if how == router.Committed && a.limits.Reports {
+		a.reported(j.to.id, string(l.cell))
+	}
+}
+
+// reported reads a report, name=value by commas: the position in seconds, and whether it is from a primary.
+func (a *Members) reported(id, vitals string) {
+	role, at, told := router.Replica, 0.0, false
+	for pair := range strings.SplitSeq(vitals, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
+		x, err := strconv.ParseFloat(value, 64)
+		switch {
+		case err != nil:
+		case name == "x0":
+			at, told = x*1000, true
+		case name == "x1" && x >= 0.5:
+			role = router.Primary
+		}
+	}
+	if told {
+		a.host.Reported(id, role, at)
+	}
+}
--- /dev/null
+++ b/internal/must/debug.go
@@ -0,0 +1,5 @@
+//go:build debug
+
+package must
+
+const debug = true
--- /dev/null
+++ b/internal/pg/pg.go
@@ -0,0 +1,360 @@
+// Package pg reads and writes version 3 of PostgreSQL's protocol, as far as simple queries need it. It owns the
+// bytes: each message is cut from any split of its input, decoded once to a small typed value and encoded once. It
+// must never open a socket, keep more than its bound, or know what a statement is for.
+package pg
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+)
+
+// Codes that an ErrorResponse carries.
+const (
+	Violation   = "08P01"
+	Unsupported = "0A000"
+	Invalid     = "22023"
+	TooLong     = "54000"
+	Refused     = "53300"
+	NotNow      = "57P03"
+	NoPrimary   = "25006"
+	TooOld      = "72000"
+	Internal    = "XX000"
+	Shutdown    = "57P01"
+	Taken       = "42710"
+	Unresolved  = "08007" // whether it took effect is not known
+)
+
+// Error is what an ErrorResponse says.
+type Error struct{ Code, Text, Detail string }
+
+func (e *Error) Error() string { return e.Code + ": " + e.Text }
+
+func fail(code, format string, args ...any) *Error {
+	return &Error{Code: code, Text: fmt.Sprintf(format, args...)}
+}
+
+// Kind tells one message from another.
+type Kind int
+
+const (
+	Startup Kind = iota
+	AskTLS       // for TLS or GSSAPI, before the startup message
+	Cancel
+	Query
+	Terminate
+	Extended // belongs to the extended protocol
+	Function
+	Sync
+	AuthOK
+	Skip // a notice, key data
+	Parameter
+	Ready
+	Columns
+	Row
+	Complete
+	Empty
+	Failure
+)
+
+// Message is one message of either side; only the fields of its kind are set.
+type Message struct {
+	Kind    Kind
+	Text    string // Query: the statement; Parameter: the value; Complete: the tag
+	Name    string // Parameter
+	Minor   int    // Startup: the minor version
+	Count   int    // Columns, Row
+	Cell    []byte // Row: its first column; void once the reader is fed again
+	Raw     []byte // Columns, Row, Complete: as it came; void once the reader is fed again
+	Failure *Error
+}
+
+// Reader cuts messages out of bytes that come in any split.
+type Reader struct {
+	buf    []byte
+	off    int
+	max    int
+	server bool // what it reads comes from a server
+	begun  bool // the startup message is through
+	err    error
+}
+
+// NewReader reads what a client sends, or a server; no message may be longer than max.
+func NewReader(server bool, max int) *Reader { return &Reader{max: max, server: server, begun: server} }
+
+// Feed takes in bytes.
+func (r *Reader) Feed(b []byte) {
+	if r.off > 0 {
+		r.buf = append(r.buf[:0], r.buf[r.off:]...)
+		r.off = 0
+	}
+	r.buf = append(r.buf, b...)
+}
+
+// Pending tells how many bytes wait for the rest of their message, or to be read.
+func (r *Reader) Pending() int { return len(r.buf) - r.off }
+
+// Next decodes the next message; ok is false where it is not whole yet. After an error framing is lost.
+func (r *Reader) Next() (m Message, ok bool, err error) {
+	if r.err != nil {
+		return m, false, r.err
+	}
+	head := 5
+	if !r.begun {
+		head = 4
+	}
+	rest := r.buf[r.off:]
+	if len(rest) < head {
+		if len(rest) == 0 && cap(r.buf) > 1<<14 {
+			r.buf, r.off = nil, 0 // a long message is no reason to keep its room
+		}
+		return m, false, nil
+	}
+	size := uint64(binary.BigEndian.Uint32(rest[head-4:])) + uint64(head-4)
+	if size < uint64(head) {
+		r.err = fail(Violation, "message length %d is too small", size)
+	} else if size > uint64(r.max) {
+		r.err = fail(TooLong, "message of %d bytes is longer than %d", size, r.max)
+	}
+	if r.err != nil {
+		return m, false, r.err
+	}
+	if uint64(len(rest)) < size {
+		return m, false, nil
+	}
+	r.off += int(size)
+	raw := rest[:size:size]
+	switch {
+	case !r.begun:
+		m, err = r.startup(raw[4:])
+	case r.server:
+		m, err = fromServer(raw[0], raw[5:])
+	default:
+		m, err = fromClient(raw[0], raw[5:])
+	}
+	if err != nil {
+		r.err = err
+		return m, false, err
+	}
+	if m.Kind == Columns || m.Kind == Row || m.Kind == Complete {
+		m.Raw = raw
+	}
+	return m, true, nil
+}
+
+func (r *Reader) startup(body []byte) (Message, error) {
+	if len(body) < 4 {
+		return Message{}, fail(Violation, "startup message without a version")
+	}
+	major, minor := binary.BigEndian.Uint16(body), binary.BigEndian.Uint16(body[2:])
+	switch {
+	case major == 1234 && (minor == 5679 || minor == 5680):
+		return Message{Kind: AskTLS}, nil
+	case major == 1234 && minor == 5678:
+		return Message{Kind: Cancel}, nil
+	case major != 3:
+		return Message{}, fail(Unsupported, "protocol version %d.%d", major, minor)
+	}
+	if body = body[4:]; len(body) == 0 || body[len(body)-1] != 0 {
+		return Message{}, fail(Violation, "startup message without its end")
+	}
+	r.begun = true
+	return Message{Kind: Startup, Minor: int(minor)}, nil
+}
+
+func fromClient(typ byte, body []byte) (Message, error) {
+	switch typ {
+	case 'Q':
+		text, rest, ok := cut(body)
+		if !ok || len(rest) > 0 {
+			return Message{}, fail(Violation, "query without its end")
+		}
+		return Message{Kind: Query, Text: text}, nil
+	case 'X':
+		return Message{Kind: Terminate}, nil
+	case 'S':
+		return Message{Kind: Sync}, nil
+	case 'P', 'B', 'D', 'E', 'C', 'H':
+		return Message{Kind: Extended}, nil
+	case 'F':
+		return Message{Kind: Function}, nil
+	}
+	return Message{}, fail(Violation, "unknown message type %q", typ)
+}
+
+// cut splits a text off that ends with a zero byte.
+func cut(b []byte) (text string, rest []byte, ok bool) {
+	i := bytes.IndexByte(b, 0)
+	if i < 0 {
+		return "", b, false
+	}
+	return string(b[:i]), b[i+1:], true
+}
+
+func fromServer(typ byte, body []byte) (Message, error) {
+	broken := fail(Violation, "broken message of type %q", typ)
+	switch typ {
+	case 'R':
+		if len(body) != 4 || binary.BigEndian.Uint32(body) != 0 {
+			return Message{}, fail(Unsupported, "the server wants a password")
+		}
+		return Message{Kind: AuthOK}, nil
+	case 'K', 'N', 'v':
+		return Message{Kind: Skip}, nil
+	case 'S':
+		name, rest, ok := cut(body)
+		value, rest, also := cut(rest)
+		if !ok || !also || len(rest) > 0 {
+			return Message{}, broken
+		}
+		return Message{Kind: Parameter, Name: name, Text: value}, nil
+	case 'Z':
+		if len(body) != 1 {
+			return Message{}, broken
+		}
+		return Message{Kind: Ready}, nil
+	case 'T':
+		if len(body) < 2 {
+			return Message{}, broken
+		}
+		return Message{Kind: Columns, Count: int(binary.BigEndian.Uint16(body))}, nil
+	case 'D':
+		return row(body, broken)
+	case 'C':
+		tag, rest, ok := cut(body)
+		if !ok || len(rest) > 0 {
+			return Message{}, broken
+		}
+		return Message{Kind: Complete, Text: tag}, nil
+	case 'I':
+		return Message{Kind: Empty}, nil
+	case 'E':
+		e := &Error{}
+		for len(body) > 1 {
+			field := body[0]
+			text, rest, ok := cut(body[1:])
+			if !ok {
+				return Message{}, broken
+			}
+			switch field {
+			case 'C':
+				e.Code = text
+			case 'M':
+				e.Text = text
+			case 'D':
+				e.Detail = text
+			}
+			body = rest
+		}
+		if len(body) != 1 || body[0] != 0 || e.Code == "" {
+			return Message{}, broken
+		}
+		return Message{Kind: Failure, Failure: e}, nil
+	}
+	return Message{}, fail(Violation, "unknown message type %q", typ)
+}
+
+func row(body []byte, broken *Error) (Message, error) {
+	if len(body) < 2 {
+		return Message{}, broken
+	}
+	m := Message{Kind: Row, Count: int(binary.BigEndian.Uint16(body))}
+	body = body[2:]
+	for n := range m.Count {
+		if len(body) < 4 {
+			return m, broken
+		}
+		size := int(int32(binary.BigEndian.Uint32(body)))
+		body = body[4:]
+		if size < 0 { // null
+			continue
+		}
+		if size > len(body) {
+			return m, broken
+		}
+		if n == 0 {
+			m.Cell = body[:size]
+		}
+		body = body[size:]
+	}
+	if len(body) > 0 {
+		return m, broken
+	}
+	return m, nil
+}
+
+// message appends a message of a type, or a startup packet for type 0, whose body write appends.
+func message(out []byte, typ byte, write func([]byte) []byte) []byte {
+	if typ != 0 {
+		out = append(out, typ)
+	}
+	at := len(out)
+	out = append(out, 0, 0, 0, 0)
+	if write != nil {
+		out = write(out)
+	}
+	binary.BigEndian.PutUint32(out[at:], uint32(len(out)-at))
+	return out
+}
+
+func text(out []byte, s string) []byte { return append(append(out, s...), 0) }
+
+// AppendStartup opens a session with a server.
+func AppendStartup(out []byte, user, database string) []byte {
+	return message(out, 0, func(out []byte) []byte {
+		out = binary.BigEndian.AppendUint32(out, 3<<16)
+		out = text(text(out, "user"), user)
+		out = text(text(out, "database"), database)
+		return append(out, 0)
+	})
+}
+
+// AppendQuery asks a server one statement, given in parts.
+func AppendQuery(out []byte, parts ...string) []byte {
+	return message(out, 'Q', func(out []byte) []byte {
+		for _, p := range parts {
+			out = append(out, p...)
+		}
+		return append(out, 0)
+	})
+}
+
+// AppendGreeting lets a client in that asked for this minor version.
+func AppendGreeting(out []byte, minor int) []byte {
+	if minor > 0 { // NegotiateProtocolVersion: 3.0 it is
+		out = message(out, 'v', func(out []byte) []byte { return append(out, 0, 3, 0, 0, 0, 0, 0, 0) })
+	}
+	out = message(out, 'R', func(out []byte) []byte { return append(out, 0, 0, 0, 0) })
+	for _, p := range [][2]string{{"server_version", "16.0"}, {"client_encoding", "UTF8"},
+		{"server_encoding", "UTF8"}, {"standard_conforming_strings", "on"}} {
+		out = message(out, 'S', func(out []byte) []byte { return text(text(out, p[0]), p[1]) })
+	}
+	out = message(out, 'K', func(out []byte) []byte { return append(out, 0, 0, 0, 0, 0, 0, 0, 0) })
+	return AppendReady(out)
+}
+
+// AppendReady tells that the next query may come.
+func AppendReady(out []byte) []byte {
+	return message(out, 'Z', func(out []byte) []byte { return append(out, 'I') })
+}
+
+// AppendEmpty answers an empty query.
+func AppendEmpty(out []byte) []byte { return message(out, 'I', nil) }
+
+// AppendError encodes an error; a fatal one ends the session.
+func AppendError(out []byte, e *Error, fatal bool) []byte {
+	severity := "ERROR"
+	if fatal {
+		severity = "FATAL"
+	}
+	return message(out, 'E', func(out []byte) []byte {
+		out = text(append(out, 'S'), severity)
+		out = text(append(out, 'V'), severity)
+		out = text(append(out, 'C'), e.Code)
+		out = text(append(out, 'M'), e.Text)
+		if e.Detail != "" {
+			out = text(append(out, 'D'), e.Detail)
+		}
+		return append(out, 0)
+	})
+}
