Close only through the poller; clear a failed member's pool; a commit dated ahead binds its session

Found by reading nbio: a failing write closes the descriptor outside the poller, which may still hold an event for its number and then closes the connection that has got it next. Connections are now shut down, and the poller closes.

--- a/cmd/wayloft/serve.go
+++ b/cmd/wayloft/serve.go
@@ -21,7 +21,8 @@
 )
 
 const (
-	ownSockets = 24 // descriptors for all but clients and members
+	ownSockets = 64     // descriptors for all but clients and members, and for those just being made
+	everyNow   = 60000. // ms between two lines on how it goes
 )
 
 type serveCmd struct{ where }
@@ -31,68 +32,111 @@
 	if err != nil {
 		return err
 	}
-	return serve(conf)
-}
-
-func serve(conf *config) error {
 	term := make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
 	debug.SetMemoryLimit(int64(conf.memory) / 10 * 7) // the rest is for stacks, and the system's share
 	logging.SetLevel(logging.LevelNone)
+	return serve(conf, term)
+}
 
-	loop := host.NewLoop(conf.sockets)
-	each := (conf.sockets - ownSockets) / 2 // a txn takes a session and a connection to a member
-	r := router.New(conf.set, conf.seed)
+// service is the parts of one router.
+type service struct {
+	conf    *config
+	host    *host.Host
+	front   *clients.Clients
+	side    *members.Members
+	watcher *discovery.Watcher
+	lost    bool // the watch on the list is down
+}
+
+// serve runs a router until something comes on term and all that was taken is answered.
+func serve(conf *config, term <-chan os.Signal) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	var (
-		h       *host.Host
-		side    *members.Members
-		watcher *discovery.Watcher
-	)
-	h = host.New(loop, r, func() { go watcher.Ask(ctx) })
-	side = members.New(h, members.Limits{DialTimeout: conf.host.DialTimeout, IdleClose: conf.host.IdleClose,
-		Reports: conf.host.Reports, Links: each})
-	h.Use(side)
-	list := func(l *discovery.List) {
-		side.List(l)
-		to := h.List()
-		to.ListStart()
-		for _, e := range l.Entries {
-			to.Listed(e.ID, e.Zone, e.Group, e.State, e.Started)
+	asked := make(chan struct{}, 1)
+	s := &service{conf: conf}
+	s.host = host.New(host.NewLoop(conf.sockets), router.New(conf.set, conf.seed), func() {
+		select {
+		case asked <- struct{}{}:
+		default: // one is asked for already
 		}
-		to.ListEnd(l.Whole)
-	}
-	watcher = discovery.New(conf.discovery, conf.known.Revision,
-		func(l *discovery.List) { loop.Post(func() { list(l) }) },
-		func(err error) {
-			logrus.WithError(err).Warn("the watch on the list ended")
-			loop.Post(func() { h.List().ListFailed() })
-		})
-	front := clients.New(h, each, conf.memory/6)
+	})
+	each := (conf.sockets - ownSockets) / 2 // a txn takes a session and a connection to a member
+	s.front = clients.New(s.host, each, conf.memory/6)
+	s.side = members.New(s.host, members.Limits{DialTimeout: conf.host.DialTimeout, IdleClose: conf.host.IdleClose,
+		Reports: conf.host.Reports, Links: each})
+	s.host.Use(s.side)
+	s.watcher = discovery.New(conf.discovery, conf.known.Revision,
+		func(l *discovery.List) { s.host.Post(func() { s.heard(l) }) },
+		func(err error) { s.host.Post(func() { s.failed(err) }) })
+
 	listener, err := net.Listen("tcp", conf.listen)
 	if err != nil {
 		return err
 	}
-	loop.Soon(func() {
-		conf.known.Whole = true
-		list(conf.known)
-	})
-	if err := loop.Listen(front.Gate(listener), front.Accept); err != nil {
+	known := *conf.known
+	known.Whole = true
+	s.host.Soon(func() { s.list(&known) })
+	if err := s.host.Listen(s.front.Gate(listener), s.front.Accept); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	logrus.WithFields(logrus.Fields{"name": conf.name, "listen": conf.listen, "revision": conf.known.Revision,
-		"members": len(conf.known.Entries)}).Info("serving")
-	if !conf.set.Ask {
-		go watcher.Keep(ctx)
+	logrus.WithFields(logrus.Fields{"name": conf.name, "listen": conf.listen, "revision": known.Revision,
+		"members": len(known.Entries)}).Info("serving")
+	if conf.set.Ask {
+		go s.watcher.Answer(ctx, asked)
+	} else {
+		go s.watcher.Keep(ctx)
 	}
 	go func() {
-		s := <-term
-		logrus.WithField("signal", s).Info("draining")
-		loop.Post(front.Drain)
+		logrus.WithField("signal", <-term).Info("draining")
+		s.host.Post(s.front.Drain)
 	}()
-	h.Run()
-	logrus.WithFields(logrus.Fields{"broken": must.Broken(), "bad": front.Bad, "refused": front.Refused,
-		"full": side.Full}).Info("ended")
+	s.host.After(everyNow, s.now)
+	s.host.Run()
+	s.status("ended")
 	return nil
 }
+
+// list tells the module and the members' side of a list.
+func (s *service) list(l *discovery.List) {
+	s.side.List(l)
+	r := s.host.List()
+	r.ListStart()
+	for _, e := range l.Entries {
+		r.Listed(e.ID, e.Zone, e.Group, e.State, e.Started)
+	}
+	r.ListEnd(l.Whole)
+}
+
+func (s *service) heard(l *discovery.List) {
+	if s.lost {
+		s.lost = false
+		logrus.WithField("revision", l.Revision).Info("the list is back")
+	}
+	s.list(l)
+}
+
+func (s *service) failed(err error) {
+	if !s.lost {
+		s.lost = true
+		logrus.WithError(err).Warn("the list is out of reach, the last one stays in force")
+	}
+	s.host.List().ListFailed()
+}
+
+func (s *service) now() {
+	s.status("now")
+	s.host.After(everyNow, s.now)
+}
+
+// status logs counts; all but the first three are since the start.
+func (s *service) status(what string) {
+	all, busy := s.front.Sessions()
+	entry := logrus.WithFields(logrus.Fields{"sessions": all, "busy": busy, "links": s.side.Links(),
+		"bad": s.front.Bad, "refused": s.front.Refused, "unsent": s.side.Unsent})
+	if broken := must.Broken(); len(broken) > 0 {
+		entry.WithField("broken", broken).Error(what)
+		return
+	}
+	entry.Info(what)
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -93,13 +93,13 @@
 // Keep watches until ctx ends, and asks again with backing off whenever a watch ends.
 func (w *Watcher) Keep(ctx context.Context) {
 	for wait := leastWait; ; wait = min(2*wait, mostWait) {
-		before := w.revision
+		before := time.Now()
 		err := w.Once(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		w.failed(err)
-		if w.revision != before {
+		if time.Since(before) > 2*silence { // it went well for a while
 			wait = leastWait
 		}
 		select {
@@ -110,10 +110,17 @@
 	}
 }
 
-// Ask watches once, for a router that asks for each watch itself.
-func (w *Watcher) Ask(ctx context.Context) {
-	if err := w.Once(ctx); ctx.Err() == nil {
-		w.failed(err)
+// Answer watches once for each request, for a router that says itself when to ask.
+func (w *Watcher) Answer(ctx context.Context, asked <-chan struct{}) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-asked:
+		}
+		if err := w.Once(ctx); ctx.Err() == nil {
+			w.failed(err)
+		}
 	}
 }
 
@@ -137,13 +144,16 @@
 	}
 	lines := bufio.NewReader(res.Body)
 	var parser fastjson.Parser
-	for {
+	for told := false; ; told = true {
 		line, err := readLine(lines)
 		if err != nil { // what came of a line that was cut is dropped
 			return orCause(ctx, err)
 		}
 		quiet.Reset(silence)
 		if line = bytes.TrimSpace(line); len(line) == 0 {
+			if !told { // nothing has changed: that is an answer too
+				w.deliver(&List{Revision: w.revision})
+			}
 			continue
 		}
 		v, err := parser.ParseBytes(line)
--- a/internal/host/loop.go
+++ b/internal/host/loop.go
@@ -3,12 +3,13 @@
 package host
 
 import (
+	"errors"
 	"net"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -140,17 +141,12 @@
 	return e.Start()
 }
 
-// Dial connects within so many ms; done hears of it once, with nil if nothing came of it. The poller's own way to
-// dial is not used: nbio 1.6.8 takes the first four of sixteen bytes for an IPv4 address and connects to 0.0.0.0.
-func (l *Loop) Dial(addr string, ms float64, done func(*Conn)) {
+// Dial connects within so many ms; done hears of it once. The poller's own way to dial is not used: nbio 1.6.8 takes
+// the first four of sixteen bytes for an IPv4 address and connects to 0.0.0.0.
+func (l *Loop) Dial(addr string, ms float64, done func(*Conn, error)) {
 	go func() {
 		c, err := l.dial(addr, time.Duration(ms*float64(time.Millisecond)))
-		l.Post(func() {
-			if err != nil {
-				c = nil
-			}
-			done(c)
-		})
+		l.Post(func() { done(c, err) })
 	}()
 }
 
@@ -182,24 +178,34 @@
 		return err
 	}
 	var inner error
-	if err := raw.Control(func(fd uintptr) { inner = f(int(fd)) }); err != nil {
-		return err
-	}
-	return inner
+	return errors.Join(raw.Control(func(fd uintptr) { inner = f(int(fd)) }), inner)
 }
 
 // Handle names who hears of the connection from now on.
 func (c *Conn) Handle(h Handler) { c.handler = h }
 
-// Write sends b, now or as the peer takes it. If it fails, Closed follows.
+// Write sends b, now or as the peer takes it. If it can't, Closed follows.
 func (c *Conn) Write(b []byte) {
 	if c.closed || c.after.Load() > 0 {
 		return
 	}
 	c.asked += int64(len(b))
-	if _, err := c.nb.Write(b); err != nil {
+	if c.control(alive) != nil {
 		c.loop.Soon(c.gone)
+	} else if _, err := c.nb.Write(b); err != nil {
+		c.loop.Soon(c.gone)
+	}
+}
+
+// alive finds what the poller is about to close. Guards against nbio closing a descriptor in a failing write: the
+// number is used again at once, and an event for the old connection that the poller still holds then closes the
+// new one. Only the poller may close.
+func alive(fd int) error {
+	poll := []unix.PollFd{{Fd: int32(fd)}}
+	if n, err := unix.Poll(poll, 0); err == nil && n > 0 && poll[0].Revents&(unix.POLLERR|unix.POLLHUP) != 0 {
+		return net.ErrClosed
 	}
+	return nil
 }
 
 // Sent tells whether the system has taken the last byte of all that was written.
@@ -214,12 +220,15 @@
 	}
 }
 
-// Close ends the connection at once; Closed does not follow.
+// Close ends the connection at once, by way of the poller; Closed does not follow.
 func (c *Conn) Close() {
 	c.closed = true
-	c.nb.Close()
+	c.end(unix.SHUT_RDWR)
 }
 
+// end shuts one or both directions down. The poller closes a connection that is shut down both ways.
+func (c *Conn) end(how int) { c.control(func(fd int) error { return unix.Shutdown(fd, how) }) }
+
 // Finish ends it once the peer has what was written. It then waits a moment for the peer to close, since closing
 // before all of its bytes are read would reset the connection and take the last answer away from it.
 func (c *Conn) Finish() {
@@ -233,12 +242,6 @@
 }
 
 func (c *Conn) finish() {
-	if !c.closed {
-		c.control(func(fd int) error { return syscall.Shutdown(fd, syscall.SHUT_WR) })
-		c.loop.After(float64(lingering.Milliseconds()), func() {
-			if !c.closed {
-				c.nb.Close()
-			}
-		})
-	}
+	c.end(unix.SHUT_WR)
+	c.loop.After(float64(lingering.Milliseconds()), func() { c.end(unix.SHUT_RDWR) })
 }
--- a/internal/host/loop_test.go
+++ b/internal/host/loop_test.go
@@ -22,10 +22,10 @@
 	}
 	got := make(chan bool, 2)
 	l.Soon(func() {
-		l.Dial(there.Addr().String(), 1000, func(c *Conn) {
-			got <- c != nil
+		l.Dial(there.Addr().String(), 1000, func(_ *Conn, err error) {
+			got <- err == nil
 			there.Close()
-			l.Dial(there.Addr().String(), 1000, func(c *Conn) { got <- c != nil; l.End() })
+			l.Dial(there.Addr().String(), 1000, func(_ *Conn, err error) { got <- err == nil; l.End() })
 		})
 	})
 	go l.Run(func() {})
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -4,10 +4,13 @@
 package members
 
 import (
+	"errors"
 	"strconv"
 	"strings"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"wayloft/internal/discovery"
 	"wayloft/internal/exchange"
 	"wayloft/internal/host"
@@ -31,14 +34,26 @@
 	Links       int     // connections in all
 }
 
+// Host is what runs the loop, and hears how submissions and checks end.
+type Host interface {
+	Now() float64
+	After(ms float64, f func()) *time.Timer
+	Soon(f func())
+	Dial(addr string, ms float64, done func(*host.Conn, error))
+	Returned(t *exchange.Txn, seq int, member string, how router.Outcome, took float64, role router.Role,
+		gtid float64, rows []byte)
+	Checked(member string, how router.Outcome)
+	Reported(member string, role router.Role, gtid float64)
+}
+
 // Members holds all connections.
 type Members struct {
-	host   *host.Host
+	host   Host
 	limits Limits
 	byID   map[string]*member
 	links  int
 	jobs   map[string]*job // the submission that is out for a txn
-	Full   int             // submissions and checks for which no connection was left
+	Unsent int             // submissions and checks for which no connection was left
 }
 
 type member struct {
@@ -82,8 +97,8 @@
 	vital string
 }
 
-// New makes the side; host hears how submissions and checks end.
-func New(h *host.Host, l Limits) *Members {
+// New makes the side.
+func New(h Host, l Limits) *Members {
 	m := &Members{host: h, limits: l, byID: map[string]*member{}, jobs: map[string]*job{}}
 	m.retire()
 	return m
@@ -117,6 +132,9 @@
 	}
 }
 
+// Links tells how many connections there are, or are being made.
+func (a *Members) Links() int { return a.links }
+
 // CloseIdle closes the idle connections to a member.
 func (a *Members) CloseIdle(id string) {
 	if m := a.byID[id]; m != nil {
@@ -177,12 +195,17 @@
 		return
 	}
 	if !a.makeRoom() {
-		a.Full++
-		a.host.Soon(func() { a.end(j, router.Moot) })
+		a.unsent(j)
 		return
 	}
 	a.links++
-	a.host.Dial(m.addr, a.limits.DialTimeout, func(c *host.Conn) { a.dialled(j, c) })
+	a.host.Dial(m.addr, a.limits.DialTimeout, func(c *host.Conn, err error) { a.dialled(j, c, err) })
+}
+
+// unsent ends a job for which this router has no connection left; that says nothing of the member.
+func (a *Members) unsent(j *job) {
+	a.Unsent++
+	a.host.Soon(func() { a.end(j, router.Moot) })
 }
 
 // makeRoom closes the connection that has been idle longest where the limit is reached.
@@ -204,8 +227,13 @@
 }
 
 // dialled goes on with a connection that is up, or none. Until the member has let it in nothing has been asked.
-func (a *Members) dialled(j *job, c *host.Conn) {
-	if c == nil {
+func (a *Members) dialled(j *job, c *host.Conn, err error) {
+	switch {
+	case errors.Is(err, unix.EMFILE) || errors.Is(err, unix.ENFILE):
+		a.links--
+		a.unsent(j)
+		return
+	case err != nil:
 		a.links--
 		a.end(j, router.ConnectFailed)
 		return
@@ -303,6 +331,10 @@
 			l.drop()
 		}
 	}
+	// DESIGN: the pool is cleared with the mark. Connections to what vanished stay open and silent otherwise.
+	if how == router.Reset || how == router.ConnectFailed || how == router.TimedOut && j.txn == nil {
+		a.CloseIdle(j.to.id)
+	}
 	if j.txn == nil {
 		a.checked(j, how, l)
 		return
--- a/router/router.go
+++ b/router/router.go
@@ -290,7 +290,7 @@
 		if at, ok := r.commits[session]; ok {
 			t.needs = at
 		}
-	case kind.Level == Session && tokenAge > 0:
+	case kind.Level == Session && tokenAge != 0: // a commit may be dated a little ahead
 		t.needs = r.now - tokenAge
 	case kind.Level == Fresh:
 		t.needs = r.now
