--- a/cmd/wayloft/serve.go
+++ b/cmd/wayloft/serve.go
@@ -9,7 +9,6 @@
 	"runtime/debug"
 	"syscall"
 
-	"github.com/lesismal/nbio/logging"
 	"github.com/sirupsen/logrus"
 
 	"wayloft/internal/clients"
@@ -35,7 +34,6 @@
 	term := make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
 	debug.SetMemoryLimit(int64(conf.memory) / 10 * 7) // the rest is for stacks, and the system's share
-	logging.SetLevel(logging.LevelNone)
 	return serve(conf, term)
 }
 
--- a/internal/host/loop.go
+++ b/internal/host/loop.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
 	"golang.org/x/sys/unix"
 )
 
@@ -104,6 +105,7 @@
 // Listen starts the poller, and gives accept each connection that comes in on the listener, before its bytes.
 func (l *Loop) Listen(listener net.Listener, accept func(*Conn)) error {
 	l.accept = accept
+	logging.SetLevel(logging.LevelNone)
 	e := nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: []string{listener.Addr().String()}, NPoller: 1,
 		ReadBufferSize: readSize, MaxWriteBufferSize: mostLeft, EpollMod: nbio.EPOLLET,
 		Listen: func(string, string) (net.Listener, error) { return listener, nil }})
--- a/internal/members/answer.go
+++ b/internal/members/answer.go
@@ -7,8 +7,13 @@
 	"wayloft/router"
 )
 
-// through is the stage of a link whose answer is whole.
-const through = 3
+// How far an answer has come.
+const (
+	nothing = iota
+	columns
+	whole   // its last message but readiness is there
+	through // and the connection is ready for the next
+)
 
 var outcomes = map[string]router.Outcome{pg.NoPrimary: router.Miss, pg.TooOld: router.Miss, pg.Refused: router.Full,
 	pg.NotNow: router.Full}
@@ -32,6 +37,7 @@
 			return
 		}
 		if err != nil || !l.message(m) {
+			l.stage, l.err = nothing, nil // none of it can be trusted
 			l.Closed()
 			return
 		}
@@ -59,14 +65,14 @@
 		return false
 	}
 	switch {
-	case m.Kind == pg.Columns && l.stage == 0:
-		l.stage, l.width = 1, m.Count
-	case m.Kind == pg.Row && l.stage == 1 && m.Count == l.width:
+	case m.Kind == pg.Columns && l.stage == nothing:
+		l.stage, l.width = columns, m.Count
+	case m.Kind == pg.Row && l.stage == columns && m.Count == l.width:
 		if l.cell == nil {
 			l.cell = append([]byte{}, m.Cell...)
 		}
-	case m.Kind == pg.Complete && l.stage == 1:
-		l.stage = 2
+	case m.Kind == pg.Complete && l.stage == columns:
+		l.stage = whole
 	default:
 		return false
 	}
@@ -87,7 +93,7 @@
 // finish takes the readiness after an answer.
 func (l *link) finish() bool {
 	j := l.job
-	if j == nil || l.err == nil && l.stage != 2 {
+	if j == nil || l.err == nil && l.stage != whole {
 		return false
 	}
 	how := router.Committed
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -88,7 +88,7 @@
 	since float64 // idle since
 
 	rows  []byte // what came of the answer
-	stage int    // 0: nothing; then columns, complete
+	stage int    // how far the answer has come
 	width int
 	cell  []byte
 	err   *pg.Error
@@ -293,11 +293,13 @@
 }
 
 // broken tells what an end of the connection means for its job: it never ran if its last byte was not written, and
-// an error that came before the end is still an answer.
+// a value or an error that came before the end is still an answer.
 func (l *link) broken() router.Outcome {
 	switch {
 	case l.err != nil:
 		return outcome(l.err.Code)
+	case l.stage == whole:
+		return router.Committed
 	case l.sent():
 		return router.Reset
 	}
@@ -324,12 +326,14 @@
 	role, gtid := router.Unsaid, router.Never
 	if l != nil {
 		l.job, l.asked = nil, false
-		rows, role, gtid = l.rows, l.role, l.gtid
 		if l.stage == through {
 			l.rest()
 		} else {
 			l.drop()
 		}
+		if l.stage == through || how == router.Committed {
+			rows, role, gtid = l.rows, l.role, l.gtid
+		}
 	}
 	// DESIGN: the pool is cleared with the mark. Connections to what vanished stay open and silent otherwise.
 	if how == router.Reset || how == router.ConnectFailed || how == router.TimedOut && j.txn == nil {
@@ -342,7 +346,7 @@
 	must.Hold(a.jobs[j.txn.ID] == j, "one submission of a txn at a time")
 	delete(a.jobs, j.txn.ID)
 	a.host.Returned(j.txn, j.seq, j.to.id, how, a.host.Now()-j.at, role, gtid, rows)
-	if l != nil {
+	if role != router.Unsaid {
 		a.reported(j.to.id, l.vital)
 	}
 }
--- /dev/null
+++ b/internal/members/members_test.go
@@ -0,0 +1,284 @@
+package members
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"wayloft/internal/discovery"
+	"wayloft/internal/exchange"
+	"wayloft/internal/host"
+	"wayloft/internal/pg"
+	"wayloft/internal/standin"
+	"wayloft/router"
+)
+
+// ear is a loop with somebody who hears how submissions and checks end.
+type ear struct {
+	*host.Loop
+	told chan string
+}
+
+func (e *ear) Returned(_ *exchange.Txn, seq int, _ string, how router.Outcome, _ float64, role router.Role,
+	gtid float64, rows []byte) {
+	e.told <- fmt.Sprint(seq, " ", words[how], " ", role, " ", max(gtid, 0), " ", len(rows) > 0)
+}
+
+func (e *ear) Checked(_ string, how router.Outcome) { e.told <- "check " + words[how] }
+
+func (e *ear) Reported(_ string, role router.Role, gtid float64) {
+	e.told <- fmt.Sprint("report ", role, " ", gtid)
+}
+
+var words = map[router.Outcome]string{router.Committed: "committed", router.Errored: "errored", router.Full: "full",
+	router.TimedOut: "timed out", router.ConnectFailed: "unconnected", router.Reset: "reset", router.Revoked: "revoked",
+	router.Moot: "moot", router.Miss: "miss"}
+
+func start(t *testing.T, links int) (*ear, *Members) {
+	e := &ear{host.NewLoop(512), make(chan string, 100)}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := e.Listen(l, func(*host.Conn) {}); err != nil {
+		t.Fatal(err)
+	}
+	side := New(e, Limits{DialTimeout: 200, IdleClose: 60000, Reports: true, Links: links})
+	go e.Run(func() {})
+	t.Cleanup(func() { e.Post(e.End) })
+	return e, side
+}
+
+// do runs f on the loop and waits for it.
+func (e *ear) do(f func()) {
+	done := make(chan bool)
+	e.Post(func() { f(); close(done) })
+	<-done
+}
+
+func (e *ear) hear(t *testing.T) string {
+	t.Helper()
+	select {
+	case s := <-e.told:
+		return s
+	case <-time.After(20 * time.Second):
+		t.Fatal("nothing came back")
+		return ""
+	}
+}
+
+func txn(e *ear, id string, wait float64) *exchange.Txn {
+	s, err := pg.ParseStatement(fmt.Sprintf("/* id=%s,c=x,d=%.0f */ SELECT blob", id, wait))
+	if err != nil {
+		panic(err)
+	}
+	return exchange.New(s, e.Now(), func(exchange.Answer) {})
+}
+
+func list(addr string, state router.State) *discovery.List {
+	return &discovery.List{Entries: []discovery.Entry{{ID: "a", Addr: addr, State: state, Started: router.Never}}}
+}
+
+func bytes(parts ...[]byte) (b []byte) {
+	for _, p := range parts {
+		b = append(b, p...)
+	}
+	return b
+}
+
+// Each way in which a submission can end, and whether its connection is used again.
+func TestOutcomes(t *testing.T) {
+	ready := pg.AppendReady(nil)
+	refusal := pg.AppendError(nil, &pg.Error{Code: pg.Refused, Text: "no"}, true)
+	for _, c := range []struct {
+		name   string
+		greet  *standin.Reply
+		answer *standin.Reply
+		wait   float64 // time-out; 0: none
+		want   string
+		again  bool
+	}{
+		{"row", nil, standin.Row("v", "source", "17"), 0, "0 committed 1 17 true", true},
+		{"row of a replica", nil, standin.Row("v", "copy", "0"), 0, "0 committed 2 0 true", true},
+		{"no primary", nil, standin.Fail("25006"), 0, "0 miss 0 0 false", true},
+		{"too far behind", nil, standin.Fail("72000"), 0, "0 miss 0 0 false", true},
+		{"error", nil, standin.Fail("XX000"), 0, "0 errored 0 0 false", true},
+		{"an error not in the table", nil, standin.Fail("42601"), 0, "0 errored 0 0 false", true},
+		{"turned away", nil, standin.Fail("53300"), 0, "0 full 0 0 false", true},
+		{"turned away and closed", nil, &standin.Reply{Bytes: refusal, Close: true}, 0, "0 full 0 0 false", false},
+		{"turned away before it was asked", &standin.Reply{Bytes: refusal, Close: true}, nil, 0,
+			"0 unconnected 0 0 false", false},
+		{"closed before it was asked", &standin.Reply{Close: true}, nil, 0, "0 unconnected 0 0 false", false},
+		{"never let in", &standin.Reply{}, nil, 0, "0 unconnected 0 0 false", false},
+		{"given up before it was asked", &standin.Reply{}, nil, 20, "0 moot 0 0 false", false},
+		{"closed without an answer", nil, &standin.Reply{Close: true}, 0, "0 reset 0 0 false", false},
+		{"closed within the answer", nil, &standin.Reply{Bytes: standin.Rows("v")[:30], Close: true}, 0,
+			"0 reset 0 0 false", false},
+		{"closed before it is ready", nil, &standin.Reply{Bytes: standin.Rows("v"), Close: true}, 0,
+			"0 committed 0 0 true", false},
+		{"malformed", nil, &standin.Reply{Bytes: []byte("?\x00\x00\x00\x04")}, 0, "0 reset 0 0 false", false},
+		{"ready without an answer", nil, &standin.Reply{Bytes: ready}, 0, "0 reset 0 0 false", false},
+		{"too long", nil, &standin.Reply{Bytes: standin.Rows(strings.Repeat("x", longest))}, 0, "0 reset 0 0 false", false},
+		{"too long in parts", nil, &standin.Reply{Bytes: bytes(standin.Rows(strings.Repeat("x", longest/2)),
+			standin.Rows(strings.Repeat("x", longest/2)), ready)}, 0, "0 reset 0 0 false", false},
+		{"more than the answer", nil, &standin.Reply{Bytes: bytes(standin.Rows("v"), ready, ready)}, 0,
+			"0 committed 0 0 true", false},
+		{"no answer", nil, nil, 100, "0 timed out 0 0 false", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e, side := start(t, 10)
+			m := standin.NewMember(t, c.greet, func(string) *standin.Reply { return c.answer })
+			e.do(func() {
+				side.List(list(m.Addr, router.Up))
+				side.Submit(txn(e, "1", 5000), 0, "a", c.wait)
+			})
+			if got := e.hear(t); got != c.want {
+				t.Errorf("got %q, want %q", got, c.want)
+			}
+			idle := -1
+			for range 100 { // what came behind the answer may take a moment
+				e.do(func() { idle = len(side.byID["a"].idle) })
+				if (idle > 0) == c.again {
+					break
+				}
+				time.Sleep(time.Millisecond)
+			}
+			if (idle > 0) != c.again {
+				t.Errorf("%d connections kept, want one: %v", idle, c.again)
+			}
+			e.do(func() {
+				if side.links != idle || len(side.jobs) != 0 {
+					t.Errorf("counts %d connections and %d submissions, want %d and none", side.links, len(side.jobs), idle)
+				}
+			})
+		})
+	}
+}
+
+func TestNobodyListens(t *testing.T) {
+	e, side := start(t, 10)
+	m := standin.NewMember(t, nil, nil)
+	m.Stop()
+	e.do(func() {
+		side.List(list(m.Addr, router.Up))
+		side.Submit(txn(e, "1", 5000), 3, "a", 0)
+		side.Check("a")
+	})
+	if a, b := e.hear(t), e.hear(t); a+b != "3 unconnected 0 0 falsecheck unconnected" &&
+		b+a != "3 unconnected 0 0 falsecheck unconnected" {
+		t.Errorf("got %q, %q", a, b)
+	}
+}
+
+// A late answer must meet no other txn: what is given up loses its connection before the next goes out.
+func TestRevoked(t *testing.T) {
+	e, side := start(t, 10)
+	m := standin.NewMember(t, nil, func(sql string) *standin.Reply {
+		if strings.Contains(sql, "id=1") {
+			return nil
+		}
+		return standin.Row("v", "source", "1")
+	})
+	e.do(func() {
+		side.List(list(m.Addr, router.Up))
+		side.Submit(txn(e, "1", 5000), 0, "a", 0)
+	})
+	for asked := 0; asked == 0; { // until it is out
+		_, all := m.Seen()
+		asked = len(all)
+		time.Sleep(time.Millisecond)
+	}
+	e.do(func() { side.Revoke("1", 0) })
+	if got := e.hear(t); got != "0 revoked 0 0 false" {
+		t.Errorf("got %q", got)
+	}
+	e.do(func() { side.Submit(txn(e, "2", 5000), 0, "a", 0) })
+	if got := e.hear(t); got != "0 committed 1 1 true" {
+		t.Errorf("got %q", got)
+	}
+	if accepted, _ := m.Seen(); accepted != 2 {
+		t.Errorf("%d connections, want 2", accepted)
+	}
+}
+
+func TestChecks(t *testing.T) {
+	e, side := start(t, 10)
+	m := standin.NewMember(t, nil, func(sql string) *standin.Reply {
+		if sql != "SHOW vitals" {
+			return nil
+		}
+		return &standin.Reply{Bytes: pg.AppendReady(standin.Rows("x0=1767225600.123,x1=1"))}
+	})
+	e.do(func() { side.List(list(m.Addr, router.Up)); side.Check("a") })
+	if a, b := e.hear(t), e.hear(t); a != "check committed" || b != "report 1 1.767225600123e+12" {
+		t.Errorf("got %q, %q", a, b)
+	}
+}
+
+// At the limit idle connections are given back first; a submission without any never ran, and says nothing of
+// its member.
+func TestLimit(t *testing.T) {
+	e, side := start(t, 1)
+	m := standin.NewMember(t, nil, func(sql string) *standin.Reply {
+		if strings.Contains(sql, "id=2") {
+			return nil
+		}
+		return standin.Row("v", "source", "1")
+	})
+	other := standin.NewMember(t, nil, func(string) *standin.Reply { return nil })
+	e.do(func() {
+		l := list(m.Addr, router.Up)
+		l.Entries = append(l.Entries, discovery.Entry{ID: "b", Addr: other.Addr})
+		side.List(l)
+		side.Submit(txn(e, "1", 5000), 0, "a", 0)
+	})
+	if got := e.hear(t); got != "0 committed 1 1 true" {
+		t.Errorf("got %q", got)
+	}
+	e.do(func() {
+		side.Submit(txn(e, "2", 5000), 0, "b", 0)
+		side.Submit(txn(e, "3", 5000), 0, "a", 0)
+	})
+	if got := e.hear(t); got != "0 moot 0 0 false" {
+		t.Errorf("got %q", got)
+	}
+	e.do(func() {
+		if side.links != 1 || side.Unsent != 1 {
+			t.Errorf("%d connections, %d unsent; want 1 of each", side.links, side.Unsent)
+		}
+	})
+}
+
+// What is not yet written when the list says that its member drains is not sent any more; what is out goes on. A
+// changed address, or a new start, drops the idle connections.
+func TestListChanges(t *testing.T) {
+	e, side := start(t, 10)
+	mute := standin.NewMember(t, &standin.Reply{}, nil)
+	m := standin.NewMember(t, nil, func(string) *standin.Reply { return standin.Row("v", "source", "1") })
+	e.do(func() {
+		side.List(list(mute.Addr, router.Up))
+		side.Submit(txn(e, "1", 5000), 0, "a", 0)
+		side.List(list(mute.Addr, router.Draining))
+	})
+	if got := e.hear(t); got != "0 moot 0 0 false" {
+		t.Errorf("unsent: got %q", got)
+	}
+	for n, l := range []*discovery.List{list(m.Addr, router.Up), list(mute.Addr, router.Up), list(m.Addr, router.Up),
+		{Entries: []discovery.Entry{{ID: "a", Addr: m.Addr, Started: 5}}}, {Whole: true}} {
+		e.do(func() { side.List(l) })
+		e.do(func() {
+			if idle := len(side.byID["a"].idle); idle != 0 {
+				t.Errorf("list %d: %d idle connections left", n, idle)
+			}
+		})
+		if len(l.Entries) == 0 || l.Entries[0].Addr != m.Addr {
+			continue
+		}
+		e.do(func() { side.Submit(txn(e, fmt.Sprint("t", n), 5000), 0, "a", 0) })
+		if got := e.hear(t); got != "0 committed 1 1 true" {
+			t.Errorf("list %d: got %q", n, got)
+		}
+	}
+}
--- a/internal/pg/statement.go
+++ b/internal/pg/statement.go
@@ -45,6 +45,7 @@
 			s.Tenant = value
 		case "d":
 			s.Wait, bad = number(value)
+			bad = bad || s.head != "" // one of two would pass on as it was
 			s.head, s.tail = sql[:start], sql[start+len(value):]
 		case "after":
 			s.After, bad = number(value)
