--- a/cmd/wayloft/config.go
+++ b/cmd/wayloft/config.go
@@ -25,7 +25,7 @@
 	host                    *settings.Host
 }
 
-const leastSockets = 64 // below it there is no room for sessions and members beside what the program needs itself
+const leastSockets = 2 * ownSockets // below it there is hardly room for sessions and members
 
 // load reads the configuration; its error names the field at fault.
 func load(path string) (*config, error) {
--- /dev/null
+++ b/cmd/wayloft/serve_test.go
@@ -0,0 +1,285 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"wayloft/internal/pg"
+	"wayloft/internal/standin"
+)
+
+const configuration = `{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
+"limits":{"cores":1.0,"memory_mb":192,"sockets":256},
+"known":{"revision":41,"complete":true,"members":[]},
+"settings":{"balancers":1,"discovery":"push",
+"contract":{"coldFrom":0.2,"warmUp":1000000,"fallMultiple":2.5,"overloadFor":2000000},
+"permissions":{"attemptsCap":6,"cancel":true,"probes":true,"retryAfter":true,"maxRetryAfter":1000000,
+"dialTimeout":250000,"idleClose":30000000},
+"report":{"columns":["x0","x1"],"how":"pull"},
+"familyInfo":{"serverChecks":"refuse","tokenMode":"carried","countedFrom":0,"readLevel":["any","write"],"classBound":[0,0]},
+"profiles":[{"name":"look","target":500000,"deadline":3000000,"worth":1,"idempotency":"retryable"},
+{"name":"put","target":500000,"deadline":3000000,"worth":1,"idempotency":"fragile"}]}}`
+
+func TestConfiguration(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	for _, c := range []struct{ old, new, want string }{
+		{"", "", ""},
+		{configuration, "", "not JSON"},
+		{configuration, "[]", "must be an object"},
+		{`"name":"n1"`, `"name":7`, "name: must be text"},
+		{"127.0.0.1:0", "127.0.0.1", "listen: "},
+		{"8c1f30d27a5be964", "green", "seed: "},
+		{`"sockets":256`, `"sockets":8`, "limits.sockets: must be 128 at least"},
+		{`"memory_mb":192`, `"memory_mb":"much"`, "limits.memory_mb: must be a number"},
+		{`"members":[]`, `"members":[{"id":"a","host_port":"b:1","phase":"asleep"}]`, `members[0].phase: unknown value "asleep"`},
+		{`"discovery":"push"`, `"discovery":"guess"`, `settings: discovery: unknown value "guess"`},
+		{`"fragile"`, `"glass"`, `settings: profiles[1].idempotency: unknown value "glass"`},
+		{`"dialTimeout":250000,`, ``, "permissions.dialTimeout"},
+		{`"settings"`, `"setting"`, "settings: must be an object"},
+	} {
+		if err := os.WriteFile(file, []byte(strings.Replace(configuration, c.old, c.new, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := load(file)
+		if c.want == "" && err != nil || c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want)) {
+			t.Errorf("%q for %q: got %v, want %q", c.new, c.old, err, c.want)
+		}
+	}
+	if _, err := load(file + ".none"); err == nil {
+		t.Error("a missing file was read")
+	}
+}
+
+// start serves with a list of members; it returns the address, and what has it drain and end.
+func start(t *testing.T, discovery string, sockets int, members ...string) (addr string, term chan os.Signal, ended chan error) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0") // a port that is free
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr = l.Addr().String()
+	l.Close()
+	var rows []string
+	for n, m := range members {
+		rows = append(rows, fmt.Sprintf(`{"id":"m%d","host_port":"%s","locality":"z","cell":2,"phase":"in_service"}`, n, m))
+	}
+	text := strings.NewReplacer("127.0.0.1:0", addr, "127.0.0.1:1", discovery, `"members":[]`,
+		`"members":[`+strings.Join(rows, ",")+`]`, `"sockets":256`, fmt.Sprintf(`"sockets":%d`, sockets)).Replace(configuration)
+	file := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	conf, err := load(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	term, ended = make(chan os.Signal, 2), make(chan error, 1)
+	go func() { ended <- serve(conf, term) }()
+	standin.Until(t, "it listens", func() bool {
+		c, err := net.Dial("tcp", addr)
+		if err == nil {
+			c.Close()
+		}
+		return err == nil
+	})
+	t.Cleanup(func() { term <- os.Interrupt })
+	return addr, term, ended
+}
+
+// member answers checks as a primary, and txns by their values: what a statement inserts comes back.
+func member(t *testing.T) *standin.Member {
+	return standin.NewMember(t, nil, func(sql string) *standin.Reply {
+		switch {
+		case sql == "SHOW vitals":
+			return &standin.Reply{Bytes: pg.AppendReady(standin.Rows(fmt.Sprintf("x0=%d,x1=1", time.Now().Unix())))}
+		case strings.Contains(sql, "hang"):
+			return nil
+		case strings.Contains(sql, "error"):
+			return standin.Fail("XX000")
+		}
+		return standin.Row(sql[strings.LastIndex(sql, " ")+1:], "source", "1")
+	})
+}
+
+func look(id, what string) string {
+	return fmt.Sprintf("/* id=%s,c=look,t=n,d=2000,cluster=2 */ SELECT %s", id, what)
+}
+
+func put(id, what string) string {
+	return fmt.Sprintf("/* id=%s,c=put,t=n,d=400,cluster=2 */ INSERT %s", id, what)
+}
+
+func TestSessions(t *testing.T) {
+	addr, _, _ := start(t, "127.0.0.1:1", 256, member(t).Addr)
+	steady := standin.NewClient(t, addr, true)
+	query := func(sql string) string { return string(pg.AppendQuery(nil, sql)) }
+	hello := string(pg.AppendStartup(nil, "api", "ledger"))
+	for n, c := range []struct{ name, send, want string }{
+		{"empty", hello + query("") + query(" ; "), "ready, empty ready, empty ready"},
+		{"ahead", hello + query(look("a1", "x")) + query(put("a2", "y")) + query(look("a3", "z")),
+			"ready, x ok ready, y ok ready, z ok ready"},
+		{"no comment", hello + query("SELECT 1") + query(look("b1", "x")), "ready, 08P01 ready, x ok ready"},
+		{"unknown txn type", hello + query("/* id=c1,c=what,d=5 */ SELECT 1"), "ready, 22023 ready"},
+		{"id in use", hello + query(put("d1", "hang")) + query(put("d1", "x")), "ready, 08007 ready, x ok ready"},
+		{"an error of a once-only txn", hello + query(put("e1", "error")), "ready, 08007 ready"},
+		{"expired", hello + query("/* id=f1,c=look,d=0,cluster=2 */ SELECT x"), "ready, 53300 ready"},
+		{"no such cluster", hello + query("/* id=f2,c=put,d=200,cluster=9 */ SELECT x"), "ready, 53300 ready"},
+		{"extended", hello + "P\x00\x00\x00\x05xB\x00\x00\x00\x04" + query(look("g1", "x")) + "S\x00\x00\x00\x04" +
+			query(look("g2", "y")), "ready, 0A000 ready, y ok ready"},
+		{"function call", hello + "F\x00\x00\x00\x04" + query(look("h1", "x")), "ready, 0A000 ready, x ok ready"},
+		{"terminate", hello + query(look("i1", "x")) + "X\x00\x00\x00\x04", "ready, x ok ready, closed"},
+		{"unknown message", hello + query(look("j1", "x")) + "?\x00\x00\x00\x04", "ready, x ok ready, 08P01 closed"},
+		{"too long", hello + "Q\x00\x0f\x00\x00", "ready, 54000 closed"},
+		{"no startup", "\x00\x00\x00\x01", "08P01 closed"},
+		{"cancel", "\x00\x00\x00\x10\x04\xd2\x16\x2e12345678", "closed"},
+		{"too much ahead", hello + strings.Repeat(query(""), 50) + query(put("k1", "hang")) + strings.Repeat(query(""), 300),
+			"ready" + strings.Repeat(", empty ready", 50) + ", 08007 ready" + strings.Repeat(", empty ready", 256) +
+				", 54000 closed"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			one := standin.NewClient(t, addr, false)
+			half := len(c.send) / 2
+			one.Send(c.send[:half])
+			one.Send(c.send[half:])
+			for i, want := range strings.Split(c.want, ", ") {
+				if got := one.Answer(); got != want {
+					t.Fatalf("answer %d: got %q, want %q", i, got, want)
+				}
+			}
+			steady.Ask(look(fmt.Sprint("s", n), "fine"))
+			if got := steady.Answer(); got != "fine ok ready" {
+				t.Errorf("another session: %q", got)
+			}
+		})
+	}
+}
+
+func TestTLSIsRefused(t *testing.T) {
+	addr, _, _ := start(t, "127.0.0.1:1", 256, member(t).Addr)
+	c := standin.NewClient(t, addr, false)
+	c.Send("\x00\x00\x00\x08\x04\xd2\x16\x2f")
+	b := make([]byte, 1)
+	if _, err := c.Read(b); err != nil || b[0] != 'N' {
+		t.Fatalf("got %q, %v", b, err)
+	}
+	c.Send(string(pg.AppendStartup(nil, "api", "ledger")))
+	if got := c.Answer(); got != "ready" {
+		t.Errorf("got %q", got)
+	}
+}
+
+// Each byte on its own makes the same txn.
+func TestByteByByte(t *testing.T) {
+	addr, _, _ := start(t, "127.0.0.1:1", 256, member(t).Addr)
+	c := standin.NewClient(t, addr, true)
+	for _, b := range pg.AppendQuery(nil, look("1", "whole")) {
+		c.Send(string(b))
+	}
+	if got := c.Answer(); got != "whole ok ready" {
+		t.Errorf("got %q", got)
+	}
+}
+
+// After SIGTERM new connections are still served, what was taken is answered, and only then the program ends.
+func TestDrain(t *testing.T) {
+	addr, term, ended := start(t, "127.0.0.1:1", 256, member(t).Addr)
+	idle := standin.NewClient(t, addr, true)
+	busy := standin.NewClient(t, addr, true)
+	busy.Ask(put("1", "hang"))
+	term <- syscall.SIGTERM
+	late := standin.NewClient(t, addr, true)
+	late.Ask(look("2", "served"))
+	if got := late.Answer(); got != "served ok ready" {
+		t.Errorf("late: %q", got)
+	}
+	idle.Ask(look("3", "served"))
+	if got := idle.Answer(); got != "served ok ready" {
+		t.Errorf("idle: %q", got)
+	}
+	if got := busy.Answer(); got != "08007 ready" {
+		t.Errorf("busy: %q", got)
+	}
+	for _, c := range []*standin.Client{idle, busy, late} {
+		if got := c.Answer(); got != "closed" {
+			t.Errorf("got %q, want the end", got)
+		}
+		c.Close()
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if c, err := net.Dial("tcp", addr); err == nil {
+		c.Close()
+		t.Error("it still listens")
+	}
+}
+
+// More sessions than there is room for: the one that has been quiet longest makes room, a busy one never does.
+func TestMoreSessionsThanRoom(t *testing.T) {
+	addr, _, _ := start(t, "127.0.0.1:1", 128, member(t).Addr)
+	busy := standin.NewClient(t, addr, true)
+	busy.Ask(put("busy", "hang"))
+	var all []*standin.Client
+	for n := range 100 {
+		c := standin.NewClient(t, addr, true)
+		c.Ask(look(fmt.Sprint(n), "x"))
+		if got := c.Answer(); got != "x ok ready" {
+			t.Fatalf("client %d: %q", n, got)
+		}
+		all = append(all, c)
+	}
+	if got := busy.Answer(); got != "08007 ready" {
+		t.Errorf("busy: %q", got)
+	}
+	if got := all[0].Answer(); got != "closed" {
+		t.Errorf("the first: %q", got)
+	}
+}
+
+// A start with an old list, and with discovery that takes the connection and stays silent; then a list that moves
+// the only member.
+func TestOldListAndSilentDiscovery(t *testing.T) {
+	speak := make(chan string)
+	silent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("index") != "41" {
+			t.Errorf("asked from %s", r.URL)
+		}
+		for {
+			select {
+			case line := <-speak:
+				fmt.Fprintln(w, line)
+				w.(http.Flusher).Flush()
+			case <-r.Context().Done():
+				return
+			}
+		}
+	}))
+	t.Cleanup(func() { silent.CloseClientConnections(); silent.Close() })
+	old, moved := member(t), member(t)
+	addr, _, _ := start(t, strings.TrimPrefix(silent.URL, "http://"), 256, old.Addr)
+	c := standin.NewClient(t, addr, true)
+	c.Ask(look("1", "x"))
+	if got := c.Answer(); got != "x ok ready" {
+		t.Fatalf("got %q", got)
+	}
+	speak <- fmt.Sprintf(`{"revision":43,"complete":false,"members":[{"id":"m0","host_port":"%s","cell":2,"phase":"in_service"}]}`,
+		moved.Addr)
+	n := 1
+	standin.Until(t, "the member has moved", func() bool {
+		n++
+		c.Ask(look(fmt.Sprint(n), "y"))
+		if got := c.Answer(); got != "y ok ready" {
+			t.Fatalf("got %q", got)
+		}
+		accepted, _ := moved.Seen()
+		return accepted > 0
+	})
+}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -98,8 +98,9 @@
 			oldest = s
 		}
 	}
-	if oldest != nil {
-		oldest.finish()
+	if oldest != nil { // at once: others may be waiting
+		oldest.deaf = true
+		oldest.conn.Drop()
 	}
 }
 
@@ -171,12 +172,12 @@
 			s.deaf = true
 			s.queue = append(s.queue, item{fail: broken, fatal: true})
 		} else if !ok {
-			break
+			return
 		} else {
 			s.message(m)
 		}
+		s.next()
 	}
-	s.next()
 }
 
 func (s *session) message(m pg.Message) {
--- a/internal/host/loop.go
+++ b/internal/host/loop.go
@@ -54,7 +54,7 @@
 	now := time.Now()
 	l := &Loop{mail: make(chan func(), mailbox), start: now, wall: float64(now.UnixMicro()) / 1000}
 	l.now = l.wall
-	nbio.MaxOpenFiles = descriptors + 64
+	nbio.MaxOpenFiles = 2*descriptors + 1024 // the size of its table; the platform's limit is what binds
 	return l
 }
 
@@ -100,6 +100,25 @@
 		}
 		settle()
 	}
+	l.stop()
+}
+
+// stop closes the listener and what connections are left. Nobody hears of that any more.
+func (l *Loop) stop() {
+	if l.engine == nil {
+		return
+	}
+	stopped := make(chan struct{})
+	go func() { l.engine.Stop(); close(stopped) }()
+	for late := time.After(lingering); ; {
+		select {
+		case <-l.mail:
+		case <-stopped:
+			return
+		case <-late:
+			return
+		}
+	}
 }
 
 // Listen starts the poller, and gives accept each connection that comes in on the listener, before its bytes.
@@ -228,6 +247,9 @@
 	c.end(unix.SHUT_RDWR)
 }
 
+// Drop ends the connection at once; Closed follows.
+func (c *Conn) Drop() { c.end(unix.SHUT_RDWR) }
+
 // end shuts one or both directions down. The poller closes a connection that is shut down both ways.
 func (c *Conn) end(how int) { c.control(func(fd int) error { return unix.Shutdown(fd, how) }) }
 
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -46,8 +46,9 @@
 		t.Fatal(err)
 	}
 	side := New(e, Limits{DialTimeout: 200, IdleClose: 60000, Reports: true, Links: links})
-	go e.Run(func() {})
-	t.Cleanup(func() { e.Post(e.End) })
+	ended := make(chan bool)
+	go func() { e.Run(func() {}); close(ended) }()
+	t.Cleanup(func() { e.Post(e.End); <-ended })
 	return e, side
 }
 
@@ -137,21 +138,12 @@
 			if got := e.hear(t); got != c.want {
 				t.Errorf("got %q, want %q", got, c.want)
 			}
-			idle := -1
-			for range 100 { // what came behind the answer may take a moment
-				e.do(func() { idle = len(side.byID["a"].idle) })
-				if (idle > 0) == c.again {
-					break
-				}
-				time.Sleep(time.Millisecond)
-			}
-			if (idle > 0) != c.again {
-				t.Errorf("%d connections kept, want one: %v", idle, c.again)
-			}
-			e.do(func() {
-				if side.links != idle || len(side.jobs) != 0 {
-					t.Errorf("counts %d connections and %d submissions, want %d and none", side.links, len(side.jobs), idle)
-				}
+			standin.Until(t, fmt.Sprint("its connection is kept: ", c.again), func() (settled bool) {
+				e.do(func() {
+					idle := len(side.byID["a"].idle)
+					settled = (idle > 0) == c.again && side.links == idle && len(side.jobs) == 0
+				})
+				return settled
 			})
 		})
 	}
@@ -185,11 +177,7 @@
 		side.List(list(m.Addr, router.Up))
 		side.Submit(txn(e, "1", 5000), 0, "a", 0)
 	})
-	for asked := 0; asked == 0; { // until it is out
-		_, all := m.Seen()
-		asked = len(all)
-		time.Sleep(time.Millisecond)
-	}
+	standin.Until(t, "it is out", func() bool { _, asked := m.Seen(); return len(asked) > 0 })
 	e.do(func() { side.Revoke("1", 0) })
 	if got := e.hear(t); got != "0 revoked 0 0 false" {
 		t.Errorf("got %q", got)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -198,3 +198,13 @@
 		}
 	}
 }
+
+// Until waits until something holds, and fails the test if it never does.
+func Until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for late := time.Now().Add(20 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(late) {
+			t.Fatalf("never came true: %s", what)
+		}
+	}
+}
