--- a/cmd/wayloft/serve_test.go
+++ b/cmd/wayloft/serve_test.go
@@ -283,3 +283,31 @@
 		return accepted > 0
 	})
 }
+
+// A client that leaves frees its txn: its id may come again as soon as its submission is back.
+func TestGone(t *testing.T) {
+	answer := make(chan bool)
+	slow := standin.NewMember(t, nil, func(sql string) *standin.Reply {
+		switch {
+		case sql == "SHOW vitals":
+			return &standin.Reply{Bytes: pg.AppendReady(standin.Rows(fmt.Sprintf("x0=%d,x1=1", time.Now().Unix())))}
+		case strings.Contains(sql, "slow"):
+			<-answer
+		}
+		return standin.Row("v", "source", "1")
+	})
+	addr, _, _ := start(t, "127.0.0.1:1", 256, slow.Addr)
+	leaves := standin.NewClient(t, addr, true)
+	leaves.Ask(look("1", "slow"))
+	standin.Until(t, "it is out", func() bool {
+		_, asked := slow.Seen()
+		return len(asked) > 0 && strings.Contains(asked[len(asked)-1], "slow")
+	})
+	leaves.Close()
+	close(answer)
+	stays := standin.NewClient(t, addr, true)
+	standin.Until(t, "the id is free", func() bool {
+		stays.Ask(look("1", "x"))
+		return stays.Answer() == "v ok ready"
+	})
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -82,12 +82,13 @@
 	deliver  func(*List)
 	failed   func(error)
 	client   *http.Client
+	silence  time.Duration // after which a watch is given up
 }
 
 // New makes a watcher from a revision on. Both functions are called from its own goroutine.
 func New(addr string, revision int64, deliver func(*List), failed func(error)) *Watcher {
 	return &Watcher{url: "http://" + addr + "/api/targets", revision: revision, deliver: deliver, failed: failed,
-		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, ResponseHeaderTimeout: silence}}}
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, silence: silence}
 }
 
 // Keep watches until ctx ends, and asks again with backing off whenever a watch ends.
@@ -128,7 +129,7 @@
 func (w *Watcher) Once(ctx context.Context) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	quiet := time.AfterFunc(silence, func() { cancel(errors.New("silent")) })
+	quiet := time.AfterFunc(w.silence, func() { cancel(errors.New("silent")) })
 	defer quiet.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("%s?stream=1&index=%d", w.url, w.revision), nil)
 	if err != nil {
@@ -149,7 +150,7 @@
 		if err != nil { // what came of a line that was cut is dropped
 			return orCause(ctx, err)
 		}
-		quiet.Reset(silence)
+		quiet.Reset(w.silence)
 		if line = bytes.TrimSpace(line); len(line) == 0 {
 			if !told { // nothing has changed: that is an answer too
 				w.deliver(&List{Revision: w.revision})
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -24,11 +24,11 @@
 	Addr   string
 	listen net.Listener
 
-	mu       sync.Mutex
 	greet    *Reply
 	answer   func(sql string) *Reply
-	Accepted int // connections let in so far
-	Asked    []string
+	mu       sync.Mutex
+	accepted int
+	asked    []string
 }
 
 // NewMember starts one that greets and answers as told. A greet of nil greets as usual.
@@ -86,16 +86,19 @@
 
 func (m *Member) hear(msg pg.Message) *Reply {
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	if msg.Kind == pg.Startup {
-		m.Accepted++
-		if m.greet != nil {
-			return m.greet
-		}
-		return &Reply{Bytes: pg.AppendGreeting(nil, 0)}
+		m.accepted++
+	} else {
+		m.asked = append(m.asked, msg.Text)
+	}
+	m.mu.Unlock()
+	switch {
+	case msg.Kind != pg.Startup:
+		return m.answer(msg.Text)
+	case m.greet != nil:
+		return m.greet
 	}
-	m.Asked = append(m.Asked, msg.Text)
-	return m.answer(msg.Text)
+	return &Reply{Bytes: pg.AppendGreeting(nil, 0)}
 }
 
 // Stop has it listen no more.
@@ -105,7 +108,7 @@
 func (m *Member) Seen() (accepted int, asked []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.Accepted, append([]string(nil), m.Asked...)
+	return m.accepted, append([]string(nil), m.asked...)
 }
 
 func message(typ byte, body string) []byte {
