--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -94,7 +94,7 @@
 	}
 	var oldest *session
 	for s := range a.sessions {
-		if s.quiet() && !s.deaf && (oldest == nil || s.since < oldest.since) {
+		if s.quiet() && !s.deaf && (oldest == nil || s.since < oldest.since) && !s.conn.Unread() {
 			oldest = s
 		}
 	}
@@ -109,7 +109,7 @@
 	a.host.After(comers, func() {
 		a.leaving = true
 		for s := range a.sessions {
-			if s.quiet() {
+			if s.quiet() && !s.conn.Unread() {
 				s.finish()
 			}
 		}
@@ -215,7 +215,7 @@
 	}
 	if s.quiet() {
 		s.since = s.all.host.Now()
-		if s.all.leaving && !s.deaf {
+		if s.all.leaving && !s.deaf && !s.conn.Unread() {
 			s.finish()
 		} else {
 			s.all.makeRoom()
--- a/internal/host/loop.go
+++ b/internal/host/loop.go
@@ -29,7 +29,6 @@
 	now    float64
 	ended  bool
 	engine *nbio.Engine
-	accept func(*Conn)
 }
 
 // Handler hears of its connection's bytes and its end, on the loop.
@@ -45,6 +44,8 @@
 	handler Handler
 	asked   int64
 	written atomic.Int64
+	read    atomic.Int64
+	handled int64
 	after   atomic.Int64 // end once so many bytes are written; 0: don't
 	closed  bool
 }
@@ -123,7 +124,6 @@
 
 // Listen starts the poller, and gives accept each connection that comes in on the listener, before its bytes.
 func (l *Loop) Listen(listener net.Listener, accept func(*Conn)) error {
-	l.accept = accept
 	logging.SetLevel(logging.LevelNone)
 	e := nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: []string{listener.Addr().String()}, NPoller: 1,
 		ReadBufferSize: readSize, MaxWriteBufferSize: mostLeft, EpollMod: nbio.EPOLLET,
@@ -132,14 +132,15 @@
 		if nb.Session() != nil {
 			return // dialled
 		}
-		c := &Conn{loop: l, nb: nb}
-		nb.SetSession(c)
-		l.Post(func() { l.accept(c) })
+		c := l.own(nb)
+		l.Post(func() { accept(c) })
 	})
 	e.OnData(func(nb *nbio.Conn, data []byte) {
-		if c, ok := nb.Session().(*Conn); ok {
+		if c := owner(nb); c != nil {
 			data = append([]byte(nil), data...)
+			c.read.Add(int64(len(data)))
 			l.Post(func() {
+				c.handled += int64(len(data))
 				if !c.closed && c.handler != nil {
 					c.handler.Data(data)
 				}
@@ -154,7 +155,7 @@
 		}
 	})
 	e.OnClose(func(nb *nbio.Conn, _ error) {
-		if c, ok := nb.Session().(*Conn); ok {
+		if c := owner(nb); c != nil {
 			l.Post(c.gone)
 		}
 	})
@@ -162,6 +163,23 @@
 	return e.Start()
 }
 
+// own makes the connection's other half, and owner finds it. The lock orders the two for the poller, which learns of
+// a connection by way of the system alone.
+func (l *Loop) own(nb *nbio.Conn) *Conn {
+	c := &Conn{loop: l, nb: nb}
+	nb.Lock()
+	nb.SetSession(c)
+	nb.Unlock()
+	return c
+}
+
+func owner(nb *nbio.Conn) *Conn {
+	nb.Lock()
+	defer nb.Unlock()
+	c, _ := nb.Session().(*Conn)
+	return c
+}
+
 // Dial connects within so many ms; done hears of it once. The poller's own way to dial is not used: nbio 1.6.8 takes
 // the first four of sixteen bytes for an IPv4 address and connects to 0.0.0.0.
 func (l *Loop) Dial(addr string, ms float64, done func(*Conn, error)) {
@@ -181,8 +199,7 @@
 		std.Close()
 		return nil, err
 	}
-	c := &Conn{loop: l, nb: nb}
-	nb.SetSession(c)
+	c := l.own(nb)
 	_, err = l.engine.AddConn(nb)
 	return c, err
 }
@@ -211,24 +228,32 @@
 		return
 	}
 	c.asked += int64(len(b))
-	if c.control(alive) != nil {
+	if c.state()&(unix.POLLERR|unix.POLLHUP) != 0 {
 		c.loop.Soon(c.gone)
 	} else if _, err := c.nb.Write(b); err != nil {
 		c.loop.Soon(c.gone)
 	}
 }
 
-// alive finds what the poller is about to close. Guards against nbio closing a descriptor in a failing write: the
-// number is used again at once, and an event for the old connection that the poller still holds then closes the
-// new one. Only the poller may close.
-func alive(fd int) error {
-	poll := []unix.PollFd{{Fd: int32(fd)}}
-	if n, err := unix.Poll(poll, 0); err == nil && n > 0 && poll[0].Revents&(unix.POLLERR|unix.POLLHUP) != 0 {
-		return net.ErrClosed
+// state asks the system. Guards against nbio closing a descriptor in a failing write: the number is used again at
+// once, and an event for the old connection that the poller still holds then closes the new one. Only the poller
+// may close.
+func (c *Conn) state() (state int16) {
+	err := c.control(func(fd int) error {
+		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		_, err := unix.Poll(poll, 0)
+		state = poll[0].Revents
+		return err
+	})
+	if err != nil {
+		return unix.POLLHUP
 	}
-	return nil
+	return state
 }
 
+// Unread tells whether something has come that Data has not been given yet.
+func (c *Conn) Unread() bool { return c.read.Load() != c.handled || c.state()&unix.POLLIN != 0 }
+
 // Sent tells whether the system has taken the last byte of all that was written.
 func (c *Conn) Sent() bool { return c.written.Load() == c.asked }
 
