--- a/cmd/wayloft/main.go
+++ b/cmd/wayloft/main.go
@@ -52,7 +52,7 @@
 
 func main() {
 	ctx := kong.Parse(&cli, kong.Name("wayloft"),
-		kong.Description("A read/write splitter for database clusters."), kong.UsageOnError())
+		kong.Description("A read/write splitter for database clusters."))
 	logrus.SetOutput(os.Stderr)
 	logrus.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, DisableColors: true,
 		TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
