--- a/cmd/wayloft/serve_test.go
+++ b/cmd/wayloft/serve_test.go
@@ -17,7 +17,7 @@
 )
 
 const configuration = `{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
-"limits":{"cores":1.0,"memory_mb":192,"sockets":256},
+"limits":{"cores":1.0,"memory_mb":16,"sockets":256},
 "known":{"revision":41,"complete":true,"members":[]},
 "settings":{"balancers":1,"discovery":"push",
 "contract":{"coldFrom":0.2,"warmUp":1000000,"fallMultiple":2.5,"overloadFor":2000000},
@@ -38,7 +38,7 @@
 		{"127.0.0.1:0", "127.0.0.1", "listen: "},
 		{"8c1f30d27a5be964", "green", "seed: "},
 		{`"sockets":256`, `"sockets":8`, "limits.sockets: must be 128 at least"},
-		{`"memory_mb":192`, `"memory_mb":"much"`, "limits.memory_mb: must be a number"},
+		{`"memory_mb":16`, `"memory_mb":"much"`, "limits.memory_mb: must be a number"},
 		{`"members":[]`, `"members":[{"id":"a","host_port":"b:1","phase":"asleep"}]`, `members[0].phase: unknown value "asleep"`},
 		{`"discovery":"push"`, `"discovery":"guess"`, `settings: discovery: unknown value "guess"`},
 		{`"fragile"`, `"glass"`, `settings: profiles[1].idempotency: unknown value "glass"`},
@@ -311,3 +311,29 @@
 		return stays.Answer() == "v ok ready"
 	})
 }
+
+// Statements that together hold too much are declined, and parts of them end their session; the rest is served.
+func TestMemory(t *testing.T) {
+	addr, _, _ := start(t, "127.0.0.1:1", 512, member(t).Addr)
+	long := strings.Repeat("x", 150<<10)
+	var hung []*standin.Client
+	for n := range 40 {
+		c := standin.NewClient(t, addr, true)
+		c.Ask(put(fmt.Sprint("l", n), "hang "+long))
+		hung = append(hung, c)
+	}
+	one := standin.NewClient(t, addr, true)
+	standin.Until(t, "one more is declined", func() bool {
+		one.Ask(look("one", long))
+		return one.Answer() == "53300 ready"
+	})
+	for n, c := range hung {
+		if got := c.Answer(); got != "08007 ready" && got != "53300 ready" {
+			t.Fatalf("client %d: %q", n, got)
+		}
+	}
+	one.Ask(look("two", long))
+	if got := one.Answer(); got != long+" ok ready" {
+		t.Errorf("afterwards: %.40q", got)
+	}
+}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -41,10 +41,11 @@
 	in    *pg.Reader
 	queue []item
 	txn   *exchange.Txn
-	held  int
 	since float64 // when it last became quiet
 	deaf  bool    // takes no more input
 	skips bool    // an error of the extended protocol: all up to Sync is passed over
+
+	held, partial int // bytes of statements, and of the one that is not whole yet, which is among them
 }
 
 type item struct {
@@ -53,6 +54,8 @@
 	fatal bool
 }
 
+var crowded = &pg.Error{Code: pg.Refused, Text: "too many statements at once"}
+
 // New makes room for so many sessions, which together hold so many bytes of statements.
 func New(h *host.Host, most, budget int) *Clients {
 	return &Clients{host: h, most: most, budget: budget, sessions: map[*session]bool{},
@@ -105,23 +108,18 @@
 }
 
 // Drain serves on while connections may come, then ends each session once it is quiet, and the loop after the last.
-func (a *Clients) Drain() {
-	a.host.After(comers, func() {
-		a.leaving = true
-		for s := range a.sessions {
-			if s.quiet() && !s.conn.Unread() {
-				s.finish()
-			}
-		}
-		a.left()
-	})
-	a.host.After(2*comers, func() { // what has not sent its query to the end by now never will
-		for s := range a.sessions {
-			if s.txn == nil && len(s.queue) == 0 {
-				s.finish()
-			}
+func (a *Clients) Drain() { a.host.After(comers, a.sweep) }
+
+// sweep ends what is quiet; from the second time on also what has not sent its query to the end, and never will.
+func (a *Clients) sweep() {
+	for s := range a.sessions {
+		if (s.quiet() || a.leaving && s.txn == nil && len(s.queue) == 0) && !s.conn.Unread() {
+			s.finish()
 		}
-	})
+	}
+	a.leaving = true
+	a.left()
+	a.host.After(comers, a.sweep)
 }
 
 func (a *Clients) left() {
@@ -172,7 +170,13 @@
 			s.deaf = true
 			s.queue = append(s.queue, item{fail: broken, fatal: true})
 		} else if !ok {
-			return
+			s.all.hold(s, s.in.Pending()-s.partial)
+			s.partial = s.in.Pending()
+			if s.all.held <= 2*s.all.budget || s.partial == 0 {
+				return
+			}
+			s.deaf = true
+			s.queue = append(s.queue, item{fail: crowded, fatal: true})
 		} else {
 			s.message(m)
 		}
@@ -193,7 +197,7 @@
 		s.queue = append(s.queue, item{fail: &pg.Error{Code: pg.TooLong, Text: "too much sent ahead"}, fatal: true})
 	case m.Kind == pg.Query && s.all.held+len(m.Text) > s.all.budget:
 		s.all.Refused++
-		s.queue = append(s.queue, item{fail: &pg.Error{Code: pg.Refused, Text: "too many statements at once"}})
+		s.queue = append(s.queue, item{fail: crowded})
 	default:
 		s.all.hold(s, len(m.Text))
 		s.queue = append(s.queue, item{Message: m})
