A connection that has ended, or was made before its member moved, is not used again

Observed in the new test: a submission on an idle connection whose end the loop had not heard of came back as not connected, which marks a sound member down, or as a reset, which rolls a once-only txn back. At fault: begin took the newest idle connection unasked, rest kept one made before the address changed. Ruled out: the stand-in (its answers were whole). The system is now asked first.

--- a/internal/host/loop.go
+++ b/internal/host/loop.go
@@ -251,8 +251,8 @@
 	return state
 }
 
-// Unread tells whether something has come that Data has not been given yet.
-func (c *Conn) Unread() bool { return c.read.Load() != c.handled || c.state()&unix.POLLIN != 0 }
+// Unread tells whether something has come that the handler has not heard of yet: bytes, or the end.
+func (c *Conn) Unread() bool { return c.read.Load() != c.handled || c.state() != 0 }
 
 // Sent tells whether the system has taken the last byte of all that was written.
 func (c *Conn) Sent() bool { return c.written.Load() == c.asked }
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -60,6 +60,7 @@
 	id, addr string
 	barred   bool
 	started  float64
+	epoch    int     // connections made before the last change of address or start are not used again
 	idle     []*link // newest last
 	links    map[*link]bool
 }
@@ -80,6 +81,7 @@
 type link struct {
 	all   *Members
 	to    *member
+	epoch int
 	conn  *host.Conn
 	in    *pg.Reader
 	job   *job
@@ -116,6 +118,7 @@
 			a.byID[e.ID] = m
 		}
 		if m.addr != e.Addr || m.started != e.Started {
+			m.epoch++
 			a.CloseIdle(e.ID)
 		}
 		m.addr, m.started, m.barred = e.Addr, e.Started, e.State != router.Up
@@ -188,9 +191,13 @@
 	}
 	j.to = m
 	j.timer = a.host.After(j.until-j.at, func() { a.end(j, router.TimedOut) })
-	if n := len(m.idle); n > 0 {
-		l := m.idle[n-1]
-		m.idle = m.idle[:n-1]
+	for n := len(m.idle) - 1; n >= 0; n-- {
+		l := m.idle[n]
+		if l.conn.Unread() { // its end, or what doesn't belong there: a query would meet a reset
+			l.drop()
+			continue
+		}
+		m.idle = m.idle[:n]
 		l.take(j)
 		return
 	}
@@ -199,7 +206,8 @@
 		return
 	}
 	a.links++
-	a.host.Dial(m.addr, a.limits.DialTimeout, func(c *host.Conn, err error) { a.dialled(j, c, err) })
+	epoch := m.epoch
+	a.host.Dial(m.addr, a.limits.DialTimeout, func(c *host.Conn, err error) { a.dialled(j, epoch, c, err) })
 }
 
 // unsent ends a job for which this router has no connection left; that says nothing of the member.
@@ -227,7 +235,7 @@
 }
 
 // dialled goes on with a connection that is up, or none. Until the member has let it in nothing has been asked.
-func (a *Members) dialled(j *job, c *host.Conn, err error) {
+func (a *Members) dialled(j *job, epoch int, c *host.Conn, err error) {
 	switch {
 	case errors.Is(err, unix.EMFILE) || errors.Is(err, unix.ENFILE):
 		a.links--
@@ -238,9 +246,12 @@
 		a.end(j, router.ConnectFailed)
 		return
 	}
-	l := &link{all: a, to: j.to, conn: c, in: pg.NewReader(true, longest)}
+	l := &link{all: a, to: j.to, epoch: epoch, conn: c, in: pg.NewReader(true, longest)}
 	j.to.links[l] = true
 	c.Handle(l)
+	if epoch != j.to.epoch {
+		a.end(j, router.Moot)
+	}
 	if j.over {
 		l.drop()
 		return
@@ -322,52 +333,44 @@
 	if j.txn != nil && (how == router.TimedOut || how == router.Revoked) && (l == nil || !l.sent()) {
 		how = router.Moot // given up before it was written: that says nothing of the member
 	}
-	var rows []byte
-	role, gtid := router.Unsaid, router.Never
+	var rows, cell []byte
+	role, gtid, vital := router.Unsaid, router.Never, ""
 	if l != nil {
 		l.job, l.asked = nil, false
+		if l.stage == through || how == router.Committed {
+			rows, cell, role, gtid, vital = l.rows, l.cell, l.role, l.gtid, l.vital
+		}
 		if l.stage == through {
 			l.rest()
 		} else {
 			l.drop()
 		}
-		if l.stage == through || how == router.Committed {
-			rows, role, gtid = l.rows, l.role, l.gtid
-		}
 	}
 	// DESIGN: the pool is cleared with the mark. Connections to what vanished stay open and silent otherwise.
 	if how == router.Reset || how == router.ConnectFailed || how == router.TimedOut && j.txn == nil {
 		a.CloseIdle(j.to.id)
 	}
 	if j.txn == nil {
-		a.checked(j, how, l)
+		a.host.Checked(j.to.id, how)
+		a.reported(j.to.id, string(cell))
 		return
 	}
 	must.Hold(a.jobs[j.txn.ID] == j, "one submission of a txn at a time")
 	delete(a.jobs, j.txn.ID)
 	a.host.Returned(j.txn, j.seq, j.to.id, how, a.host.Now()-j.at, role, gtid, rows)
-	if role != router.Unsaid {
-		a.reported(j.to.id, l.vital)
-	}
+	a.reported(j.to.id, vital)
 }
 
 // rest keeps the connection for the next job.
 func (l *link) rest() {
-	if l.to.barred || l.in.Pending() > 0 {
+	if l.to.barred || l.epoch != l.to.epoch || l.in.Pending() > 0 {
 		l.drop()
 		return
 	}
-	l.since = l.all.host.Now()
+	l.rows, l.cell, l.since = nil, nil, l.all.host.Now()
 	l.to.idle = append(l.to.idle, l)
 }
 
-func (a *Members) checked(j *job, how router.Outcome, l *link) {
-	a.host.Checked(j.to.id, how)
-	if how == router.Committed && a.limits.Reports {
-		a.reported(j.to.id, string(l.cell))
-	}
-}
-
 // reported reads a report, name=value by commas: the position in seconds, and whether it is from a primary.
 func (a *Members) reported(id, vitals string) {
 	role, at, told := router.Replica, 0.0, false
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -270,3 +270,42 @@
 		}
 	}
 }
+
+// A connection whose end has come, though nobody has heard of it yet, is not used: its query would meet a reset.
+func TestEndedConnectionIsNotUsed(t *testing.T) {
+	e, side := start(t, 10)
+	m := standin.NewMember(t, nil, func(string) *standin.Reply {
+		r := standin.Row("v", "source", "1")
+		r.Close = true
+		return r
+	})
+	e.do(func() { side.List(list(m.Addr, router.Up)) })
+	for n := range 20 {
+		e.do(func() {
+			time.Sleep(5 * time.Millisecond) // the end comes while the loop is busy
+			side.Submit(txn(e, fmt.Sprint(n), 5000), 0, "a", 0)
+		})
+		if got := e.hear(t); got != "0 committed 1 1 true" {
+			t.Fatalf("submission %d: %q", n, got)
+		}
+	}
+}
+
+// What was out when a member moved ends as it does, but its connection is not kept for the new address.
+func TestMovedWhileOut(t *testing.T) {
+	e, side := start(t, 10)
+	answer := make(chan bool)
+	old := standin.NewMember(t, nil, func(string) *standin.Reply { <-answer; return standin.Row("v", "source", "1") })
+	moved := standin.NewMember(t, nil, func(string) *standin.Reply { return standin.Row("v", "source", "2") })
+	e.do(func() { side.List(list(old.Addr, router.Up)); side.Submit(txn(e, "1", 5000), 0, "a", 0) })
+	standin.Until(t, "it is out", func() bool { _, asked := old.Seen(); return len(asked) > 0 })
+	e.do(func() { side.List(list(moved.Addr, router.Up)) })
+	close(answer)
+	if got := e.hear(t); got != "0 committed 1 1 true" {
+		t.Errorf("got %q", got)
+	}
+	e.do(func() { side.Submit(txn(e, "2", 5000), 0, "a", 0) })
+	if got := e.hear(t); got != "0 committed 1 2 true" {
+		t.Errorf("after the move: %q", got)
+	}
+}
