--- a/router/router.go
+++ b/router/router.go
@@ -102,7 +102,7 @@
 	mayRun          float64 // when the earliest submission that may have run went out; Never: none may have
 	ranZone         string
 	met             Outcome // how the last submission ended
-	asked           float64 // when checks were asked for on its behalf
+	asked, half     float64 // when checks were asked for on its behalf; half of this try's time
 	admitted        bool
 	placed          bool // a submission is out
 	over            bool // it has had its final answer
@@ -284,7 +284,7 @@
 		age = 0
 	}
 	t := &txn{id: id, kind: kind, use: r.uses[kind], group: g, arrived: r.now - age, expiry: r.now + ttl,
-		needs: Never, session: session, mayRun: Never, asked: Never, value: kind.Value}
+		half: r.now + ttl/2, needs: Never, session: session, mayRun: Never, asked: Never, value: kind.Value}
 	switch {
 	case kind.Level == Session && r.set.Remembered:
 		if at, ok := r.commits[session]; ok {
@@ -809,11 +809,11 @@
 	return d, true
 }
 
-// hopeless tells that nothing more can come of sending the txn.
+// hopeless tells that nothing more can come of it. Unsent at half its time, its client had better come back.
 func (r *Router) hopeless(t *txn) bool {
 	usual, ran := r.usual(t), t.mayRun != Never
 	return len(t.subs) >= r.set.Submissions || r.now+usual > t.expiry ||
-		ran && t.kind.Effect == OnceOnly ||
+		ran && t.kind.Effect == OnceOnly || len(t.subs) == 0 && r.now+2*beat > t.half ||
 		ran && t.kind.Level == Write && t.met == Reset || // DESIGN: a write that met a reset ends in error
 		ran && t.kind.Effect == Referenced && r.now-t.mayRun > t.kind.Window ||
 		t.kind.LateValue == 0 && r.now+usual > t.arrived+t.kind.SLA
