--- a/router/router.go
+++ b/router/router.go
@@ -201,8 +201,7 @@
 	if r.now = now; r.born == 0 {
 		r.born = now
 	}
-	r.cursor = 0
-	r.sorted = false
+	r.cursor, r.sorted = 0, false
 	for _, m := range r.busy {
 		// Guards against whatever takes txns and answers none: hung, vanished or cut off. Long pauses look the
 		// same for a while; the first answer ends the doubt.
@@ -809,11 +808,12 @@
 	return d, true
 }
 
-// hopeless tells that nothing more can come of it. Unsent at half its time, its client had better come back.
+// hopeless tells that nothing can come of it. Unsent at half its time in vain: its client had better return.
 func (r *Router) hopeless(t *txn) bool {
-	usual, ran := r.usual(t), t.mayRun != Never
+	p, usual, ran := r.primary(t.group), r.usual(t), t.mayRun != Never
 	return len(t.subs) >= r.set.Submissions || r.now+usual > t.expiry ||
-		ran && t.kind.Effect == OnceOnly || len(t.subs) == 0 && r.now+2*beat > t.half ||
+		ran && t.kind.Effect == OnceOnly || len(t.subs) == 0 && r.now+2*beat > t.half &&
+		(p == nil || p.doubted || r.now > t.arrived+t.kind.SLA) ||
 		ran && t.kind.Level == Write && t.met == Reset || // DESIGN: a write that met a reset ends in error
 		ran && t.kind.Effect == Referenced && r.now-t.mayRun > t.kind.Window ||
 		t.kind.LateValue == 0 && r.now+usual > t.arrived+t.kind.SLA
