--- a/cmd/wayloft/serve.go
+++ b/cmd/wayloft/serve.go
@@ -34,7 +34,11 @@
 	term := make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
 	debug.SetMemoryLimit(int64(conf.memory) / 10 * 7) // the rest is for stacks, and the system's share
-	return serve(conf, term)
+	listener, err := net.Listen("tcp", conf.listen)
+	if err != nil {
+		return err
+	}
+	return serve(conf, listener, term)
 }
 
 // service is the parts of one router.
@@ -47,8 +51,8 @@
 	lost    bool // the watch on the list is down
 }
 
-// serve runs a router until something comes on term and all that was taken is answered.
-func serve(conf *config, term <-chan os.Signal) error {
+// serve runs a router on a listener until something comes on term and all that was taken is answered.
+func serve(conf *config, listener net.Listener, term <-chan os.Signal) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	asked := make(chan struct{}, 1)
@@ -68,10 +72,6 @@
 		func(l *discovery.List) { s.host.Post(func() { s.heard(l) }) },
 		func(err error) { s.host.Post(func() { s.failed(err) }) })
 
-	listener, err := net.Listen("tcp", conf.listen)
-	if err != nil {
-		return err
-	}
 	known := *conf.known
 	known.Whole = true
 	s.host.Soon(func() { s.list(&known) })
