--- a/cmd/wayloft/serve.go
+++ b/cmd/wayloft/serve.go
@@ -43,12 +43,10 @@
 
 // service is the parts of one router.
 type service struct {
-	conf    *config
-	host    *host.Host
-	front   *clients.Clients
-	side    *members.Members
-	watcher *discovery.Watcher
-	lost    bool // the watch on the list is down
+	host  *host.Host
+	front *clients.Clients
+	side  *members.Members
+	lost  bool // the watch on the list is down
 }
 
 // serve runs a router on a listener until something comes on term and all that was taken is answered.
@@ -56,7 +54,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	asked := make(chan struct{}, 1)
-	s := &service{conf: conf}
+	s := &service{}
 	s.host = host.New(host.NewLoop(conf.sockets), router.New(conf.set, conf.seed), func() {
 		select {
 		case asked <- struct{}{}:
@@ -68,7 +66,7 @@
 	s.side = members.New(s.host, members.Limits{DialTimeout: conf.host.DialTimeout, IdleClose: conf.host.IdleClose,
 		Reports: conf.host.Reports, Links: each})
 	s.host.Use(s.side)
-	s.watcher = discovery.New(conf.discovery, conf.known.Revision,
+	watcher := discovery.New(conf.discovery, conf.known.Revision,
 		func(l *discovery.List) { s.host.Post(func() { s.heard(l) }) },
 		func(err error) { s.host.Post(func() { s.failed(err) }) })
 
@@ -81,9 +79,9 @@
 	logrus.WithFields(logrus.Fields{"name": conf.name, "listen": conf.listen, "revision": known.Revision,
 		"members": len(known.Entries)}).Info("serving")
 	if conf.set.Ask {
-		go s.watcher.Answer(ctx, asked)
+		go watcher.Answer(ctx, asked)
 	} else {
-		go s.watcher.Keep(ctx)
+		go watcher.Keep(ctx)
 	}
 	go func() {
 		logrus.WithField("signal", <-term).Info("draining")
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -170,7 +170,7 @@
 			s.deaf = true
 			s.queue = append(s.queue, item{fail: broken, fatal: true})
 		} else if !ok {
-			s.all.hold(s, s.in.Pending()-s.partial)
+			s.hold(s.in.Pending()-s.partial)
 			s.partial = s.in.Pending()
 			if s.all.held <= 2*s.all.budget || s.partial == 0 {
 				return
@@ -199,15 +199,15 @@
 		s.all.Refused++
 		s.queue = append(s.queue, item{fail: crowded})
 	default:
-		s.all.hold(s, len(m.Text))
+		s.hold(len(m.Text))
 		s.queue = append(s.queue, item{Message: m})
 	}
 }
 
 // hold counts bytes that the session holds.
-func (a *Clients) hold(s *session, n int) {
+func (s *session) hold(n int) {
 	s.held += n
-	a.held += n
+	s.all.held += n
 }
 
 // next answers what can be answered at once, up to the first txn.
@@ -237,7 +237,7 @@
 		s.skips = false
 		s.conn.Write(pg.AppendReady(nil))
 	case s.skips && i.fail == nil:
-		s.all.hold(s, -len(i.Text))
+		s.hold(-len(i.Text))
 	case i.fail != nil:
 		s.fail(i.fail)
 	case i.Kind == pg.Terminate:
@@ -249,7 +249,7 @@
 	case i.Kind == pg.Function:
 		s.fail(&pg.Error{Code: pg.Unsupported, Text: "simple queries only"})
 	case strings.TrimSpace(strings.TrimRight(i.Text, "; \t\r\n")) == "":
-		s.all.hold(s, -len(i.Text))
+		s.hold(-len(i.Text))
 		s.conn.Write(pg.AppendReady(pg.AppendEmpty(nil)))
 	default:
 		s.take(i.Text)
@@ -275,7 +275,7 @@
 		bad = &pg.Error{Code: pg.Invalid, Text: err.Error()}
 	}
 	s.all.Bad++
-	s.all.hold(s, -len(text))
+	s.hold(-len(text))
 	s.fail(bad)
 }
 
@@ -291,7 +291,7 @@
 // deliver writes the final answer. What comes next waits its turn, since decisions are just being pulled.
 func (s *session) deliver(a exchange.Answer, size int) {
 	s.txn = nil
-	s.all.hold(s, -size)
+	s.hold(-size)
 	switch {
 	case a.Committed != nil:
 		s.conn.Write(pg.AppendReady(a.Committed))
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -100,7 +100,7 @@
 			return
 		}
 		w.failed(err)
-		if time.Since(before) > 2*silence { // it went well for a while
+		if time.Since(before) > 2*w.silence { // it went well for a while
 			wait = leastWait
 		}
 		select {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -73,7 +73,7 @@
 			age = 1e-300
 		}
 	}
-	if !h.hear().Arrive(t.ID, t.Tenant, t.Session, t.TxnType, t.Group, age, t.Expiry-t.Arrived, t.Marked) {
+	if !h.hear().Arrive(t.ID, t.Tenant, t.Session, t.TxnType, t.Group, age, t.Wait, t.Marked) {
 		return ErrTxnType
 	}
 	h.open[t.ID] = &entry{txn: t}
@@ -100,7 +100,7 @@
 	h.forget(t.ID)
 }
 
-// Checked says how a check ended, and what the member reported of itself.
+// Checked says how a check ended.
 func (h *Host) Checked(member string, how router.Outcome) { h.hear().Checked(member, how) }
 
 // Reported conveys a member's report.
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -191,7 +192,8 @@
 	}
 	j.to = m
 	j.timer = a.host.After(j.until-j.at, func() { a.end(j, router.TimedOut) })
-	for n := len(m.idle) - 1; n >= 0; n-- {
+	for len(m.idle) > 0 {
+		n := len(m.idle) - 1
 		l := m.idle[n]
 		if l.conn.Unread() { // its end, or what doesn't belong there: a query would meet a reset
 			l.drop()
@@ -284,12 +286,7 @@
 func (l *link) drop() {
 	if l.to.links[l] {
 		delete(l.to.links, l)
-		for n, other := range l.to.idle {
-			if other == l {
-				l.to.idle = append(l.to.idle[:n], l.to.idle[n+1:]...)
-				break
-			}
-		}
+		l.to.idle = slices.DeleteFunc(l.to.idle, func(o *link) bool { return o == l })
 		l.all.links--
 		l.conn.Close()
 	}
--- a/internal/pg/pg.go
+++ b/internal/pg/pg.go
@@ -19,8 +19,6 @@
 	NotNow      = "57P03"
 	NoPrimary   = "25006"
 	TooOld      = "72000"
-	Internal    = "XX000"
-	Shutdown    = "57P01"
 	Taken       = "42710"
 	Unresolved  = "08007" // whether it took effect is not known
 )
--- a/internal/pg/statement.go
+++ b/internal/pg/statement.go
@@ -86,6 +86,3 @@
 func (s *Statement) AppendQuery(out []byte, left float64) []byte {
 	return AppendQuery(out, s.head, strconv.Itoa(int(max(1, left))), s.tail)
 }
-
-// Size is about how many bytes it holds.
-func (s *Statement) Size() int { return len(s.head) + len(s.tail) }
--- a/router/router.go
+++ b/router/router.go
@@ -238,8 +238,7 @@
 		r.order = append(r.order, m)
 		g.members = append(g.members, m)
 	}
-	r.listed[id] = true
-	g.checkAt = r.now
+	r.listed[id], g.checkAt = true, r.now
 	if started > m.started {
 		m.started = started
 		m.begin()
@@ -678,7 +677,7 @@
 // for a member marked unknown or down, and for all while txns wait for a primary.
 func (r *Router) period(m *member) float64 {
 	g := m.group
-	if p := r.primary(g); (p == nil || p.doubted) && r.now-g.held < recheckGap {
+	if r.headless(g) && r.now-g.held < recheckGap {
 		return recheckGap
 	}
 	rate := g.arrived.read(r.now, r.span) / r.span
@@ -701,6 +700,8 @@
 	return best
 }
 
+func (r *Router) headless(g *group) bool { p := r.primary(g); return p == nil || p.doubted }
+
 // nextRevoke takes repeatable txns back to send them again: from a member in doubt, and where the answer is
 // rather lost than late, if another try can still be in time. One that is only long is worked on twice.
 func (r *Router) nextRevoke() (Decision, bool) {
@@ -810,10 +811,10 @@
 
 // hopeless tells that nothing can come of it. Unsent at half its time in vain: its client had better return.
 func (r *Router) hopeless(t *txn) bool {
-	p, usual, ran := r.primary(t.group), r.usual(t), t.mayRun != Never
+	usual, ran := r.usual(t), t.mayRun != Never
 	return len(t.subs) >= r.set.Submissions || r.now+usual > t.expiry ||
 		ran && t.kind.Effect == OnceOnly || len(t.subs) == 0 && r.now+2*beat > t.half &&
-		(p == nil || p.doubted || r.now > t.arrived+t.kind.SLA) ||
+		(r.headless(t.group) || r.now > t.arrived+t.kind.SLA) ||
 		ran && t.kind.Level == Write && t.met == Reset || // DESIGN: a write that met a reset ends in error
 		ran && t.kind.Effect == Referenced && r.now-t.mayRun > t.kind.Window ||
 		t.kind.LateValue == 0 && r.now+usual > t.arrived+t.kind.SLA
