--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -170,7 +170,7 @@
 			s.deaf = true
 			s.queue = append(s.queue, item{fail: broken, fatal: true})
 		} else if !ok {
-			s.hold(s.in.Pending()-s.partial)
+			s.hold(s.in.Pending() - s.partial)
 			s.partial = s.in.Pending()
 			if s.all.held <= 2*s.all.budget || s.partial == 0 {
 				return
