--- a/cmd/wayloft/config.go
+++ b/cmd/wayloft/config.go
@@ -16,6 +16,7 @@
 
 // config is all that a router is told at its start.
 type config struct {
+	path                    string
 	name, listen, discovery string
 	seed                    uint64
 	memory                  int // bytes
@@ -23,6 +24,7 @@
 	known                   *discovery.List
 	set                     *router.Settings
 	host                    *settings.Host
+	texts                   map[string]string // what only a restart puts in force, as it is in the file
 }
 
 const leastSockets = 2 * ownSockets // below it there is hardly room for sessions and members
@@ -41,9 +43,23 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	c.path = path
 	return c, nil
 }
 
+// differs names what is not the same in another configuration and takes a restart.
+func (c *config) differs(other *config) []string {
+	var names []string
+	for _, name := range restarts {
+		if c.texts[name] != other.texts[name] {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+var restarts = []string{"name", "listen", "limits", "settings"}
+
 func decode(v *fastjson.Value) (*config, error) {
 	if v.Type() != fastjson.TypeObject {
 		return nil, errors.New("must be an object")
@@ -85,5 +101,9 @@
 	if c.host.DialTimeout <= 0 || c.host.IdleClose <= 0 {
 		return nil, errors.New("settings: permissions.dialTimeout, permissions.idleClose: must be more than 0")
 	}
+	c.texts = map[string]string{}
+	for _, name := range restarts {
+		c.texts[name] = string(v.Get(name).MarshalTo(nil))
+	}
 	return c, nil
 }
--- a/cmd/wayloft/serve.go
+++ b/cmd/wayloft/serve.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
 	"syscall"
 
 	"github.com/sirupsen/logrus"
@@ -27,30 +28,31 @@
 type serveCmd struct{ where }
 
 func (c *serveCmd) Run() error {
+	signals := make(chan os.Signal, 16) // from here on SIGHUP ends nothing
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	conf, err := load(c.Config)
 	if err != nil {
 		return err
 	}
-	term := make(chan os.Signal, 1)
-	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
 	debug.SetMemoryLimit(int64(conf.memory) / 10 * 7) // the rest is for stacks, and the system's share
 	listener, err := net.Listen("tcp", conf.listen)
 	if err != nil {
 		return err
 	}
-	return serve(conf, listener, term)
+	return serve(conf, listener, signals)
 }
 
 // service is the parts of one router.
 type service struct {
-	host  *host.Host
-	front *clients.Clients
-	side  *members.Members
-	lost  bool // the watch on the list is down
+	host    *host.Host
+	front   *clients.Clients
+	side    *members.Members
+	watcher *discovery.Watcher
+	lost    bool // the watch on the list is down
 }
 
-// serve runs a router on a listener until something comes on term and all that was taken is answered.
-func serve(conf *config, listener net.Listener, term <-chan os.Signal) error {
+// serve runs a router on a listener until a signal but SIGHUP comes and all that was taken is answered.
+func serve(conf *config, listener net.Listener, signals <-chan os.Signal) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	asked := make(chan struct{}, 1)
@@ -66,7 +68,7 @@
 	s.side = members.New(s.host, members.Limits{DialTimeout: conf.host.DialTimeout, IdleClose: conf.host.IdleClose,
 		Reports: conf.host.Reports, Links: each})
 	s.host.Use(s.side)
-	watcher := discovery.New(conf.discovery, conf.known.Revision,
+	s.watcher = discovery.New(conf.discovery, conf.known.Revision,
 		func(l *discovery.List) { s.host.Post(func() { s.heard(l) }) },
 		func(err error) { s.host.Post(func() { s.failed(err) }) })
 
@@ -79,13 +81,19 @@
 	logrus.WithFields(logrus.Fields{"name": conf.name, "listen": conf.listen, "revision": known.Revision,
 		"members": len(known.Entries)}).Info("serving")
 	if conf.set.Ask {
-		go watcher.Answer(ctx, asked)
+		go s.watcher.Answer(ctx, asked)
 	} else {
-		go watcher.Keep(ctx)
+		go s.watcher.Keep(ctx)
 	}
 	go func() {
-		logrus.WithField("signal", <-term).Info("draining")
-		s.host.Post(s.front.Drain)
+		for sig := range signals {
+			if sig == syscall.SIGHUP {
+				s.reload(conf)
+				continue
+			}
+			logrus.WithField("signal", sig).Info("draining")
+			s.host.Post(s.front.Drain)
+		}
 	}()
 	s.host.After(everyNow, s.now)
 	s.host.Run()
@@ -93,6 +101,22 @@
 	return nil
 }
 
+// reload reads the file that the router was started with once more. Only discovery's address can change while it
+// runs; a file that is wrong changes nothing.
+func (s *service) reload(old *config) {
+	conf, err := load(old.path)
+	if err != nil {
+		logrus.WithError(err).Error("the new configuration is wrong, the old one stays")
+		return
+	}
+	s.watcher.Move(conf.discovery)
+	entry := logrus.WithField("discovery", conf.discovery)
+	if wait := old.differs(conf); len(wait) > 0 {
+		entry = entry.WithField("restart_for", strings.Join(wait, ","))
+	}
+	entry.Info("configuration read again")
+}
+
 // list tells the module and the members' side of a list.
 func (s *service) list(l *discovery.List) {
 	s.side.List(l)
--- a/cmd/wayloft/serve_test.go
+++ b/cmd/wayloft/serve_test.go
@@ -45,10 +45,7 @@
 		{`"dialTimeout":250000,`, ``, "permissions.dialTimeout"},
 		{`"settings"`, `"setting"`, "settings: must be an object"},
 	} {
-		if err := os.WriteFile(file, []byte(strings.Replace(configuration, c.old, c.new, 1)), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		_, err := load(file)
+		_, err := load(write(t, file, strings.Replace(configuration, c.old, c.new, 1)))
 		if c.want == "" && err != nil || c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want)) {
 			t.Errorf("%q for %q: got %v, want %q", c.new, c.old, err, c.want)
 		}
@@ -58,6 +55,14 @@
 	}
 }
 
+func write(t *testing.T, file, text string) string {
+	t.Helper()
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
 // start serves with a list of members; it returns the address, and what has it drain and end.
 func start(t *testing.T, discovery string, sockets int, members ...string) (addr string, term chan os.Signal, ended chan error) {
 	t.Helper()
@@ -72,11 +77,8 @@
 	}
 	text := strings.NewReplacer("127.0.0.1:0", addr, "127.0.0.1:1", discovery, `"members":[]`,
 		`"members":[`+strings.Join(rows, ",")+`]`, `"sockets":256`, fmt.Sprintf(`"sockets":%d`, sockets)).Replace(configuration)
-	file := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	conf, err := load(file)
+	t.Setenv("PROXY_CONFIG", write(t, filepath.Join(t.TempDir(), "config.json"), text))
+	conf, err := load(os.Getenv("PROXY_CONFIG"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -156,6 +158,60 @@
 	}
 }
 
+// SIGHUP: a file that is wrong changes nothing; from a good one discovery's address is taken, whose list bars a member
+// that the old one still has, and a txn that is out goes on; after SIGTERM it does no harm.
+func TestReload(t *testing.T) {
+	answer := make(chan bool)
+	gone := standin.NewMember(t, nil, func(sql string) *standin.Reply {
+		if sql == "SHOW vitals" {
+			return &standin.Reply{Bytes: pg.AppendReady(standin.Rows(fmt.Sprintf("x0=%d,x1=1", time.Now().Unix())))}
+		}
+		<-answer
+		return standin.Row("old", "source", "1")
+	})
+	stays := member(t)
+	next := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintf(w, `{"revision":2,"complete":true,"members":[{"id":"new","host_port":"%s","cell":2,"phase":"in_service"}]}`+"\n",
+			stays.Addr)
+	}))
+	t.Cleanup(next.Close)
+	addr, signals, ended := start(t, "127.0.0.1:1", 256, gone.Addr)
+	busy := standin.NewClient(t, addr, true)
+	busy.Ask(look("1", "slow"))
+	standin.Until(t, "it is out", func() bool { _, asked := gone.Seen(); return strings.Contains(strings.Join(asked, ""), "slow") })
+	file := os.Getenv("PROXY_CONFIG")
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write(t, file, strings.Replace(string(text), "8c1f30d27a5be964", "green", 1))
+	for range 2 {
+		signals <- syscall.SIGHUP
+	}
+	standin.Until(t, "the wrong file has been read", func() bool { return len(signals) == 0 })
+	write(t, file+".next", strings.Replace(string(text), "127.0.0.1:1\"", strings.TrimPrefix(next.URL, "http://")+"\"", 1))
+	if err := os.Rename(file+".next", file); err != nil {
+		t.Fatal(err)
+	}
+	signals <- syscall.SIGHUP
+	c := standin.NewClient(t, addr, true)
+	n := 1
+	standin.Until(t, "the new list is in force", func() bool {
+		n++
+		c.Ask(put(fmt.Sprint(n), "y"))
+		return c.Answer() == "y ok ready"
+	})
+	answer <- true
+	if got := busy.Answer(); got != "old ok ready" {
+		t.Errorf("busy: %q", got)
+	}
+	signals <- syscall.SIGTERM
+	signals <- syscall.SIGHUP
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
 func TestTLSIsRefused(t *testing.T) {
 	addr, _, _ := start(t, "127.0.0.1:1", 256, member(t).Addr)
 	c := standin.NewClient(t, addr, false)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -9,9 +9,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/valyala/fastjson"
@@ -23,7 +25,7 @@
 const (
 	silence   = 5 * time.Second // a line comes every 2 s at least
 	leastWait = 100 * time.Millisecond
-	mostWait  = 2 * time.Second
+	mostWait  = time.Second
 	longest   = 4 << 20 // bytes of one line
 )
 
@@ -75,20 +77,46 @@
 	return l, f.Err
 }
 
+// errMoved ends a watch whose address has changed.
+var errMoved = errors.New("discovery has moved")
+
 // Watcher keeps a watch on the list.
 type Watcher struct {
-	url      string
 	revision int64
 	deliver  func(*List)
 	failed   func(error)
 	client   *http.Client
 	silence  time.Duration // after which a watch is given up
+
+	mu    sync.Mutex
+	addr  string
+	fresh bool                    // the address is new: its revisions may have nothing to do with the last one's
+	stop  context.CancelCauseFunc // ends the watch that is on
+	moved chan struct{}
 }
 
 // New makes a watcher from a revision on. Both functions are called from its own goroutine.
 func New(addr string, revision int64, deliver func(*List), failed func(error)) *Watcher {
-	return &Watcher{url: "http://" + addr + "/api/targets", revision: revision, deliver: deliver, failed: failed,
-		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, silence: silence}
+	return &Watcher{addr: addr, revision: revision, deliver: deliver, failed: failed, silence: silence,
+		moved: make(chan struct{}, 1), client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+}
+
+// Move names another address. What is on with the old one ends, and the new one is asked at once; until it has
+// answered, nothing that is known changes. It may be called from anywhere.
+func (w *Watcher) Move(addr string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if addr == w.addr {
+		return
+	}
+	w.addr, w.fresh = addr, true
+	if w.stop != nil {
+		w.stop(errMoved)
+	}
+	select {
+	case w.moved <- struct{}{}:
+	default: // it has not noticed the last move yet
+	}
 }
 
 // Keep watches until ctx ends, and asks again with backing off whenever a watch ends.
@@ -99,56 +127,119 @@
 		if ctx.Err() != nil {
 			return
 		}
-		w.failed(err)
+		if !errors.Is(err, errMoved) {
+			w.failed(err)
+		}
 		if time.Since(before) > 2*w.silence { // it went well for a while
 			wait = leastWait
 		}
 		select {
 		case <-ctx.Done():
 			return
+		case <-w.moved:
+			wait = leastWait / 2
 		case <-time.After(time.Duration((0.5 + rand.Float64()) * float64(wait))): // many ask
 		}
 	}
 }
 
-// Answer watches once for each request, for a router that says itself when to ask.
+// Answer watches once for each request and each move, for a router that says itself when to ask.
 func (w *Watcher) Answer(ctx context.Context, asked <-chan struct{}) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-w.moved:
 		case <-asked:
 		}
-		if err := w.Once(ctx); ctx.Err() == nil {
+		if err := w.Once(ctx); ctx.Err() == nil && !errors.Is(err, errMoved) {
 			w.failed(err)
 		}
 	}
 }
 
-// Once watches until the connection ends, falls silent or tells something unsound, and says which.
+// Once watches until the connection ends, falls silent or tells something unsound, and says which. An address that
+// is new is asked for the whole list first, which is taken for what it is whatever its revision.
 func (w *Watcher) Once(ctx context.Context) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	w.mu.Lock()
+	url, fresh := "http://"+w.addr+"/api/targets", w.fresh
+	w.stop = cancel
+	w.mu.Unlock()
 	quiet := time.AfterFunc(w.silence, func() { cancel(errors.New("silent")) })
 	defer quiet.Stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("%s?stream=1&index=%d", w.url, w.revision), nil)
+	if fresh {
+		if err := w.whole(ctx, url); err != nil {
+			return orCause(ctx, err)
+		}
+	}
+	return orCause(ctx, w.follow(ctx, url, quiet))
+}
+
+func (w *Watcher) get(ctx context.Context, url string) (io.ReadCloser, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	res, err := w.client.Do(req)
 	if err != nil {
-		return orCause(ctx, err)
+		return nil, err
 	}
-	defer res.Body.Close()
 	if res.StatusCode != http.StatusOK {
-		return fmt.Errorf("status %d", res.StatusCode)
+		res.Body.Close()
+		return nil, fmt.Errorf("status %d", res.StatusCode)
+	}
+	return res.Body, nil
+}
+
+// whole asks a new address for its list. Guards against taking its revisions for those of the last address.
+func (w *Watcher) whole(ctx context.Context, url string) error {
+	body, err := w.get(ctx, url)
+	if err != nil {
+		return err
 	}
-	lines := bufio.NewReader(res.Body)
-	var parser fastjson.Parser
+	defer body.Close()
+	text, err := io.ReadAll(io.LimitReader(body, longest+1))
+	if err != nil {
+		return err
+	} else if len(text) > longest {
+		return errors.New("list too long")
+	}
+	l, err := decode(text)
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if ctx.Err() != nil { // it has moved again
+		return ctx.Err()
+	}
+	w.fresh, w.revision = false, l.Revision
+	w.deliver(l)
+	return nil
+}
+
+func decode(text []byte) (*List, error) {
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return nil, fmt.Errorf("not JSON: %w", err)
+	}
+	return Decode(v)
+}
+
+// follow delivers each list that a watch tells, a line each.
+func (w *Watcher) follow(ctx context.Context, url string, quiet *time.Timer) error {
+	body, err := w.get(ctx, fmt.Sprintf("%s?stream=1&index=%d", url, w.revision))
+	if err != nil {
+		return err
+	}
+	defer body.Close()
+	lines := bufio.NewReader(body)
 	for told := false; ; told = true {
 		line, err := readLine(lines)
 		if err != nil { // what came of a line that was cut is dropped
-			return orCause(ctx, err)
+			return err
 		}
 		quiet.Reset(w.silence)
 		if line = bytes.TrimSpace(line); len(line) == 0 {
@@ -157,11 +248,7 @@
 			}
 			continue
 		}
-		v, err := parser.ParseBytes(line)
-		if err != nil {
-			return fmt.Errorf("not JSON: %w", err)
-		}
-		l, err := Decode(v)
+		l, err := decode(line)
 		if err != nil {
 			return err
 		}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -101,3 +101,53 @@
 		t.Errorf("%d watches for 2 requests", len(asked))
 	}
 }
+
+// A changed address is asked at once and for the whole list, whose revisions may start elsewhere, while the old one
+// still has its watch open; a list that can't be read there changes nothing, and it is asked again.
+func TestMove(t *testing.T) {
+	old := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintln(w, changed)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	defer old.Close()
+	answers := make(chan string, 3)
+	answers <- "{"
+	answers <- `{"revision":5,"complete":true,"members":[` + entry + `]}`
+	asked := make(chan string, 10)
+	next := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.URL.String()
+		if r.URL.RawQuery == "" {
+			fmt.Fprint(w, <-answers)
+			return
+		}
+		fmt.Fprintln(w, `{"revision":6,"complete":false,"members":[]}`)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	defer next.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	told, failed := make(chan List, 10), make(chan error, 10)
+	w := New(strings.TrimPrefix(old.URL, "http://"), 41, func(l *List) { told <- *l }, func(err error) { failed <- err })
+	go w.Keep(ctx)
+	hear := func(revision int64, whole bool) {
+		t.Helper()
+		if l := <-told; l.Revision != revision || l.Whole != whole {
+			t.Fatalf("told revision %d, whole %v; want %d, %v", l.Revision, l.Whole, revision, whole)
+		}
+	}
+	hear(43, false)
+	w.Move(strings.TrimPrefix(next.URL, "http://"))
+	if err := <-failed; !strings.Contains(err.Error(), "not JSON") {
+		t.Errorf("failed with %v", err)
+	}
+	hear(5, true)
+	hear(6, false)
+	for _, want := range []string{"/api/targets", "/api/targets", "/api/targets?stream=1&index=5"} {
+		if got := <-asked; got != want {
+			t.Errorf("asked %s, want %s", got, want)
+		}
+	}
+	cancel()
+}
