--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -153,7 +153,7 @@
 		}
 		id, seq, node, rtt := f.Text("call"), int(f.OrZero("seqNo")), f.Text("node"), f.OrZero("rtt")/1000
 		if done := f.Flag("terminal"); f.Err == nil {
-			r.Returned(id, seq, node, how, rtt, done, role, gtid)
+			r.Returned(id, seq, how, rtt, done, role, gtid)
 			p.report(i, node, f)
 		}
 	case "ECHO":
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -92,7 +92,7 @@
 func (h *Host) Returned(t *exchange.Txn, seq int, member string, how router.Outcome, took float64,
 	role router.Role, gtid float64, rows []byte) {
 	done := t.Over() || how == router.Committed
-	h.hear().Returned(t.ID, seq, member, how, took, done, role, gtid)
+	h.hear().Returned(t.ID, seq, how, took, done, role, gtid)
 	if how == router.Committed && !t.Over() {
 		t.Commit(rows)
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -74,12 +74,11 @@
 }
 
 type group struct {
-	members []*member
-	used    bool    // it has had traffic here
-	held    float64 // when a txn last found no member to go to
-	checkAt float64 // when its next check may be due
-	arrived fade    // txns
-	reads   fade    // reads that need a known position
+	no             int
+	members        []*member
+	used           bool    // it has had traffic here
+	held, checkAt  float64 // when a txn last found no member to go to; when its next check may be due
+	arrived, reads fade    // txns; reads that need a known position
 }
 
 type submission struct {
@@ -90,46 +89,52 @@
 }
 
 type txn struct {
-	id, session     string
-	kind            *TxnType
-	use             *usage
-	group           *group
-	arrived, expiry float64 // the client's first try, as far as it can be told, and the end of this one
-	needs           float64 // the position a session or fresh read must see
-	value           float64
-	rank            float64 // its place among those waiting
-	subs            []*submission
-	mayRun          float64 // when the earliest submission that may have run went out; Never: none may have
-	ranZone         string
-	met             Outcome // how the last submission ended
-	asked, half     float64 // when checks were asked for on its behalf; half of this try's time
-	admitted        bool
-	placed          bool // a submission is out
-	over            bool // it has had its final answer
+	id, session            string
+	kind                   *TxnType
+	use                    *usage
+	group                  *group
+	arrived, expiry        float64 // the client's first try, as far as it can be told, and the end of this one
+	needs                  float64 // the position a session or fresh read must see
+	value, rank            float64 // rank: its place among those waiting
+	subs                   []*submission
+	mayRun                 float64 // when the earliest submission that may have run went out, if any
+	ranZone                string
+	met                    Outcome // how the last submission ended
+	asked, half            float64 // when checks were asked for on its behalf; half of this try's time
+	admitted, placed, over bool    // placed: a submission is out; over: it has had its final answer
 }
 
 // usage is what one txn type has shown of itself.
 type usage struct {
-	wait, n  fade
-	ended    fade    // tries ended here without success, whose clients may come back
-	patience float64 // the time that most tries are given
-	votes    int
+	wait, n fade
+	ended   fade     // tries ended here without success, whose clients may come back
+	habits  [2]habit // what many tries are given
 }
 
-// age guesses how long a client has been trying: most tries are given one time, a repeat what earlier ones
-// left. Guards against jams of repeats that look new. It misjudges a client impatient from the start.
+type habit struct{ ttl, votes float64 }
+
+// age guesses how long a client has been trying: most tries are given one of two times, a repeat what earlier
+// ones left. Guards against jams of repeats that look new; the second time, against taking clients for old
+// where others turn impatient. It misjudges those whose time is rare.
 func (u *usage) age(now float64, kind *TxnType, ttl float64, marked bool) float64 {
-	if math.Abs(ttl-u.patience) <= kind.Expiry/50 { // a fiftieth: the clock's tick and the network
-		u.votes = min(u.votes+1, 10) // few, since all clients may change their habit at once
-		return 0
-	}
-	if u.votes--; u.votes < 0 {
-		u.patience, u.votes = ttl, 1
+	n := slices.IndexFunc(u.habits[:], func(h habit) bool {
+		return math.Abs(ttl-h.ttl) <= kind.Expiry/50 // a fiftieth: the clock's tick and the network
+	})
+	weak, step, first := 0, 1.0, !marked && u.ended.read(now, 2*kind.Expiry) < 0.5
+	if u.habits[1].votes < u.habits[0].votes {
+		weak = 1
+	}
+	if first { // nobody can be back
+		step = 3
+	}
+	if n >= 0 { // few votes, since all clients may change their habit at once
+		u.habits[n].votes = math.Min(u.habits[n].votes+step, 10)
+	} else if u.habits[weak].votes--; u.habits[weak].votes < 0 {
+		u.habits[weak] = habit{ttl, step}
+	}
+	if first || n >= 0 && (n != weak || u.habits[n].votes > 3) {
 		return 0
 	}
-	if !marked && u.ended.read(now, 2*kind.Expiry) < 0.5 {
-		return 0 // nobody can be back: clients have grown impatient
-	}
 	u.ended.add(now, 2*kind.Expiry, -1)
 	return math.Max(0, kind.Expiry-ttl)
 }
@@ -140,20 +145,18 @@
 	seed, draws          uint64
 	now, born            float64
 	members              map[string]*member
-	order                []*member // as first listed
 	groups               map[int]*group
 	txns                 map[string]*txn
 	waiting              []*txn
-	cursor               int // which of them was looked at last; sorted: since the last input
-	sorted               bool
+	cursor, pruneAt      int                // which of them was looked at last
+	sorted               bool               // since the last input
 	busy                 []*member          // those that hold submissions
 	used                 []*group           // those that have had traffic
 	admit                map[bool]float64   // chance to take txns on, for replicas and primaries
 	worths               fade               // worth by work of what arrived
 	commits              map[string]float64 // session: its last commit, where tokens are the router's own memory
 	done                 fade               // SLA times committed; unlike latency they hold still in a jam
-	flow                 float64            // the most of them that one member has had a ms, on average
-	most                 float64            // members up at once, by the list
+	flow, most           float64            // the most of them a ms and member; members up at once
 	crowded              fade               // connections refused by members whose checks went on
 	idle                 []*member          // whose connections are to be closed
 	arrived, heard, lost fade               // txns; submissions answered in any way, and rather lost than long
@@ -161,7 +164,6 @@
 	uses                 map[*TxnType]*usage
 	shares               map[string]*fade // by tenant
 	listed               map[string]bool
-	pruneAt              int
 	least                float64 // the shortest check period
 	wantWatch, alarmAt   float64 // when to ask for the list again; the alarm that is out
 }
@@ -215,11 +217,14 @@
 	}
 }
 
-func (r *Router) group(no int) *group {
+// group finds a group, or makes one; only what the list names is kept, whatever clients name.
+func (r *Router) group(no int, listed bool) *group {
 	g := r.groups[no]
 	if g == nil {
-		g = &group{held: Never}
-		r.groups[no] = g
+		g = &group{no: no, held: Never, used: !listed}
+		if listed {
+			r.groups[no] = g
+		}
 	}
 	return g
 }
@@ -228,17 +233,16 @@
 func (r *Router) ListStart() { r.listed = map[string]bool{} }
 
 func (r *Router) Listed(id, zone string, groupNo int, state State, started float64) {
-	g := r.group(groupNo)
+	g := r.group(groupNo, true)
 	m := r.members[id]
 	if m == nil {
 		m = &member{id: id, zone: zone, group: g, claim: Never, denial: Never, gtid: Never, started: Never,
 			checkSent: Never, lastAnswer: Never, lastSent: Never, prompt: g.used,
 			guessed: Never, allow: Never, limit: firstLimit}
 		r.members[id] = m
-		r.order = append(r.order, m)
 		g.members = append(g.members, m)
 	}
-	r.listed[id], g.checkAt = true, r.now
+	r.listed[id], g.checkAt = state != Removed, r.now
 	if started > m.started {
 		m.started = started
 		m.begin()
@@ -251,11 +255,23 @@
 
 func (r *Router) ListEnd(whole bool) {
 	up := 0.0
-	for _, m := range r.order {
-		if m.barred = m.barred || whole && !r.listed[m.id] && !r.set.SoftRemoval; !m.barred {
+	for id, m := range r.members {
+		if here, told := r.listed[id]; !here && (told || whole) && !r.set.SoftRemoval {
+			m.barred = true // what is out to it keeps its record; its group goes with the last member
+			delete(r.members, id)
+			m.group.members = slices.DeleteFunc(m.group.members, func(o *member) bool { return o == m })
+		} else if !m.barred {
 			up++
 		}
 	}
+	maps.DeleteFunc(r.groups, func(_ int, g *group) bool { return len(g.members) == 0 })
+	r.used = slices.DeleteFunc(r.used, func(g *group) bool { return len(g.members) == 0 })
+	for _, t := range r.waiting { // its group may have come, or come back
+		if g := r.groups[t.group.no]; g != nil && g != t.group {
+			t.group = g
+			r.use(g)
+		}
+	}
 	r.most = math.Max(r.most, up)
 	if r.set.Ask && r.wantWatch != Never {
 		r.wantWatch = math.Inf(1)
@@ -276,7 +292,7 @@
 	if kind == nil {
 		return false
 	}
-	g := r.group(groupNo)
+	g := r.group(groupNo, false)
 	age := r.uses[kind].age(r.now, kind, ttl, marked)
 	if r.set.MarksRepeats && !marked {
 		age = 0
@@ -284,10 +300,8 @@
 	t := &txn{id: id, kind: kind, use: r.uses[kind], group: g, arrived: r.now - age, expiry: r.now + ttl,
 		half: r.now + ttl/2, needs: Never, session: session, mayRun: Never, asked: Never, value: kind.Value}
 	switch {
-	case kind.Level == Session && r.set.Remembered:
-		if at, ok := r.commits[session]; ok {
-			t.needs = at
-		}
+	case kind.Level == Session && r.set.Remembered && r.commits[session] != 0:
+		t.needs = r.commits[session]
 	case kind.Level == Session && tokenAge != 0: // a commit may be dated a little ahead
 		t.needs = r.now - tokenAge
 	case kind.Level == Fresh:
@@ -297,44 +311,38 @@
 	r.span = math.Max(memory, math.Min(longMemory, sample*longMemory/r.arrived.sum))
 	g.arrived.add(r.now, r.span, 1)
 	g.checkAt = r.now
-	if !g.used { // checks wait for the first traffic: most routers use few groups
-		r.use(g)
-	}
+	r.use(g)
 	if kind.Level == Bounded && r.set.Lag == LagAnswers { // else members see to the bound themselves
 		g.reads.add(r.now, r.span, 1)
 	}
 	if f := r.shares[tenant]; f != nil {
-		f.add(r.now, r.span, 1)
-		if f.sum*1000/r.span > r.set.Tenants[tenant]/float64(r.set.Routers) {
+		if f.add(r.now, r.span, 1); f.sum*1000/r.span > r.set.Tenants[tenant]/float64(r.set.Routers) {
 			t.value *= r.set.OverShareValue
 		}
 	}
 	r.worths.add(r.now, longMemory, t.value/kind.SLA)
 	r.txns[id] = t
-	r.wait(t)
+	r.waiting, r.sorted = append(r.waiting, t), false
 	return true
 }
 
+// use starts a group's checks, which wait for its first traffic: most routers use few groups.
 func (r *Router) use(g *group) {
+	if g.used {
+		return
+	}
 	g.used = true
 	r.used = append(r.used, g)
 	r.recheck(g)
 }
 
-func (r *Router) wait(t *txn) {
-	r.waiting = append(r.waiting, t)
-	r.sorted = false
-}
-
 // Returned says how a submission ended. gtid is never where the answer told no position.
-func (r *Router) Returned(id string, seq int, node string, how Outcome, rtt float64, done bool, role Role,
-	gtid float64) {
-	m := r.members[node]
+func (r *Router) Returned(id string, seq int, how Outcome, rtt float64, done bool, role Role, gtid float64) {
 	t := r.txns[id]
-	if m == nil || t == nil || seq >= len(t.subs) || !t.subs[seq].out {
+	if t == nil || seq >= len(t.subs) || !t.subs[seq].out {
 		return
 	}
-	sub := t.subs[seq]
+	sub, m := t.subs[seq], t.subs[seq].to
 	r.answered(m, t, sub, how, rtt, role, gtid)
 	if how == Committed && t.kind.Level == Write && r.set.Remembered && t.session != "" {
 		r.remember(t.session, gtid)
@@ -346,7 +354,7 @@
 	if t.over = t.over || done; t.over {
 		r.forget(t)
 	} else {
-		r.wait(t)
+		r.waiting, r.sorted = append(r.waiting, t), false
 	}
 }
 
@@ -358,7 +366,7 @@
 	r.commits[session] = math.Max(r.commits[session], gtid)
 	if len(r.commits) > r.pruneAt {
 		least := math.Inf(1)
-		for _, m := range r.order {
+		for _, m := range r.members {
 			if !m.barred {
 				least = math.Min(least, m.gtid)
 			}
@@ -433,7 +441,7 @@
 	m.bad.add(r.now, r.span, lost)
 	t.use.wait.add(r.now, r.span, (1-lost)*(r.now-sub.at+sub.expected))
 	t.use.n.add(r.now, r.span, 1-lost)
-	if lost < 0.5 {
+	if lost < 0.5 && r.now-sub.at > math.Min(t.kind.SLA/2, 2*sub.expected) { // else its client's time was short
 		r.steer(sub, false)
 	}
 }
@@ -485,10 +493,9 @@
 func (m *member) tell(role Role, at, gtid float64) {
 	m.gtid = math.Max(m.gtid, gtid)
 	m.known = m.known || role != Unsaid
-	switch role {
-	case Primary:
+	if role == Primary {
 		m.claim = math.Max(m.claim, at)
-	case Replica:
+	} else if role == Replica {
 		m.denial = math.Max(m.denial, at)
 	}
 }
@@ -639,10 +646,8 @@
 }
 
 func (r *Router) nextCheck() (Decision, bool) {
-	if !r.set.CanCheck {
-		return Decision{}, false
-	}
-	for _, g := range r.used {
+	for n := 0; r.set.CanCheck && n < len(r.used); n++ {
+		g := r.used[n]
 		if g.checkAt > r.now {
 			continue
 		}
@@ -680,8 +685,7 @@
 	if r.headless(g) && r.now-g.held < recheckGap {
 		return recheckGap
 	}
-	rate := g.arrived.read(r.now, r.span) / r.span
-	each := float64(len(g.members)) / rate
+	each := float64(len(g.members)) * r.span / g.arrived.read(r.now, r.span)
 	if !m.known {
 		return math.Max(recheckGap, each)
 	}
@@ -705,10 +709,8 @@
 // nextRevoke takes repeatable txns back to send them again: from a member in doubt, and where the answer is
 // rather lost than late, if another try can still be in time. One that is only long is worked on twice.
 func (r *Router) nextRevoke() (Decision, bool) {
-	if !r.set.CanRevoke {
-		return Decision{}, false
-	}
-	for _, m := range r.busy {
+	for n := 0; r.set.CanRevoke && n < len(r.busy); n++ {
+		m := r.busy[n]
 		for _, sub := range m.out {
 			t, age := sub.of, r.now-sub.at
 			if sub.revoked || t.over || t.kind.Effect != Repeatable || len(t.subs) >= r.set.Submissions {
@@ -841,9 +843,7 @@
 	return (m.slow.read(r.now, r.span) + prior) / (m.good.read(r.now, r.span) + prior)
 }
 
-func (r *Router) expects(t *txn, m *member) float64 {
-	return r.usual(t) * r.slowness(m)
-}
+func (r *Router) expects(t *txn, m *member) float64 { return r.usual(t) * r.slowness(m) }
 
 // bound is the position that the txn must see if sent now.
 func (t *txn) bound(now float64) float64 {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -119,7 +119,7 @@
 		if p.r == nil {
 			p.r = New(p.set, 1)
 			if !p.unused {
-				p.r.use(p.r.group(1))
+				p.r.use(p.r.group(1, true))
 			}
 		}
 		p.r.At(p.now)
@@ -146,7 +146,7 @@
 			return fmt.Errorf("never sent, or unknown outcome")
 		}
 		_, done := o["done"]
-		p.r.Returned(w[1], d.Seq, d.Member, how, p.now-d.At, done || how == Committed, roleWords[o["role"]],
+		p.r.Returned(w[1], d.Seq, how, p.now-d.At, done || how == Committed, roleWords[o["role"]],
 			number(o["gtid"], Never))
 	case "checked":
 		how, known := outcomeWords[w[2]]
@@ -221,3 +221,54 @@
 	}
 	return nil
 }
+
+// What is kept follows what is there now: members that come and go, with their groups, and txns, some for groups that
+// were never listed, leave nothing behind, while what is out to a member that left still comes back.
+func TestLevelsOff(t *testing.T) {
+	read := &TxnType{SLA: 500, Value: 1, Expiry: 1000, Level: Any}
+	r := New(&Settings{Routers: 1, Submissions: 6, CanCheck: true, ColdFrom: 1, WarmUp: 1, FallMultiple: 2,
+		FallWindow: 1000, TxnTypes: map[string]*TxnType{"read": read}}, 1)
+	pull := func(at float64) (sent []Decision, ended int) {
+		r.At(at)
+		for d, more := r.Next(); more; d, more = r.Next() {
+			switch d.Verb {
+			case Submit:
+				sent = append(sent, d)
+			case Check:
+				r.Checked(d.Member, Committed)
+			case Decline, RollBack:
+				ended++
+			}
+		}
+		return sent, ended
+	}
+	var late []Decision
+	for n := range 500 {
+		at := float64(n) * 1000
+		r.At(at)
+		r.ListStart()
+		r.Listed(fmt.Sprint("m", n), "z", n, Up, at)
+		if n > 0 {
+			r.Listed(fmt.Sprint("m", n-1), "z", n-1, Removed, at-1000)
+		}
+		r.ListEnd(n%2 == 0)
+		for _, d := range late {
+			r.Returned(d.Txn, 0, TimedOut, 900, true, Unsaid, Never)
+		}
+		r.Arrive(fmt.Sprint("t", n), "", "", "read", n, 0, 1000, false)
+		r.Arrive(fmt.Sprint("u", n), "", "", "read", -n, 0, 1000, false)
+		pull(at)
+		if late, _ = pull(at + 1); len(late) != 1 || late[0].Member != fmt.Sprint("m", n) {
+			t.Fatalf("%d: sent %v", n, late)
+		}
+		if _, ended := pull(at + 990); n > 0 && ended != 1 {
+			t.Fatalf("%d: %d ended, want the one without a group", n, ended)
+		}
+		for name, kept := range map[string]int{"members": len(r.members), "groups": len(r.groups), "used": len(r.used),
+			"txns": len(r.txns), "busy": len(r.busy), "waiting": len(r.waiting), "idle": len(r.idle)} {
+			if kept > 2 {
+				t.Fatalf("%d: %d %s are kept", n, kept, name)
+			}
+		}
+	}
+}
