--- a/router/router.go
+++ b/router/router.go
@@ -132,7 +132,7 @@
 	} else if u.habits[weak].votes--; u.habits[weak].votes < 0 {
 		u.habits[weak] = habit{ttl, step}
 	}
-	if first || n >= 0 && (n != weak || u.habits[n].votes > 3) {
+	if first || n >= 0 && (n != weak || !marked && u.habits[n].votes > 3) {
 		return 0
 	}
 	u.ended.add(now, 2*kind.Expiry, -1)
