--- a/cmd/wayloft/serve.go
+++ b/cmd/wayloft/serve.go
@@ -64,9 +64,10 @@
 		}
 	})
 	each := (conf.sockets - ownSockets) / 2 // a txn takes a session and a connection to a member
-	s.front = clients.New(s.host, each, conf.memory/6)
+	longest := conf.memory / 32             // bytes of one message of either side
+	s.front = clients.New(s.host, each, conf.memory/6, longest)
 	s.side = members.New(s.host, members.Limits{DialTimeout: conf.host.DialTimeout, IdleClose: conf.host.IdleClose,
-		Reports: conf.host.Reports, Links: each, Keep: conf.set.SoftRemoval})
+		Reports: conf.host.Reports, Links: each, Longest: longest, Budget: conf.memory / 6, Keep: conf.set.SoftRemoval})
 	s.host.Use(s.side)
 	s.watcher = discovery.New(conf.discovery, conf.known.Revision,
 		func(l *discovery.List) { s.host.Post(func() { s.heard(l) }) },
@@ -75,7 +76,7 @@
 	known := *conf.known
 	known.Whole = true
 	s.host.Soon(func() { s.list(&known) })
-	if err := s.host.Listen(s.front.Gate(listener), s.front.Accept); err != nil {
+	if err := s.host.Listen(s.front.Gate(listener), 2*longest, s.front.Accept); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
 	logrus.WithFields(logrus.Fields{"name": conf.name, "listen": conf.listen, "revision": known.Revision,
@@ -154,7 +155,7 @@
 	all, busy := s.front.Sessions()
 	entry := logrus.WithFields(logrus.Fields{"sessions": all, "busy": busy, "links": s.side.Links(),
 		"bad": s.front.Bad, "refused": s.front.Refused, "unsent": s.side.Unsent,
-		"spoilt": s.side.Spoilt, "late": s.front.Late, "crowded": s.front.Crowded})
+		"unheld": s.side.Unheld, "spoilt": s.side.Spoilt, "late": s.front.Late, "crowded": s.front.Crowded})
 	if broken := must.Broken(); len(broken) > 0 {
 		entry.WithField("broken", broken).Error(what)
 		return
--- a/cmd/wayloft/serve_test.go
+++ b/cmd/wayloft/serve_test.go
@@ -142,6 +142,8 @@
 		{"too long", hello + "Q\x00\x0f\x00\x00", "ready, 54000 closed"},
 		{"no startup", "\x00\x00\x00\x01", "08P01 closed"},
 		{"cancel", "\x00\x00\x00\x10\x04\xd2\x16\x2e12345678", "closed"},
+		{"a value of many packets", hello + query(look("j2", strings.Repeat("v", 300<<10))),
+			"ready, " + strings.Repeat("v", 300<<10) + " ok ready"},
 		{"too much ahead", hello + strings.Repeat(query(""), 50) + query(put("k1", "hang")) + strings.Repeat(query(""), 300),
 			"ready" + strings.Repeat(", empty ready", 50) + ", 08007 ready" + strings.Repeat(", empty ready", 256) +
 				", 54000 closed"},
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -16,8 +16,7 @@
 )
 
 const (
-	longest = 160 << 10 // bytes of one message: a value of 64 KiB in hexadecimal, and room for the rest
-	ahead   = 256       // messages that a session may send ahead
+	ahead   = 256 // messages that a session may send ahead
 	pause   = 20 * time.Millisecond
 	comers  = 600.0   // ms after SIGTERM until no new connection or request comes (PROTOCOL: 400 at most)
 	hurry   = 2000.   // ms within which a session must ask its first, and send the rest of a message
@@ -35,6 +34,7 @@
 	host     *host.Host
 	most     int // sessions
 	budget   int // bytes of statements and parts of them
+	longest  int // bytes of one message
 	held     int
 	sessions map[*session]bool
 	room     chan struct{} // holds one for each connection accepted
@@ -79,9 +79,9 @@
 	late    = &pg.Error{Code: pg.Idle, Text: "a whole query took too long to come"}
 )
 
-// New makes room for so many sessions, which together hold so many bytes of statements.
-func New(h *host.Host, most, budget int) *Clients {
-	a := &Clients{host: h, most: most, budget: budget, sessions: map[*session]bool{},
+// New makes room for so many sessions, which together hold so many bytes of statements, none longer than longest.
+func New(h *host.Host, most, budget, longest int) *Clients {
+	a := &Clients{host: h, most: most, budget: budget, longest: longest, sessions: map[*session]bool{},
 		room: make(chan struct{}, most+spare)}
 	h.After(looks, a.look)
 	return a
@@ -110,7 +110,7 @@
 // Accept takes a connection in.
 func (a *Clients) Accept(c *host.Conn) {
 	now := a.host.Now()
-	s := &session{all: a, conn: c, in: pg.NewReader(false, longest), since: now, moved: now, until: now + hurry}
+	s := &session{all: a, conn: c, in: pg.NewReader(false, a.longest), since: now, moved: now, until: now + hurry}
 	c.Handle(s)
 	a.sessions[s] = true
 	a.makeRoom()
--- a/internal/host/loop.go
+++ b/internal/host/loop.go
@@ -16,8 +16,7 @@
 const (
 	mailbox   = 256     // events that wait at most; whoever posts more waits instead
 	readSize  = 1 << 14 // bytes read at once; with the mailbox they bound what waits for the loop
-	reads     = 16      // in a row from one connection: more than any whole message, before others have their turn
-	mostLeft  = 1 << 19 // bytes that a peer leaves unread at most before its connection ends
+	reads     = 64      // in a row from one connection, before others have their turn
 	lingering = time.Second
 )
 
@@ -124,8 +123,9 @@
 	}
 }
 
-// Listen starts the poller, and gives accept each connection that comes in on the listener, before its bytes.
-func (l *Loop) Listen(listener net.Listener, accept func(*Conn)) error {
+// Listen starts the poller, and gives accept each connection that comes in on the listener, before its bytes. A peer
+// that leaves more than mostLeft bytes unread loses its connection.
+func (l *Loop) Listen(listener net.Listener, mostLeft int, accept func(*Conn)) error {
 	logging.SetLevel(logging.LevelNone)
 	e := nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: []string{listener.Addr().String()}, NPoller: 1,
 		ReadBufferSize: readSize, MaxWriteBufferSize: mostLeft, MaxConnReadTimesPerEventLoop: reads,
--- a/internal/members/answer.go
+++ b/internal/members/answer.go
@@ -34,7 +34,11 @@
 	l.in.Feed(b)
 	for l.to.links[l] {
 		m, ok, err := l.in.Next()
-		if !ok && err == nil {
+		if l.count(); !ok && err == nil {
+			if l.all.held > l.all.limits.Budget && l.job != nil && l.ready {
+				l.all.Unheld++ // it may have run, and nothing is left to hear the rest with
+				l.spoilt()
+			}
 			return
 		}
 		if err != nil || !l.message(m) {
@@ -44,6 +48,13 @@
 	}
 }
 
+// count keeps the sum of what all connections hold of answers.
+func (l *link) count() {
+	held := len(l.rows) + l.in.Pending()
+	l.all.held += held - l.held
+	l.held = held
+}
+
 // spoilt ends a connection on which something came that can't be an answer. Its job has failed and may have run, and
 // none of what came can be trusted. Guards against taking noise for the loss of a member that is there.
 func (l *link) spoilt() {
@@ -72,14 +83,16 @@
 	case pg.Ready:
 		return l.letIn() || l.finish()
 	}
-	if l.job == nil || !l.ready || l.err != nil || len(l.rows)+len(m.Raw) > longest {
+	if l.job == nil || !l.ready || l.err != nil || len(l.rows)+len(m.Raw) > l.all.limits.Longest {
 		return false
 	}
 	switch {
 	case m.Kind == pg.Columns && l.stage == nothing && m.Count == 1:
 		l.stage = columns
 	case m.Kind == pg.Row && l.stage == columns && m.Count == 1:
-		l.stage, l.cell = row, append([]byte{}, m.Cell...)
+		if l.stage = row; l.job.txn == nil {
+			l.cell = append([]byte{}, m.Cell...)
+		}
 	case m.Kind == pg.Complete && l.stage == row:
 		l.stage = whole
 	default:
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -22,7 +22,6 @@
 )
 
 const (
-	longest  = 160 << 10 // bytes of one answer
 	user     = "api"
 	database = "ledger"
 	settled  = 2.0   // ms that a connection rests before its next job: what comes behind an answer comes by then
@@ -36,6 +35,8 @@
 	IdleClose   float64 // ms
 	Reports     bool    // a check asks for a report
 	Links       int     // connections in all
+	Longest     int     // bytes of one answer
+	Budget      int     // bytes that all answers may hold that are not whole yet
 	Keep        bool    // members that are gone may still be used
 }
 
@@ -60,6 +61,8 @@
 	links  int
 	jobs   map[string]*job // the submission that is out for a txn
 	Unsent int             // submissions and checks for which no connection was left
+	held   int             // bytes
+	Unheld int             // answers given up since together they held too much
 	Spoilt int             // connections that ended since what came on them can't be an answer
 }
 
@@ -103,6 +106,7 @@
 	role  router.Role
 	gtid  float64
 	vital string
+	held  int
 }
 
 // New makes the side.
@@ -261,7 +265,7 @@
 		a.end(j, router.ConnectFailed)
 		return
 	}
-	l := &link{all: a, to: j.to, epoch: epoch, conn: c, in: pg.NewReader(true, longest)}
+	l := &link{all: a, to: j.to, epoch: epoch, conn: c, in: pg.NewReader(true, a.limits.Longest)}
 	j.to.links[l] = true
 	c.Handle(l)
 	if epoch != j.to.epoch {
@@ -301,6 +305,8 @@
 		delete(l.to.links, l)
 		l.to.idle = slices.DeleteFunc(l.to.idle, func(o *link) bool { return o == l })
 		l.all.links--
+		l.all.held -= l.held
+		l.held = 0
 		l.conn.Close()
 	}
 }
@@ -388,6 +394,7 @@
 		return
 	}
 	l.rows, l.cell, l.since = nil, nil, l.all.host.Now()
+	l.count()
 	l.to.idle = append(l.to.idle, l)
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -394,7 +394,7 @@
 	m.out = slices.DeleteFunc(m.out, func(o *submission) bool { return o == sub })
 	if len(m.out) == 0 {
 		r.busy = slices.DeleteFunc(r.busy, func(o *member) bool { return o == m })
-		if r.crowded.read(r.now, longMemory) > 0.5 {
+		if r.crowded.read(r.now, longMemory) > math.Max(0.5, r.arrived.sum/20) { // a few are no full tables
 			r.idle = append(r.idle, m)
 		}
 	}
