--- a/router/router.go
+++ b/router/router.go
@@ -326,9 +326,8 @@
 	return true
 }
 
-// use starts a group's checks, which wait for its first traffic: most routers use few groups.
 func (r *Router) use(g *group) {
-	if g.used {
+	if g.used { // checks wait for the first traffic: most routers use few groups
 		return
 	}
 	g.used = true
@@ -519,11 +518,8 @@
 	if !m.down {
 		m.downAt = r.now
 	}
-	if !m.shut {
-		if r.primary(m.group) == m {
-			r.recheck(m.group)
-		}
-		m.denial = r.now
+	if !m.shut && r.primary(m.group) == m {
+		r.recheck(m.group)
 	}
 	m.down, m.known = true, false
 	m.ask()
@@ -560,13 +556,16 @@
 		}
 		return
 	}
-	// Guards against restarts before the list says so: back after an absence a member counts as cold until the
-	// list has had time to tell. Where it tells nothing, this router alone could not reach the member.
+	// Guards against restarts before the list says so: back after an absence a member may not be primary, and is
+	// cold until the list has had time to tell; if it doesn't, only this router could not reach the member. One
+	// that is back at once lost a connection, and its role stays: reports may be older than that.
 	if m.shut && m.down {
 		r.crowded.add(r.now, longMemory, 1)
-	} else if m.down && r.now-m.downAt > recheckGap && r.now-m.guessed > longMemory {
-		m.guessed = r.now
-		m.begin()
+	} else if m.down && r.now-m.downAt > recheckGap {
+		if m.denial = math.Max(m.denial, m.downAt); r.now-m.guessed > longMemory {
+			m.guessed = r.now
+			m.begin()
+		}
 	}
 	m.down, m.known = false, true
 }
@@ -577,8 +576,7 @@
 	m.limit, m.tested, m.allow = math.Min(firstLimit, m.limit), false, Never
 }
 
-// Reported conveys a report of role and position. It may be old, so it is dated by that position: a primary
-// stands at the present, a replica a little before.
+// Reported conveys a report of role and position, dated by that position, since it may be old.
 func (r *Router) Reported(node string, role Role, gtid float64) {
 	if m := r.members[node]; m != nil {
 		m.tell(role, gtid, gtid)
@@ -682,7 +680,9 @@
 // for a member marked unknown or down, and for all while txns wait for a primary.
 func (r *Router) period(m *member) float64 {
 	g := m.group
-	if r.headless(g) && r.now-g.held < recheckGap {
+	if gone := m.checkSent - m.downAt; m.down && gone < recheckGap { // it may have met what the txn met
+		return math.Max(beat, gone)
+	} else if r.headless(g) && r.now-g.held < recheckGap {
 		return recheckGap
 	}
 	each := float64(len(g.members)) * r.span / g.arrived.read(r.now, r.span)
