--- a/cmd/wayloft/serve_test.go
+++ b/cmd/wayloft/serve_test.go
@@ -356,6 +356,28 @@
 	}
 }
 
+// Clients that ask once and hold their connections for good: the oldest are closed before any limit is reached, since
+// clients have limits too; the latest stay.
+func TestHeldConnections(t *testing.T) {
+	addr, _, _ := start(t, "127.0.0.1:1", 128, member(t).Addr)
+	var all []*standin.Client
+	for n := range 30 {
+		c := standin.NewClient(t, addr, true)
+		c.Ask(look(fmt.Sprint(n), "x"))
+		if got := c.Answer(); got != "x ok ready" {
+			t.Fatalf("client %d: %q", n, got)
+		}
+		all = append(all, c)
+	}
+	if got := all[0].Answer(); got != "closed" {
+		t.Errorf("the first: %q", got)
+	}
+	all[29].Ask(look("again", "y"))
+	if got := all[29].Answer(); got != "y ok ready" {
+		t.Errorf("the last: %q", got)
+	}
+}
+
 // One that asks the same wrong thing again and again, and one that floods after its error, do not keep others waiting.
 func TestFloods(t *testing.T) {
 	addr, _, _ := start(t, "127.0.0.1:1", 256, member(t).Addr)
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"errors"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -21,7 +22,7 @@
 	comers  = 600.0   // ms after SIGTERM until no new connection or request comes (PROTOCOL: 400 at most)
 	hurry   = 2000.   // ms within which a session must ask its first, and send the rest of a message
 	idling  = 10e3    // ms that a session may then rest between two queries
-	looks   = 250.0   // ms between two looks at them
+	looks   = 100.0   // ms between two looks at them
 	penance = 100.0   // ms that a session rests after a mistake, lest it makes the next at once
 	grace   = 100.0   // ms for which a newcomer is spared
 	spare   = 16      // connections over the limit, while they are told that there is no room
@@ -166,10 +167,12 @@
 	return cmp.Or(cmp.Compare(rank(s), rank(o)), cmp.Compare(s.since, o.since)) < 0
 }
 
-// look ends sessions that have taken too long, whatever they wait for but an answer. Guards against connections that
-// are never used, statements that never end, answers that are never read and clients that never come back.
+// look ends sessions that have taken too long, whatever they wait for but an answer, and of those that rest all but the
+// latest third of what there is room for. Guards against connections that are never used, statements that never end,
+// answers that are never read, and clients that hold connections which they don't use again until none is left to them.
 func (a *Clients) look() {
 	now := a.host.Now()
+	var resting []*session
 	for s := range a.sessions {
 		if s.spent = 0; len(s.queue) > 0 {
 			s.next()
@@ -181,14 +184,20 @@
 		case s.ends:
 		case now > s.moved+stalled:
 			s.drop()
-		case s.deaf || s.txn != nil || len(s.queue) > 0 || now < s.until || s.conn.Unread():
+		case s.deaf || s.txn != nil || len(s.queue) > 0:
 		case s.asked && s.quiet():
-			s.finish()
-		default:
+			resting = append(resting, s)
+		case now > s.until && !s.conn.Unread():
 			a.Late++
 			s.refuse(late)
 		}
 	}
+	slices.SortFunc(resting, func(s, o *session) int { return cmp.Compare(o.since, s.since) })
+	for n, s := range resting {
+		if (n >= a.most/3 || now > s.until) && !s.conn.Unread() {
+			s.finish()
+		}
+	}
 	a.host.After(looks, a.look)
 }
 
