A startup message is held to the reader's own bound as well

Found by the fuzzer while rereading: judge put the limit on startup messages (10000 bytes) in place of the reader's bound, so a reader with a smaller one could hold more than it was told. No router was affected, since its messages may be far longer than 10000 bytes at any memory limit that it runs with.

--- a/internal/pg/pg.go
+++ b/internal/pg/pg.go
@@ -158,7 +158,7 @@
 func (r *Reader) judge(rest []byte, head int, size uint64) error {
 	body, most := size-uint64(head), uint64(r.max)
 	if !r.begun {
-		most = mostStartup
+		most = min(most, mostStartup)
 	}
 	limits, known := fromServers[rest[0]]
 	switch { // first what the head tells, so that each split of the bytes gives the same
