--- a/cmd/wayloft/serve_test.go
+++ b/cmd/wayloft/serve_test.go
@@ -280,13 +280,10 @@
 	}
 }
 
-// More sessions than there is room for: the one that has been quiet longest makes room, a busy one never does.
-func TestMoreSessionsThanRoom(t *testing.T) {
-	addr, _, _ := start(t, "127.0.0.1:1", 128, member(t).Addr, withRole(t, 0).Addr)
-	busy := standin.NewClient(t, addr, true)
-	busy.Ask(put("busy", "hang"))
-	var all []*standin.Client
-	for n := range 100 {
+// crowd opens so many sessions, each of which asks once and stays.
+func crowd(t *testing.T, addr string, count int) (all []*standin.Client) {
+	t.Helper()
+	for n := range count {
 		c := standin.NewClient(t, addr, true)
 		c.Ask(look(fmt.Sprint(n), "x"))
 		if got := c.Answer(); got != "x ok ready" {
@@ -294,6 +291,15 @@
 		}
 		all = append(all, c)
 	}
+	return all
+}
+
+// More sessions than there is room for: the one that has been quiet longest makes room, a busy one never does.
+func TestMoreSessionsThanRoom(t *testing.T) {
+	addr, _, _ := start(t, "127.0.0.1:1", 128, member(t).Addr, withRole(t, 0).Addr)
+	busy := standin.NewClient(t, addr, true)
+	busy.Ask(put("busy", "hang"))
+	all := crowd(t, addr, 100)
 	if got := busy.Answer(); got != "08007 ready" {
 		t.Errorf("busy: %q", got)
 	}
@@ -330,9 +336,9 @@
 		}
 	}
 	steady := standin.NewClient(t, addr, true)
-	var crowd []*standin.Client
+	var silent []*standin.Client
 	for n := range 200 {
-		crowd = append(crowd, standin.NewClient(t, addr, false))
+		silent = append(silent, standin.NewClient(t, addr, false))
 		if n%20 == 0 {
 			steady.Write(pg.AppendQuery(nil, look(fmt.Sprint("s", n), "fine")))
 			if got := steady.Answer(); got == "closed" { // while it was idle: then a client comes again
@@ -349,7 +355,7 @@
 			}
 		}
 	}
-	for n, c := range crowd {
+	for n, c := range silent {
 		if got := c.Answer(); !strings.HasSuffix(got, "closed") {
 			t.Errorf("silent client %d: %q", n, got)
 		}
@@ -360,15 +366,7 @@
 // clients have limits too; the latest stay.
 func TestHeldConnections(t *testing.T) {
 	addr, _, _ := start(t, "127.0.0.1:1", 128, member(t).Addr)
-	var all []*standin.Client
-	for n := range 30 {
-		c := standin.NewClient(t, addr, true)
-		c.Ask(look(fmt.Sprint(n), "x"))
-		if got := c.Answer(); got != "x ok ready" {
-			t.Fatalf("client %d: %q", n, got)
-		}
-		all = append(all, c)
-	}
+	all := crowd(t, addr, 30)
 	if got := all[0].Answer(); got != "closed" {
 		t.Errorf("the first: %q", got)
 	}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -141,7 +141,7 @@
 
 // idle tells that the session can end without taking an answer away.
 func (s *session) idle() bool {
-	return !s.ends && s.txn == nil && len(s.queue) == 0 && (s.deaf || !s.asked || s.in.Pending() == 0)
+	return !s.ends && s.answered() && (s.deaf || !s.asked || s.in.Pending() == 0)
 }
 
 // drop ends the session at once.
@@ -184,7 +184,7 @@
 		case s.ends:
 		case now > s.moved+stalled:
 			s.drop()
-		case s.deaf || s.txn != nil || len(s.queue) > 0:
+		case s.deaf || !s.answered():
 		case s.asked && s.quiet():
 			resting = append(resting, s)
 		case now > s.until && !s.conn.Unread():
@@ -207,7 +207,7 @@
 // sweep ends what is quiet; from the second time on also what has not sent its query to the end, and never will.
 func (a *Clients) sweep() {
 	for s := range a.sessions {
-		if (s.quiet() || a.leaving && s.txn == nil && len(s.queue) == 0) && !s.conn.Unread() {
+		if (s.quiet() || a.leaving && s.answered()) && !s.conn.Unread() {
 			s.finish()
 		}
 	}
@@ -232,8 +232,9 @@
 	return len(a.sessions), busy
 }
 
-// quiet tells that all that has come is answered.
-func (s *session) quiet() bool { return s.txn == nil && len(s.queue) == 0 && s.in.Pending() == 0 }
+// answered tells that nothing whole that has come is without its answer, and quiet that nothing else has come either.
+func (s *session) answered() bool { return s.txn == nil && len(s.queue) == 0 }
+func (s *session) quiet() bool    { return s.answered() && s.in.Pending() == 0 }
 
 func (s *session) finish() {
 	s.deaf = true
@@ -327,7 +328,7 @@
 		s.spent++
 		s.answer(i)
 	}
-	if s.deaf || s.txn != nil || len(s.queue) > 0 {
+	if s.deaf || !s.answered() {
 		return
 	}
 	now := s.all.host.Now()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -44,7 +44,8 @@
 	ErrAfter   = errors.New("after lies in the future")
 )
 
-const ahead = 1000.0 // ms that a position may lie ahead of this machine's clock
+// Ahead is how many ms a position may lie ahead of this machine's clock, whoever names it.
+const Ahead = 1000.0
 
 // New makes a host; watch asks for the list.
 func New(loop *Loop, r *router.Router, kinds map[string]*router.TxnType, watch func()) *Host {
@@ -77,7 +78,7 @@
 	}
 	t.Cap(kind.Expiry)
 	age := 0.0
-	if t.After > t.Arrived+ahead {
+	if t.After > t.Arrived+Ahead {
 		return ErrAfter
 	} else if t.After > 0 {
 		// The module reads 0 as no position, and t.Arrived - age is exactly the position.
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -24,9 +24,8 @@
 const (
 	user     = "api"
 	database = "ledger"
-	settled  = 2.0   // ms that a connection rests before its next job: what comes behind an answer comes by then
-	clocks   = 1000. // ms that a position may be ahead of this machine's clock
-	rest     = 0.75  // of the time after which a member closes an idle connection: then it is closed here
+	settled  = 2.0  // ms that a connection rests before its next job: what comes behind an answer comes by then
+	rest     = 0.75 // of the time after which a member closes an idle connection: then it is closed here
 )
 
 // Limits are the platform's.
@@ -399,7 +398,7 @@
 }
 
 // possible tells whether a position is one that a member can have.
-func (a *Members) possible(gtid float64) bool { return gtid > 0 && gtid <= a.host.Now()+clocks }
+func (a *Members) possible(gtid float64) bool { return gtid > 0 && gtid <= a.host.Now()+host.Ahead }
 
 // reported reads a report, name=value by commas: the position in seconds, and whether it is from a primary. One that
 // can't be read as a whole tells nothing.
--- a/internal/pg/pg.go
+++ b/internal/pg/pg.go
@@ -8,7 +8,6 @@
 	"encoding/binary"
 	"fmt"
 	"slices"
-	"strings"
 )
 
 // Codes that an ErrorResponse carries.
@@ -143,12 +142,14 @@
 	return m, true, nil
 }
 
+var fromClients = map[byte]Kind{'Q': Query, 'X': Terminate, 'S': Sync, 'F': Function, 'P': Extended, 'B': Extended,
+	'D': Extended, 'E': Extended, 'C': Extended, 'H': Extended}
+
 // Bodies of a server's messages: the least and the most bytes. A row is as long as any message may be.
 var fromServers = map[byte]struct{ least, most uint64 }{'R': {4, 4}, 'K': {8, 260}, 'N': {1, 1 << 13}, 'v': {8, 1 << 13},
 	'S': {2, 1 << 13}, 'Z': {1, 1}, 'T': {2, 1 << 13}, 'D': {2, 1 << 32}, 'C': {1, 1 << 7}, 'I': {0, 0}, 'E': {1, 1 << 13}}
 
 const (
-	clientTypes  = "QXSPBDECHF"
 	mostStartup  = 10000 // bytes, as PostgreSQL has it
 	startupStart = 8     // bytes up to the version
 )
@@ -161,10 +162,11 @@
 		most = min(most, mostStartup)
 	}
 	limits, known := fromServers[rest[0]]
+	_, isClients := fromClients[rest[0]]
 	switch { // first what the head tells, so that each split of the bytes gives the same
 	case size < uint64(head):
 		return fail(Violation, "message length %d is too small", size-uint64(head-4))
-	case r.begun && !r.server && strings.IndexByte(clientTypes, rest[0]) < 0, r.server && !known:
+	case r.begun && !r.server && !isClients, r.server && !known:
 		return fail(Violation, "unknown message type %q", rest[0])
 	case size > most:
 		return fail(TooLong, "message of %d bytes is longer than %d", size, most)
@@ -203,24 +205,17 @@
 	return Message{Kind: Startup, Minor: int(minor)}, nil
 }
 
+// fromClient decodes a message whose type judge has let pass.
 func fromClient(typ byte, body []byte) (Message, error) {
-	switch typ {
-	case 'Q':
-		text, rest, ok := cut(body)
-		if !ok || len(rest) > 0 {
-			return Message{}, fail(Violation, "query without its end")
-		}
-		return Message{Kind: Query, Text: text}, nil
-	case 'X':
-		return Message{Kind: Terminate}, nil
-	case 'S':
-		return Message{Kind: Sync}, nil
-	case 'P', 'B', 'D', 'E', 'C', 'H':
-		return Message{Kind: Extended}, nil
-	case 'F':
-		return Message{Kind: Function}, nil
+	kind := fromClients[typ]
+	if kind != Query {
+		return Message{Kind: kind}, nil
 	}
-	return Message{}, fail(Violation, "unknown message type %q", typ)
+	text, rest, ok := cut(body)
+	if !ok || len(rest) > 0 {
+		return Message{}, fail(Violation, "query without its end")
+	}
+	return Message{Kind: Query, Text: text}, nil
 }
 
 // cut splits a text off that ends with a zero byte.
@@ -232,11 +227,12 @@
 	return string(b[:i]), b[i+1:], true
 }
 
+// fromServer decodes a message whose type and length judge has let pass.
 func fromServer(typ byte, body []byte) (Message, error) {
 	broken := fail(Violation, "broken message of type %q", typ)
 	switch typ {
 	case 'R':
-		if len(body) != 4 || binary.BigEndian.Uint32(body) != 0 {
+		if binary.BigEndian.Uint32(body) != 0 {
 			return Message{}, fail(Unsupported, "the server wants a password")
 		}
 		return Message{Kind: AuthOK}, nil
@@ -250,14 +246,8 @@
 		}
 		return Message{Kind: Parameter, Name: name, Text: value}, nil
 	case 'Z':
-		if len(body) != 1 {
-			return Message{}, broken
-		}
 		return Message{Kind: Ready}, nil
 	case 'T':
-		if len(body) < 2 {
-			return Message{}, broken
-		}
 		return Message{Kind: Columns, Count: int(binary.BigEndian.Uint16(body))}, nil
 	case 'D':
 		return row(body, broken)
@@ -296,9 +286,6 @@
 }
 
 func row(body []byte, broken *Error) (Message, error) {
-	if len(body) < 2 {
-		return Message{}, broken
-	}
 	m := Message{Kind: Row, Count: int(binary.BigEndian.Uint16(body))}
 	body = body[2:]
 	for n := range m.Count {
