--- a/router/router.go
+++ b/router/router.go
@@ -61,7 +61,7 @@
 	shut                            bool    // it refused the last connection: down, or only full
 	mum                             bool    // its last check came back with an error
 	prompt, checkOut                bool    // check as soon as the least gap allows; one is out
-	downAt, guessed                 float64 // went down; was last back from a possible restart
+	since, downAt, guessed          float64 // first listed; went down; was last back from a possible restart
 	allow, allowAt                  float64 // while cold: SLA time it may be sent; Never: nothing counted
 	checkSent, lastAnswer, lastSent float64
 	out                             []*submission
@@ -71,8 +71,7 @@
 	doubtAt                         float64 // when the doubt began
 	passed                          bool    // a check has passed since, and no trial has gone out
 	pause                           fade    // the longest unlikely silence that an answer has ended
-	slow, good                      fade    // latency against the usual; submissions committed
-	bad                             fade    // submissions failed, refused or lost
+	slow, good, bad                 fade    // latency against the usual; committed; failed, refused or lost
 	limit                           float64 // how many of this router's submissions it may hold at once
 	tested                          bool    // the limit has been found once
 }
@@ -80,19 +79,23 @@
 type group struct {
 	no             int
 	members        []*member
-	used           bool    // it has had traffic here
-	held, checkAt  float64 // when a txn last found no member to go to; when its next check may be due
-	arrived, reads fade    // txns; reads that need a known position
-	repeatable     float64 // when the last repeatable txn came
+	used           bool            // it has had traffic here
+	held, checkAt  float64         // when a txn last found no member to go to; when its next check may be due
+	asked          float64         // when its latest check went out; Never: one has come back since
+	arrived, reads fade            // txns; reads that need a known position
+	repeatable     float64         // when the last repeatable txn came
+	answers        map[bool]*tally // of replicas, of primaries
 }
 
+// tally counts the answers that told how quick members are, and the slow ones among them.
+type tally struct{ all, slow fade }
+
 type submission struct {
 	to                         *member
 	of                         *txn
-	at, expected               float64 // at: since when the member has had to answer
-	sent                       float64
-	out, missed, revoked, rare bool // rare: the least limit would not have held it back
-	rests, away                bool // nothing to answer: it's the pool's turn, or its client's (away)
+	at, sent, expected         float64 // at: since when the member has had to answer
+	out, missed, revoked, rare bool    // rare: the least limit would not have held it back
+	rests, away                bool    // nothing to answer: it's the pool's turn, or its client's (away)
 }
 
 type txn struct {
@@ -160,10 +163,11 @@
 	waiting              []*txn
 	cursor, pruneAt      int                // which of them was looked at last
 	stuck                *txn               // what found no member last, since the last input
-	sorted               bool               // since the last input
+	sorted, looked       bool               // since the last input; looked: for silent members
 	busy                 []*member          // those that hold submissions
 	used                 []*group           // those that have had traffic
 	admit                map[bool]float64   // chance to take txns on, for replicas and primaries
+	answers              map[bool]*tally    // from all groups
 	worths               fade               // worth by work of what arrived
 	commits              map[string]float64 // session: its last commit, where tokens are the router's own memory
 	done                 fade               // SLA times committed; unlike latency they hold still in a jam
@@ -177,7 +181,6 @@
 	listed               map[string]bool
 	least                float64 // the shortest check period
 	late                 fade    // how late the alarm rang at most: pauses of this router's own
-	looked               bool    // for silent members, since the last input
 	wantWatch, alarmAt   float64 // when to ask for the list again; the alarm that is out
 }
 
@@ -185,7 +188,8 @@
 	r := &Router{set: set, seed: seed, members: map[string]*member{}, groups: map[int]*group{},
 		txns: map[string]*txn{}, commits: map[string]float64{}, uses: map[*TxnType]*usage{},
 		shares: map[string]*fade{}, wantWatch: math.Inf(1), least: restCheck, alarmAt: math.Inf(1),
-		span: longMemory, admit: map[bool]float64{false: reserve, true: reserve}}
+		span: longMemory, admit: map[bool]float64{false: reserve, true: reserve},
+		answers: map[bool]*tally{false: {}, true: {}}}
 	if set.Ask {
 		r.wantWatch = Never
 	}
@@ -213,17 +217,13 @@
 
 // At sets the time; all that follows until the next call happens then.
 func (r *Router) At(now float64) {
-	if r.now = now; r.born == 0 {
-		r.born = now
-	}
+	r.now, r.born = now, cmp.Or(r.born, now)
 	r.cursor, r.sorted, r.looked, r.stuck = 0, false, false, nil
 }
 
-// look finds members in doubt, once the answers that came with the present batch are heard. Guards against
-// whatever takes txns and answers none: hung, vanished or cut off. Long pauses look the same for a while;
-// the first answer ends the doubt. One pause silences all that is out there together, so that no chance of
-// theirs is against it: a silence must also be longer than a look can tell, than this router's own pauses,
-// and than twice what answers have ended.
+// look finds members in doubt, once the answers of the batch are heard: hung, vanished or cut off. One pause
+// silences all that is out there together, so a silence must be longer than a look can tell, than this
+// router's own pauses, and than twice what answers have ended; the first answer ends the doubt.
 func (r *Router) look() {
 	r.looked = true
 	for _, m := range r.busy {
@@ -252,7 +252,8 @@
 func (r *Router) group(no int, listed bool) *group {
 	g := r.groups[no]
 	if g == nil {
-		g = &group{no: no, held: Never, used: !listed}
+		g = &group{no: no, held: Never, asked: Never, used: !listed,
+			answers: map[bool]*tally{false: {}, true: {}}}
 		if listed {
 			r.groups[no] = g
 		}
@@ -268,16 +269,16 @@
 	m := r.members[id]
 	if m == nil {
 		m = &member{id: id, zone: zone, group: g, claim: Never, denial: Never, gtid: Never, started: Never,
-			checkSent: Never, lastAnswer: Never, lastSent: Never, prompt: g.used,
+			checkSent: Never, lastAnswer: Never, lastSent: Never, since: r.now,
 			guessed: Never, allow: Never, limit: firstLimit}
 		r.members[id] = m
-		g.members = append(g.members, m)
+		g.members = slices.Insert(g.members, int(r.chance()*float64(len(g.members)+1)), m) // asked in turn
 	}
 	r.listed[id], g.checkAt = state != Removed, r.now
 	if started > m.started {
 		m.started = started
 		m.begin()
-		m.prompt = g.used
+		m.prompt = m.checkSent != Never
 	}
 	if !r.set.SoftRemoval || state != Removed {
 		m.barred = state != Up
@@ -361,12 +362,9 @@
 }
 
 func (r *Router) use(g *group) {
-	if g.used { // checks wait for the first traffic: most routers use few groups
-		return
+	if !g.used {
+		g.used, r.used = true, append(r.used, g)
 	}
-	g.used = true
-	r.used = append(r.used, g)
-	r.recheck(g)
 }
 
 // Returned says how a submission ended. gtid is never where the answer told no position.
@@ -376,7 +374,7 @@
 		return
 	}
 	sub, m := t.subs[seq], t.subs[seq].to
-	r.answered(m, t, sub, how, rtt, role, gtid)
+	r.answered(sub, how, rtt, role, gtid)
 	if how == Committed && t.kind.Level == Write && r.set.Remembered && t.session != "" {
 		r.remember(t.session, gtid)
 	}
@@ -391,8 +389,7 @@
 	}
 }
 
-// Pin says that a txn, which has just arrived, can go to one member alone, where its session's connection
-// leads.
+// Pin says that a txn, just arrived, can go to one member alone, where its session's connection leads.
 func (r *Router) Pin(id, node string) {
 	if t := r.txns[id]; t != nil {
 		t.pinned, t.pin = true, r.members[node]
@@ -463,8 +460,8 @@
 }
 
 // answered updates the record of a member from the end of a submission to it.
-func (r *Router) answered(m *member, t *txn, sub *submission, how Outcome, rtt float64, role Role,
-	gtid float64) {
+func (r *Router) answered(sub *submission, how Outcome, rtt float64, role Role, gtid float64) {
+	m, t := sub.to, sub.of
 	if how <= Full || how == Miss {
 		r.heardFrom(sub)
 	}
@@ -503,7 +500,7 @@
 	case how == Errored:
 		m.bad.add(r.now, r.span, 1)
 	case how == TimedOut || how == Revoked:
-		r.unanswered(m, t, sub)
+		r.unanswered(sub)
 	case how == Full:
 		r.steer(sub, 0)
 	}
@@ -511,7 +508,8 @@
 
 // unanswered weighs whether a submission without an answer was lost on the way, or is only long and counts as
 // at least that slow: the one grows likely where others are quick and many are lost.
-func (r *Router) unanswered(m *member, t *txn, sub *submission) {
+func (r *Router) unanswered(sub *submission) {
+	m, t := sub.to, sub.of
 	waits, loss := (r.now-sub.at)/sub.expected, r.usualLoss()
 	lost := loss / (loss + (1-loss)*math.Exp(-waits))
 	r.lost.add(r.now, r.span, lost)
@@ -530,8 +528,7 @@
 }
 
 // adapt moves the limit towards where one answer in five is not soon: with exponential waits, and half the
-// SLA time as soon, one in twenty-five is then late. It guards against overload from any cause: what a member
-// can't take in time is held here, by worth. It may hold back too much where a limit seldom moves.
+// SLA time as soon, one in twenty-five is then late. What a member can't take in time is held here, by worth.
 func (m *member) adapt(ease, routers float64) {
 	step := math.Max(0.1, m.limit/50)
 	switch {
@@ -549,10 +546,7 @@
 
 // room tells whether the member may hold one more. A limit below one is a share of the time.
 func (m *member) room(now, expected float64) bool {
-	if m.limit >= 1 {
-		return m.load < m.limit
-	}
-	return m.load == 0 && now-m.lastSent >= expected/m.limit
+	return m.load < m.limit && (m.limit >= 1 || now-m.lastSent >= expected/m.limit)
 }
 
 // silence is how long the member has kept quiet, summed over what is out there, in expected waits, as far
@@ -621,7 +615,7 @@
 	if m == nil {
 		return
 	}
-	m.checkOut, m.group.checkAt = false, Never
+	m.checkOut, m.group.checkAt, m.group.asked = false, Never, Never
 	if how == Full {
 		return // too crowded to be checked: it is there, and nothing else is told
 	}
@@ -638,8 +632,7 @@
 		return
 	}
 	// Guards against restarts before the list says so: back after an absence a member may not be primary, and is
-	// cold until the list has had time to tell; if it doesn't, only this router could not reach the member. One
-	// that is back at once lost a connection, and its role stays: reports may be older than that.
+	// cold until the list has had time to tell. One that is back at once lost a connection, and its role stays.
 	if m.shut && m.down {
 		r.crowded.add(r.now, longMemory, 1)
 	} else if m.down && r.now-m.downAt > recheckGap {
@@ -739,7 +732,7 @@
 		for _, m := range g.members {
 			due := r.checkDue(m)
 			if due <= r.now {
-				m.prompt, m.checkOut, m.checkSent = false, true, r.now
+				m.prompt, m.checkOut, m.checkSent, g.asked = false, true, r.now, r.now
 				return Decision{Verb: Check, Member: m.id}, true
 			}
 			next = math.Min(next, due)
@@ -749,7 +742,12 @@
 	return Decision{}, false
 }
 
+// checkDue follows need: well inside the smallest bound where enough reads need positions to pay for it; at
+// rest some txns pay for each check, lest many routers with little traffic check more than they send, and an
+// answer tells as much; sooner for a member marked unknown or down, and for all while txns need a primary.
 func (r *Router) checkDue(m *member) float64 {
+	g, gone := m.group, m.checkSent-m.downAt
+	each := float64(len(g.members)) * r.span / g.arrived.read(r.now, r.span)
 	switch {
 	case m.barred:
 		return math.Inf(1)
@@ -757,26 +755,21 @@
 		return m.checkSent + restCheck
 	case m.prompt:
 		return m.checkSent + beat
-	}
-	return m.checkSent + r.period(m)
-}
-
-// period follows need: well inside the smallest bound where enough reads need positions to pay for it; at
-// rest some txns pay for each check, lest many routers with little traffic send more checks than txns; sooner
-// for a member marked unknown or down, and for all while txns wait for a primary.
-func (r *Router) period(m *member) float64 {
-	g := m.group
-	if gone := m.checkSent - m.downAt; m.down && gone < recheckGap { // it may have met what the txn met
-		return math.Max(beat, gone)
-	} else if r.headless(g) && r.now-g.held < recheckGap {
-		return recheckGap
-	}
-	each := float64(len(g.members)) * r.span / g.arrived.read(r.now, r.span)
-	if !m.known {
-		return math.Max(recheckGap, each)
+	// Guards against many routers that ask all members of all groups: one by one until what waits can go.
+	case m.checkSent == Never && g.held == r.now:
+		return g.asked + 2*beat
+	case m.checkSent == Never:
+		return m.since + perCheck*each
+	case m.down && gone < recheckGap: // it may have met what the txn met
+		return m.checkSent + math.Max(beat, gone)
+	case r.headless(g) && r.now-g.held < recheckGap:
+		return m.checkSent + recheckGap
+	case !m.known:
+		return m.checkSent + math.Max(recheckGap, each)
 	}
 	need := 2 * float64(len(g.members)) * r.span / g.reads.read(r.now, r.span)
-	return math.Max(r.least, math.Min(need, math.Max(restCheck, perCheck*each)))
+	rest := math.Max(restCheck, perCheck*each) + math.Max(0, m.lastAnswer-m.checkSent)
+	return m.checkSent + math.Max(r.least, math.Min(need, rest))
 }
 
 // primary is the member with the latest claim that nothing later denies.
@@ -840,7 +833,7 @@
 	return Decision{}, false
 }
 
-// worth is the value to be expected for each ms of work if answers take as long as usual, exponentially.
+// worth is the value to be expected for a ms of work if answers take as long as usual, exponentially.
 func (r *Router) worth(t *txn) float64 {
 	usual := r.usual(t)
 	late := 1 - math.Exp(math.Min(0, r.now-t.expiry)/usual)
@@ -848,24 +841,39 @@
 	return t.value * (soon + t.kind.LateValue*math.Max(0, late-soon)) / usual
 }
 
-// steer moves the chance of taking txns on to where one answer in five is not soon, as adapt does a limit.
-// Guards against jams of many routers that each send a member too little for even the least limit to hold
-// back: each answer moves one router a little, and all together the load. Slow members alone move it too.
-// ease is how many times over its answer came soon enough.
+// steer moves the chance of taking txns on to where one answer in five is not soon, as adapt does a limit. It
+// guards against jams where each router sends a member too little for the least limit: each moves a little.
+// The fewer are taken on, the more an answer speaks for. ease: how many times over it came soon enough.
 func (r *Router) steer(sub *submission, ease float64) {
-	pri := sub.to == r.primary(sub.to.group)
+	g, pri, slow := sub.to.group, sub.to == r.primary(sub.to.group), 0.0
 	if ease > 1 {
-		r.admit[pri] = math.Min(reserve, r.admit[pri]+0.075)
-	} else if sub.rare {
+		r.admit[pri] = math.Min(reserve, r.admit[pri]+0.075/math.Min(1, r.admit[pri]))
+	} else if slow = 1; sub.rare {
 		r.admit[pri] -= 0.3 * r.admit[pri] / math.Max(1, sub.to.limit)
 	}
+	for _, a := range []*tally{r.answers[pri], g.answers[pri]} {
+		if sub.rare {
+			a.all.add(r.now, longMemory, 1)
+			a.slow.add(r.now, longMemory, slow)
+		}
+	}
 	sub.to.adapt(ease, float64(r.set.Routers))
 }
 
+// blame is the share of a group's answers that were slow against that of all groups, or one in five if that
+// is more. Guards against a jam of a few groups that has txns of all others refused, or hides behind them.
+func (r *Router) blame(g *group, pri bool) float64 {
+	all, own := r.answers[pri], g.answers[pri]
+	share := math.Max(0.2, all.slow.read(r.now, longMemory)/math.Max(1, all.all.read(r.now, longMemory)))
+	slow := own.slow.read(r.now, longMemory) + prior*share
+	return slow / (own.all.read(r.now, longMemory) + prior) / share
+}
+
 // admits decides by worth for work, against the others', whether to take a txn on, or let a primary have it.
 func (r *Router) admits(t *txn, pri bool) bool {
 	mean := r.worths.read(r.now, longMemory) / r.arrived.read(r.now, longMemory)
-	return r.admit[pri] >= 1 || r.chance() < math.Pow(r.admit[pri], mean*t.kind.SLA/t.value)
+	part := r.admit[pri] / r.blame(t.group, pri)
+	return part >= 1 || r.chance() < math.Pow(part, mean*t.kind.SLA/t.value)
 }
 
 // place sends, ends or holds one waiting txn.
@@ -886,7 +894,9 @@
 		return r.end(t), true
 	}
 	if m == nil {
-		r.stuck, t.group.held, t.group.checkAt = t, r.now, math.Min(t.group.checkAt, r.now)
+		if r.stuck = t; !t.needsPrimary() || r.headless(t.group) { // else a known primary is full
+			t.group.held, t.group.checkAt = r.now, math.Min(t.group.checkAt, r.now)
+		}
 		return Decision{}, false
 	}
 	expected := r.expects(t, m)
@@ -929,8 +939,7 @@
 	return Decision{Verb: Decline, Txn: t.id, Wait: r.set.RetryAfter}
 }
 
-// usual is the smoothed time to an answer of a txn type, over all members. Until some are in, a quarter of
-// the SLA time is supposed: whoever set it expects answers well inside it.
+// usual is the smoothed time to an answer of a txn type, over all members, at first a quarter of its SLA.
 func (r *Router) usual(t *txn) float64 {
 	return (t.use.wait.read(r.now, r.span) + prior*t.kind.SLA/4) / (t.use.n.read(r.now, r.span) + prior)
 }
@@ -972,13 +981,15 @@
 	}
 	need := t.bound(r.now)
 	var fresh, likely, rest, unsure []*member
-	full := false
+	full, unasked := false, false
 	for _, m := range t.group.members {
 		fits, near := r.fit(t, m) != nil, r.now-m.behind >= need
 		switch {
 		case fits && m.doubted:
 			return m // its trial is due
 		case m == pri || m.doubted || m.barred || m.down || t.turnedAway(m):
+		case m.checkSent == Never:
+			unasked = r.set.CanCheck
 		case fits && m.gtid >= need:
 			fresh = append(fresh, m)
 		case fits && near:
@@ -991,24 +1002,19 @@
 			unsure = append(unsure, m)
 		}
 	}
-	if len(fresh) > 0 {
+	switch {
+	case len(fresh) > 0:
 		return r.draw(t, fresh)
-	}
-	// Guards against any shortage of replicas: where each that would do is at its limit, a read uses what the
-	// primary has to spare. Half its room stays for writes.
-	if full {
-		if pri != nil && pri.load < pri.limit/2 {
-			return r.fit(t, pri)
-		}
+	// Guards against a shortage of replicas: where all that would do are full, half the primary's room serves.
+	case full && (unasked || pri == nil || pri.load >= pri.limit/2):
 		return nil
-	}
-	if r.set.Lag != LagAnswers {
-		if len(likely) > 0 {
-			return r.draw(t, likely)
-		}
-		if len(t.subs) == 0 && len(rest) > 0 {
-			return slices.MinFunc(rest, func(a, b *member) int { return cmp.Compare(a.behind, b.behind) })
-		}
+	case !full && r.set.Lag != LagAnswers && len(likely) > 0:
+		return r.draw(t, likely)
+	case unasked:
+		return nil
+	case !full && r.set.Lag != LagAnswers && len(t.subs) == 0 && len(rest) > 0:
+		return slices.MinFunc(rest, func(a, b *member) int { return cmp.Compare(a.behind, b.behind) })
+	case full || r.set.Lag != LagAnswers:
 		return r.fit(t, pri)
 	}
 	// None is known fresh enough, some seemed so: ask two, wait a moment, as waiting operations do (DESIGN).
@@ -1018,12 +1024,9 @@
 		r.draw(t, unsure).ask()
 		return nil
 	}
-	if r.now-t.asked < t.kind.SLA/8 {
-		for _, m := range t.group.members {
-			if m.checkOut && !m.doubted && !m.down {
-				return nil
-			}
-		}
+	asked := func(m *member) bool { return m.checkOut && !m.doubted && !m.down }
+	if r.now-t.asked < t.kind.SLA/8 && slices.ContainsFunc(t.group.members, asked) {
+		return nil
 	}
 	return r.fit(t, pri)
 }
@@ -1087,13 +1090,13 @@
 
 // tries tells whether the txn may be a doubted member's trial: the first as soon as a check has passed since.
 func (r *Router) tries(m *member, t *txn) bool {
-	due := m.passed || r.now-m.lastSent >= recheckGap
-	return due && (t.effect == Repeatable || m.known && len(m.out) == 0 && r.now-t.group.repeatable > longMemory)
+	return (m.passed || r.now-m.lastSent >= recheckGap) &&
+		(t.effect == Repeatable || m.known && len(m.out) == 0 && r.now-t.group.repeatable > longMemory)
 }
 
 // bears tells whether a cold member can take one more (rule 4): what goes there from here stays under the
-// allowed multiple of the cold share of what a member has committed here. Where that is far less than a txn
-// for each of many routers it adds up from a start by chance, so that together they take turns.
+// allowed multiple of the cold share of what a member has committed here. It adds up from a start by chance,
+// so that many routers take turns.
 func (r *Router) bears(m *member, t *txn) bool {
 	w := r.warmth(m)
 	if w >= 1 {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -15,16 +15,16 @@
 //	set routers=2 lag=answers ...      settings, or "unused": no traffic before; then: type NAME level=write effect=once-only ...
 //	at 120                             the time; what follows happens then; "paused": the router stood still up to then
 //	turn t1 rests started              of the submission sent last: whose turn it is, and whether its client has had a part
-//	list whole a b:draining c@-5       members and states; @ the time of a start; "list changes" for changes only
+//	list whole a/2 b:draining c@-5     members, / and a group, states, @ the time of a start; "list changes" for changes only
 //	list failed
-//	arrive t1 TYPE ttl=500 age=20 session=s tenant=n marked
+//	arrive t1 TYPE ttl=500 age=20 session=s tenant=n group=2 marked
 //	returned t1 miss role=replica gtid=90 done     of the submission sent last
 //	checked a ok role=primary gtid=100             or another outcome
 //	gone t1
 //	want submit t1 a|b                 a decision that must be among those just pulled; it is used up
 //	never submit t1                    none such may be left among them
 //
-// All members are in group 1 and in the zone of their name's first letter.
+// All members are in group 1, unless it says otherwise, and in the zone of their name's first letter.
 var (
 	outcomeWords = map[string]Outcome{"ok": Committed, "error": Errored, "full": Full, "timeout": TimedOut,
 		"unconnected": ConnectFailed, "reset": Reset, "revoked": Revoked, "moot": Moot, "miss": Miss}
@@ -125,7 +125,7 @@
 		return p.list(w[1:])
 	case "arrive":
 		_, marked := o["marked"]
-		if !p.r.Arrive(w[1], o["tenant"], o["session"], w[2], 1, number(o["age"], 0), number(o["ttl"], 1000),
+		if !p.r.Arrive(w[1], o["tenant"], o["session"], w[2], int(number(o["group"], 1)), number(o["age"], 0), number(o["ttl"], 1000),
 			marked) {
 			return fmt.Errorf("unknown txn type")
 		}
@@ -168,13 +168,19 @@
 	for _, word := range w[1:] {
 		word, at, _ := strings.Cut(word, "@")
 		id, word, _ := strings.Cut(word, ":")
+		id, group, _ := strings.Cut(id, "/")
 		state, known := stateWords[word]
 		if !known && word != "" {
 			return fmt.Errorf("unknown state %q", word)
 		}
-		p.r.Listed(id, id[:1], 1, state, number(at, Never))
+		p.r.Listed(id, id[:1], int(number(group, 1)), state, number(at, Never))
 	}
 	p.r.ListEnd(w[0] == "whole")
+	if !p.unused { // traffic has had all that are listed asked
+		for _, m := range p.r.group(1, true).members {
+			m.prompt = m.prompt || m.checkSent == Never
+		}
+	}
 	return nil
 }
 
