--- /dev/null
+++ b/internal/decide/lease/fence.go
@@ -0,0 +1,26 @@
+// Package lease decides who may act for the fleet and whose acts are taken. It owns the holder's account of its own time
+// (Holder) and the receiver's memory of fences (Receiver); it must never read a clock, grant anything (that is register's)
+// or open a socket. Times are ms on a clock that also runs while the machine sleeps; its zero means nothing.
+//
+// The idea is that of Burrows, "The Chubby lock service for loosely-coupled distributed systems" (OSDI 2006): a lease is
+// counted from before it was asked for, and a sequencer goes with each act, so that it is refused where it arrives.
+package lease
+
+import (
+	"cmp"
+	"fmt"
+)
+
+// Fence orders the grants of one duty. Epoch counts the beginnings of the council's state, Count the grants within one.
+// The zero Fence is older than any grant.
+type Fence struct {
+	Epoch uint64 `cbor:"1,keyasint" json:"epoch"`
+	Count uint64 `cbor:"2,keyasint" json:"count"`
+}
+
+// Compare tells whether f is older (-1), the same (0) or newer (1) than g.
+func (f Fence) Compare(g Fence) int {
+	return cmp.Or(cmp.Compare(f.Epoch, g.Epoch), cmp.Compare(f.Count, g.Count))
+}
+
+func (f Fence) String() string { return fmt.Sprintf("%d.%d", f.Epoch, f.Count) }
--- /dev/null
+++ b/internal/decide/lease/holder.go
@@ -0,0 +1,192 @@
+package lease
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"math"
+)
+
+const (
+	renewAt   = 1.0 / 3 // of a lease: two more renewals may fail before it ends
+	spread    = 1.0 / 6 // of a lease by which renewals are drawn earlier, so that a fleet's don't come together
+	retryPart = 1.0 / 8 // of a lease until an unanswered request is sent again
+)
+
+// Settings are given once. Times are ms.
+type Settings struct {
+	Length float64 // of a lease, as the council counts it
+	Margin float64 // before its end, from which the holder no longer acts: what an act takes, and the clocks' difference
+	Seed   uint64
+}
+
+// Verb tells what the host is to do.
+type Verb int
+
+const (
+	Ask      Verb = iota // ask for the duty, or for more time, as request Number
+	GiveBack             // tell the council that the duty is free, under Fence
+	PassOn               // tell the council to grant it to To next, under Fence
+	Stop                 // what acts under Fence must end now: nothing more may go out
+	Start                // may act under Fence
+)
+
+// Decision is one thing for the host to do; only the fields of its verb are set.
+type Decision struct {
+	Verb   Verb
+	Number uint64
+	Fence  Fence
+	To     string
+}
+
+// Holder is one process's part in one duty: candidate, then owner, then neither.
+type Holder struct {
+	set    Settings
+	now    float64
+	wanted bool
+	acting bool
+	to     string  // whom it is to be passed on to
+	fence  Fence   // of the lease that is held, or was last
+	until  float64 // no act from then on
+	number uint64
+	asked  map[uint64]float64 // requests without an answer yet, and when they went out
+	askAt  float64
+	draws  uint64
+	out    []Decision
+	others Fence // the highest that is known to be somebody else's
+}
+
+// NewHolder makes one that wants nothing yet.
+func NewHolder(set Settings) *Holder {
+	return &Holder{set: set, asked: map[uint64]float64{}, until: math.Inf(-1)}
+}
+
+func (h *Holder) chance() float64 {
+	h.draws++
+	f := fnv.New64a()
+	f.Write(binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, h.set.Seed), h.draws))
+	x := f.Sum64()
+	x ^= x >> 32 // FNV leaves its high bits poor on short inputs
+	x *= 0x9e3779b97f4a7c15
+	return float64(x>>11) / (1 << 53)
+}
+
+// At sets the time; all that follows until the next call happens then. A holder that slept finds its lease over.
+func (h *Holder) At(now float64) {
+	h.now = math.Max(h.now, now) // a clock that goes back must not lengthen a lease
+	if h.acting && h.now >= h.until {
+		h.stop()
+	}
+	if h.until <= h.now-h.set.Length { // what is older than a lease can bring none
+		for n, at := range h.asked {
+			if at <= h.now-h.set.Length {
+				delete(h.asked, n)
+			}
+		}
+	}
+}
+
+// Want says that this process would hold the duty.
+func (h *Holder) Want() {
+	if !h.wanted {
+		h.wanted, h.askAt = true, h.now
+	}
+}
+
+// Leave ends it: what is held is given back, or passed on to the process named. No grant that is still on its way counts.
+func (h *Holder) Leave(to string) {
+	if !h.wanted {
+		return
+	}
+	h.wanted, h.to = false, to
+	clear(h.asked)
+	if h.acting {
+		h.stop()
+		if to != "" {
+			h.out = append(h.out, Decision{Verb: PassOn, Fence: h.fence, To: to})
+		} else {
+			h.out = append(h.out, Decision{Verb: GiveBack, Fence: h.fence})
+		}
+	}
+}
+
+// Granted says that request number was answered with a grant or more time under fence. The time counts from when the
+// request went out: when the council counted it, nobody here can know.
+func (h *Holder) Granted(number uint64, fence Fence) {
+	at, known := h.asked[number]
+	if !known || !h.wanted || fence.Compare(h.fence) < 0 || fence.Compare(h.others) <= 0 && h.others != (Fence{}) {
+		return
+	}
+	delete(h.asked, number)
+	if h.acting && fence != h.fence { // it was somebody else's in between: what was begun under the old fence must end
+		h.stop()
+	}
+	until := at + h.set.Length - h.set.Margin
+	if fence == h.fence {
+		until = math.Max(until, h.until)
+	}
+	h.fence, h.until = fence, until
+	h.askAt = math.Min(at+h.set.Length*(renewAt-spread*h.chance()), math.Max(until, h.now))
+	if !h.acting && h.now < h.until {
+		h.acting = true
+		h.out = append(h.out, Decision{Verb: Start, Fence: fence})
+	}
+}
+
+// Denied says that somebody else holds the duty; this process is in the queue, and is told when it is its turn.
+func (h *Holder) Denied(number uint64) { delete(h.asked, number) }
+
+// Refused says that a receiver, or the council, knows a higher fence: the duty is somebody else's, whatever the clock says.
+func (h *Holder) Refused(higher Fence) {
+	if higher.Compare(h.fence) <= 0 {
+		return
+	}
+	if higher.Compare(h.others) > 0 {
+		h.others = higher
+	}
+	if h.acting {
+		h.stop()
+	}
+}
+
+// Turn says that the council has this process's turn come: it asks at once.
+func (h *Holder) Turn() {
+	if h.wanted {
+		h.askAt = h.now
+	}
+}
+
+func (h *Holder) stop() {
+	h.acting, h.until = false, math.Min(h.until, h.now)
+	h.out = append(h.out, Decision{Verb: Stop, Fence: h.fence})
+}
+
+// May tells whether an act may go out now, and the fence that goes with it. Ask it last, right before the act.
+func (h *Holder) May() (Fence, bool) { return h.fence, h.acting && h.now < h.until }
+
+// Due is when At must be called again at the latest.
+func (h *Holder) Due() float64 {
+	due := math.Inf(1)
+	if h.acting {
+		due = h.until
+	}
+	if h.wanted {
+		due = math.Min(due, h.askAt)
+	}
+	return due
+}
+
+// Next gives the next decision; false: none is left.
+func (h *Holder) Next() (Decision, bool) {
+	if len(h.out) > 0 {
+		d := h.out[0]
+		h.out = h.out[1:]
+		return d, true
+	}
+	if h.wanted && h.askAt <= h.now {
+		h.number++
+		h.asked[h.number] = h.now
+		h.askAt = h.now + h.set.Length*retryPart*(1+h.chance())
+		return Decision{Verb: Ask, Number: h.number}, true
+	}
+	return Decision{}, false
+}
--- /dev/null
+++ b/internal/decide/lease/lease_test.go
@@ -0,0 +1,106 @@
+package lease
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+
+	"wayloft/internal/standin/scenario"
+)
+
+// A scenario plays one holder with a lease of 1,000 ms and a margin of 100, and one receiver.
+//
+//	at 120 | wants | leaves [SUCCESSOR] | turn
+//	granted REQUEST 1.2 | denied REQUEST | refused 1.3
+//	want ask | start 1.2 | stop 1.2 | give 1.2 | pass 1.2 SUCCESSOR      decisions, in any order; never VERB: none such
+//	may 1.2 | may not
+//	learned DUTY 1.2 | act DUTY ABOUT HOLDER 1.2 VERDICT [HIGHEST] | restarts | closes DUTY ABOUT
+func TestScenarios(t *testing.T) {
+	scenario.Play(t, func() func(string) error {
+		p := &play{h: NewHolder(Settings{Length: 1000, Margin: 100, Seed: 1}), r: NewReceiver()}
+		return func(line string) error { return p.step(strings.Fields(line)) }
+	})
+}
+
+type play struct {
+	h    *Holder
+	r    *Receiver
+	left []string
+}
+
+var (
+	verbs    = map[Verb]string{Ask: "ask", GiveBack: "give", PassOn: "pass", Stop: "stop", Start: "start"}
+	verdicts = map[Verdict]string{Taken: "taken", Old: "old", Unknown: "unknown", Broken: "broken"}
+)
+
+func fence(s string) (f Fence) {
+	a, b, _ := strings.Cut(s, ".")
+	f.Epoch, _ = strconv.ParseUint(a, 10, 64)
+	f.Count, _ = strconv.ParseUint(b, 10, 64)
+	return f
+}
+
+func (p *play) step(w []string) error {
+	number := func(n int) uint64 {
+		x, _ := strconv.ParseUint(w[n], 10, 64)
+		return x
+	}
+	switch w[0] {
+	case "at":
+		p.h.At(float64(number(1)))
+	case "wants":
+		p.h.Want()
+	case "leaves":
+		p.h.Leave(strings.Join(w[1:], ""))
+	case "turn":
+		p.h.Turn()
+	case "granted":
+		p.h.Granted(number(1), fence(w[2]))
+	case "denied":
+		p.h.Denied(number(1))
+	case "refused":
+		p.h.Refused(fence(w[1]))
+	case "may":
+		f, may := p.h.May()
+		if got := map[bool]string{true: f.String(), false: "not"}[may]; got != w[1] {
+			return fmt.Errorf("may %s", got)
+		}
+	case "want", "never":
+		for d, more := p.h.Next(); more; d, more = p.h.Next() {
+			line := verbs[d.Verb]
+			if d.Verb == Ask {
+				line += fmt.Sprint(" ", d.Number)
+			} else {
+				line += strings.TrimRight(" "+d.Fence.String()+" "+d.To, " ")
+			}
+			p.left = append(p.left, line)
+		}
+		for n, line := range p.left {
+			if strings.HasPrefix(line+" ", strings.Join(w[1:], " ")+" ") {
+				p.left = append(p.left[:n], p.left[n+1:]...)
+				if w[0] == "want" {
+					return nil
+				}
+				return fmt.Errorf("there is %s", line)
+			}
+		}
+		if w[0] == "want" {
+			return fmt.Errorf("left: %s", strings.Join(p.left, "; "))
+		}
+	case "learned":
+		p.r.Learned(w[1], fence(w[2]))
+	case "restarts":
+		p.r = NewReceiver()
+	case "closes":
+		p.r.Close(Scope{w[1], w[2]})
+	case "act":
+		v, highest := p.r.Take(Scope{w[1], w[2]}, w[3], fence(w[4]))
+		if verdicts[v] != w[5] || len(w) > 6 && highest != fence(w[6]) {
+			return fmt.Errorf("%s, highest %v", verdicts[v], highest)
+		}
+	default:
+		return fmt.Errorf("unknown step")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/decide/lease/receiver.go
@@ -0,0 +1,97 @@
+package lease
+
+import "wayloft/internal/must"
+
+// Scope is what acts of one duty are about: one group, say. Each has a memory of its own.
+type Scope struct{ Duty, About string }
+
+// Verdict is what a receiver makes of an act.
+type Verdict int
+
+const (
+	Taken   Verdict = iota
+	Old             // a higher fence has been seen, which goes into the answer
+	Unknown         // this receiver has yet to hear from the council which fence is in force, and takes nothing
+	Broken          // the same fence from two holders: a promise is broken, and nothing more is taken under it
+)
+
+// Receiver remembers, for each scope, the highest fence that it has seen. It begins knowing nothing and takes no act of
+// a duty until Learned says where the duty's fences stand: what it saw before it restarted may have been higher.
+type Receiver struct {
+	learned map[string]Fence // by duty
+	seen    map[Scope]seen
+	Late    int // acts refused for their fence, since the start
+}
+
+type seen struct {
+	fence  Fence
+	holder string
+	broken bool
+}
+
+// NewReceiver makes one that takes nothing yet.
+func NewReceiver() *Receiver {
+	return &Receiver{learned: map[string]Fence{}, seen: map[Scope]seen{}}
+}
+
+// Learned says which fence the council knows to be the latest granted of a duty. It never lowers what is known.
+func (r *Receiver) Learned(duty string, fence Fence) {
+	if known, ok := r.learned[duty]; !ok || fence.Compare(known) > 0 {
+		r.learned[duty] = fence
+	}
+}
+
+// Forget drops what is kept of a duty that the fleet no longer has; until it is learned again nothing of it is taken.
+func (r *Receiver) Forget(duty string) {
+	delete(r.learned, duty)
+	for s := range r.seen {
+		if s.Duty == duty {
+			delete(r.seen, s)
+		}
+	}
+}
+
+// Close drops what is kept of a scope that is gone; the duty's own fence still holds for it.
+func (r *Receiver) Close(s Scope) {
+	if was, ok := r.seen[s]; ok {
+		delete(r.seen, s)
+		r.Learned(s.Duty, was.fence)
+	}
+}
+
+// Take judges an act. highest is the fence to answer with where it is Old.
+func (r *Receiver) Take(s Scope, holder string, fence Fence) (v Verdict, highest Fence) {
+	least, known := r.learned[s.Duty]
+	if !known {
+		return Unknown, Fence{}
+	}
+	was := r.seen[s]
+	if highest = least; was.fence.Compare(least) > 0 {
+		highest = was.fence
+	}
+	if fence.Compare(highest) < 0 {
+		r.Late++
+		return Old, highest
+	}
+	if fence == was.fence && was.holder != "" && was.holder != holder {
+		must.Hold(false, "one fence, one holder")
+		was.broken = true
+	}
+	if was.broken && fence == was.fence {
+		r.seen[s] = was
+		return Broken, highest
+	}
+	r.seen[s] = seen{fence: fence, holder: holder}
+	return Taken, fence
+}
+
+// Highest is the highest fence known of a duty, over all its scopes; a council that knows a lower one must not grant it.
+func (r *Receiver) Highest(duty string) (highest Fence) {
+	highest = r.learned[duty]
+	for s, was := range r.seen {
+		if s.Duty == duty && was.fence.Compare(highest) > 0 {
+			highest = was.fence
+		}
+	}
+	return highest
+}
--- /dev/null
+++ b/internal/decide/register/register.go
@@ -0,0 +1,465 @@
+// Package register decides what the fleet's small state becomes with each entry of the council's log: sessions of
+// processes, duties with their holders, queues and fences, and the steps that an owner noted down. It must never read a
+// clock, draw chance or do I/O: the same entries give the same bytes of snapshot everywhere.
+//
+// Time enters only as what the leader put into the log: each entry says how many ms went by on the leader's clock since the
+// one before. A new leader can't know how long the log stood still, so it gives every session its whole length again; a
+// lease is its session's, and counts at its holder from before it was asked for, so it ends there first.
+package register
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"wayloft/internal/decide/lease"
+)
+
+const (
+	version    = 1
+	longest    = 256   // bytes of a name or a note
+	mostSteps  = 16    // notes kept of one duty: the latest
+	mostEvents = 1000  // kept for those who watch; who is further behind reads the whole state again
+	mostNames  = 10000 // sessions, and duties: these stay for good, since their fences must
+	mostPassed = 60000 // ms in one entry: more than that and the leader should have resigned
+)
+
+// Kind tells what an entry does.
+type Kind string
+
+const (
+	Lead   Kind = "lead"   // a new leader begins; all sessions get their whole length again
+	Tick   Kind = "tick"   // time has passed
+	Open   Kind = "open"   // Session begins, or begins anew with a higher Incarnation; Is, Length
+	Beat   Kind = "beat"   // Session is heard from
+	End    Kind = "end"    // Session ends by itself
+	Take   Kind = "take"   // Session would hold Duty
+	Free   Kind = "free"   // Session gives Duty back, under Fence
+	Pass   Kind = "pass"   // Session gives Duty to the session named To, under Fence, if that is alive
+	Note   Kind = "note"   // Session notes down a step of Duty, under Fence, before it is taken
+	Told   Kind = "told"   // a receiver knows of a higher Fence of Duty than is kept here
+	Ascend Kind = "ascend" // an operator began a new epoch
+)
+
+// Entry is one entry of the log; only the fields of its kind are set.
+type Entry struct {
+	Kind        Kind        `cbor:"1,keyasint"`
+	Passed      uint64      `cbor:"2,keyasint,omitempty"` // ms on the leader's clock since its entry before
+	Session     string      `cbor:"3,keyasint,omitempty"`
+	Incarnation uint64      `cbor:"4,keyasint,omitempty"`
+	Is          string      `cbor:"5,keyasint,omitempty"`
+	Length      uint64      `cbor:"6,keyasint,omitempty"` // ms of silence that a session outlives
+	Duty        string      `cbor:"7,keyasint,omitempty"`
+	Fence       lease.Fence `cbor:"8,keyasint,omitzero"`
+	To          string      `cbor:"9,keyasint,omitempty"`
+	Text        string      `cbor:"10,keyasint,omitempty"`
+	Epoch       uint64      `cbor:"11,keyasint,omitempty"`
+}
+
+// Session is a process as the council knows it.
+type Session struct {
+	Incarnation uint64 `cbor:"1,keyasint"`
+	Is          string `cbor:"2,keyasint"`
+	Length      uint64 `cbor:"3,keyasint"`
+	Heard       uint64 `cbor:"4,keyasint"` // on the register's time
+}
+
+// Duty is something that one process at a time does for the fleet.
+type Duty struct {
+	Holder string      `cbor:"1,keyasint"` // empty: nobody
+	Fence  lease.Fence `cbor:"2,keyasint"` // of the latest grant, and never lower than any before
+	Since  uint64      `cbor:"3,keyasint"`
+	Queue  []string    `cbor:"4,keyasint"` // sessions that would hold it, the one that is next first
+	Barred lease.Fence `cbor:"5,keyasint"` // a fence that some receiver has seen though it was never granted here
+	Steps  []Step      `cbor:"6,keyasint"`
+}
+
+// Step is a note of an owner's, for itself and for who comes after it.
+type Step struct {
+	Fence lease.Fence `cbor:"1,keyasint"`
+	Text  string      `cbor:"2,keyasint"`
+}
+
+// Event is one change that watchers may care for.
+type Event struct {
+	Index   uint64      `cbor:"1,keyasint"` // of the entry that brought it
+	Session string      `cbor:"2,keyasint,omitempty"`
+	Ended   bool        `cbor:"3,keyasint,omitempty"`
+	Duty    string      `cbor:"4,keyasint,omitempty"`
+	Fence   lease.Fence `cbor:"5,keyasint,omitzero"`
+}
+
+type state struct {
+	Version  uint64              `cbor:"1,keyasint"`
+	Fleet    string              `cbor:"2,keyasint"`
+	Epoch    uint64              `cbor:"3,keyasint"`
+	Now      uint64              `cbor:"4,keyasint"` // ms that have passed by the leaders' clocks
+	Index    uint64              `cbor:"5,keyasint"`
+	Sessions map[string]*Session `cbor:"6,keyasint"`
+	Duties   map[string]*Duty    `cbor:"7,keyasint"`
+	Events   []Event             `cbor:"8,keyasint"`
+}
+
+// Register is the state after the entries so far.
+type Register struct{ s state }
+
+// New makes an empty one in the first epoch.
+func New(fleet string) *Register {
+	return &Register{state{Version: version, Fleet: fleet, Epoch: 1, Sessions: map[string]*Session{}, Duties: map[string]*Duty{}}}
+}
+
+const behind = "a receiver knows a higher fence than this council"
+
+var (
+	// ErrUnknown is of an entry, or a snapshot, that a later build wrote: it must not be passed over.
+	ErrUnknown = errors.New("written by a later version")
+	// ErrUnsound is of bytes that no build writes.
+	ErrUnsound = errors.New("unsound")
+)
+
+var coding = func() (m struct {
+	cbor.EncMode
+	cbor.DecMode
+}) {
+	var err, other error
+	m.EncMode, err = cbor.CoreDetEncOptions().EncMode() // RFC 8949, 4.2.1: one form for each value
+	m.DecMode, other = cbor.DecOptions{ExtraReturnErrors: cbor.ExtraDecErrorUnknownField, DupMapKey: cbor.DupMapKeyEnforcedAPF,
+		IndefLength: cbor.IndefLengthForbidden, MaxNestedLevels: 8}.DecMode()
+	if err := cmp.Or(err, other); err != nil {
+		panic(err)
+	}
+	return m
+}()
+
+// Encode gives an entry's bytes for the log.
+func Encode(e Entry) []byte {
+	b, err := coding.EncMode.Marshal(e)
+	if err != nil {
+		panic(err) // strings and numbers alone
+	}
+	return b
+}
+
+// Decode reads an entry. What it doesn't know of it refuses as a whole.
+func Decode(b []byte) (Entry, error) {
+	var e Entry
+	if err := coding.DecMode.Unmarshal(b, &e); err != nil {
+		if unknown := (*cbor.UnknownFieldError)(nil); errors.As(err, &unknown) {
+			return e, fmt.Errorf("entry: %w: %w", ErrUnknown, err)
+		}
+		return e, fmt.Errorf("entry: %w: %w", ErrUnsound, err)
+	}
+	switch e.Kind {
+	case Lead, Tick, Open, Beat, End, Take, Free, Pass, Note, Told, Ascend:
+	default:
+		return e, fmt.Errorf("entry: %w: kind %.32q", ErrUnknown, e.Kind)
+	}
+	for _, text := range []string{e.Session, e.Is, e.Duty, e.To, e.Text} {
+		if len(text) > longest {
+			return e, fmt.Errorf("entry: %w: a text of %d bytes, %d at most", ErrUnsound, len(text), longest)
+		}
+	}
+	if e.Passed > mostPassed || e.Length > mostPassed {
+		return e, fmt.Errorf("entry: %w: %d ms passed, a length of %d ms, %d at most", ErrUnsound, e.Passed, e.Length, mostPassed)
+	}
+	return e, nil
+}
+
+// Snapshot gives the whole state as bytes, the same for the same entries.
+func (r *Register) Snapshot() []byte {
+	b, err := coding.EncMode.Marshal(r.s)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// Restore reads a snapshot of the fleet's. Nothing is taken over from one that is unsound, later or another fleet's.
+func Restore(fleet string, b []byte) (*Register, error) {
+	var head struct {
+		Version uint64 `cbor:"1,keyasint"`
+		Fleet   string `cbor:"2,keyasint"`
+	}
+	if err := cbor.Unmarshal(b, &head); err != nil {
+		return nil, fmt.Errorf("snapshot: %w: %w", ErrUnsound, err)
+	}
+	if head.Version > version {
+		return nil, fmt.Errorf("snapshot: %w: version %d, this build knows %d", ErrUnknown, head.Version, version)
+	}
+	if head.Fleet != fleet {
+		return nil, fmt.Errorf("snapshot: of fleet %.64q, not of %q", head.Fleet, fleet)
+	}
+	r := New(fleet)
+	if err := coding.DecMode.Unmarshal(b, &r.s); err != nil {
+		return nil, fmt.Errorf("snapshot: %w: %w", ErrUnsound, err)
+	}
+	for name, d := range r.s.Duties {
+		if d == nil || d.Holder != "" && r.s.Sessions[d.Holder] == nil {
+			return nil, fmt.Errorf("snapshot: %w: the holder of %q has no session", ErrUnsound, name)
+		}
+	}
+	for name, s := range r.s.Sessions {
+		if s == nil {
+			return nil, fmt.Errorf("snapshot: %w: session %q is empty", ErrUnsound, name)
+		}
+	}
+	return r, nil
+}
+
+// Answer is what the process that brought an entry hears.
+type Answer struct {
+	Held  bool        // it holds the duty, under Fence
+	Fence lease.Fence // of its grant; else the highest known
+	Why   string      // where it was refused
+}
+
+// Apply takes one entry in. index is its place in the log; one that is in already is passed over.
+func (r *Register) Apply(index uint64, e Entry) Answer {
+	if index <= r.s.Index {
+		return Answer{Why: "applied before"}
+	}
+	r.s.Index = index
+	r.s.Now += e.Passed
+	if e.Kind == Lead {
+		for _, s := range r.s.Sessions {
+			s.Heard = r.s.Now
+		}
+	}
+	r.expire()
+	switch e.Kind {
+	case Open:
+		return r.open(e)
+	case Beat, End, Take, Free, Pass, Note:
+		return r.of(e)
+	case Told:
+		return r.told(e)
+	case Ascend:
+		if e.Epoch <= r.s.Epoch {
+			return Answer{Why: fmt.Sprintf("epoch %d has begun already", r.s.Epoch)}
+		}
+		r.s.Epoch = e.Epoch
+		for _, name := range slices.Sorted(maps.Keys(r.s.Duties)) {
+			r.free(name)
+		}
+	}
+	return Answer{}
+}
+
+// expire ends the sessions that have been silent for longer than their length.
+func (r *Register) expire() {
+	for _, name := range slices.Sorted(maps.Keys(r.s.Sessions)) {
+		if s := r.s.Sessions[name]; r.s.Now-s.Heard > s.Length {
+			r.end(name)
+		}
+	}
+}
+
+func (r *Register) open(e Entry) Answer {
+	s := r.s.Sessions[e.Session]
+	switch {
+	case e.Session == "" || e.Length == 0:
+		return Answer{Why: "a session needs a name and a length"}
+	case s == nil && len(r.s.Sessions) >= mostNames:
+		return Answer{Why: "too many sessions"}
+	case s != nil && e.Incarnation < s.Incarnation:
+		return Answer{Why: "a later incarnation has this name"}
+	case s != nil && e.Incarnation == s.Incarnation:
+		s.Heard = r.s.Now // the same request once more
+		return Answer{Held: true}
+	case s != nil:
+		r.end(e.Session) // its process started anew and knows nothing of what it held
+	}
+	r.s.Sessions[e.Session] = &Session{Incarnation: e.Incarnation, Is: e.Is, Length: e.Length, Heard: r.s.Now}
+	r.tell(Event{Session: e.Session})
+	return Answer{Held: true}
+}
+
+// of takes in what a session does. One that is not there, or of another incarnation, hears that it must open one first.
+func (r *Register) of(e Entry) Answer {
+	s := r.s.Sessions[e.Session]
+	if s == nil || s.Incarnation != e.Incarnation {
+		return Answer{Why: "no such session"}
+	}
+	s.Heard = r.s.Now
+	switch e.Kind {
+	case Beat:
+		return Answer{Held: true}
+	case End:
+		r.end(e.Session)
+		return Answer{}
+	case Take:
+		return r.take(e)
+	}
+	d := r.s.Duties[e.Duty]
+	if d == nil || d.Holder != e.Session || d.Fence != e.Fence {
+		a := Answer{Why: "not the holder"}
+		if d != nil {
+			a.Fence = d.Fence
+		}
+		return a
+	}
+	switch e.Kind {
+	case Free:
+		r.free(e.Duty)
+	case Pass:
+		if r.s.Sessions[e.To] == nil {
+			return Answer{Held: true, Fence: d.Fence, Why: "the successor has no session"}
+		}
+		d.Queue = append([]string{e.To}, slices.DeleteFunc(d.Queue, func(q string) bool { return q == e.To })...)
+		r.free(e.Duty)
+	case Note:
+		if d.Steps = append(d.Steps, Step{d.Fence, e.Text}); len(d.Steps) > mostSteps {
+			d.Steps = slices.Delete(d.Steps, 0, len(d.Steps)-mostSteps)
+		}
+		return Answer{Held: true, Fence: d.Fence}
+	}
+	return Answer{Fence: d.Fence}
+}
+
+// take grants a duty that nobody holds, to the first of its queue; a holder's repeat gets the same fence.
+func (r *Register) take(e Entry) Answer {
+	d, why := r.duty(e.Duty)
+	if d == nil {
+		return Answer{Why: why}
+	}
+	if d.Holder != e.Session && !slices.Contains(d.Queue, e.Session) {
+		d.Queue = append(d.Queue, e.Session)
+	}
+	if d.Holder == "" {
+		r.grant(e.Duty)
+	}
+	if d.Holder == e.Session {
+		return Answer{Held: true, Fence: d.Fence}
+	}
+	if why = "held by " + d.Holder; d.Holder == "" {
+		why = behind
+	}
+	return Answer{Fence: d.Fence, Why: why}
+}
+
+// duty finds a duty, or makes one that nobody holds yet.
+func (r *Register) duty(name string) (d *Duty, why string) {
+	if d = r.s.Duties[name]; d != nil {
+		return d, ""
+	}
+	if name == "" || len(r.s.Duties) >= mostNames {
+		return nil, "no duty named, or too many"
+	}
+	d = &Duty{}
+	r.s.Duties[name] = d
+	return d, ""
+}
+
+// grant gives a free duty to the first of its queue. Guards against fences that go back, after state was lost: while a
+// receiver has seen a fence that this state knows nothing of, there may have been more in that epoch: nobody gets the
+// duty until an operator has begun another.
+func (r *Register) grant(name string) {
+	d := r.s.Duties[name]
+	if len(d.Queue) == 0 || d.Holder != "" {
+		return
+	}
+	next := lease.Fence{Epoch: r.s.Epoch, Count: 1}
+	if d.Fence.Epoch == r.s.Epoch {
+		next.Count = d.Fence.Count + 1
+	}
+	if next.Epoch <= d.Barred.Epoch {
+		return
+	}
+	d.Holder, d.Fence, d.Since = d.Queue[0], next, r.s.Now
+	d.Queue = slices.Delete(d.Queue, 0, 1)
+	r.tell(Event{Duty: name, Fence: next, Session: d.Holder})
+}
+
+// free takes a duty from its holder; the next of the queue gets it at once.
+func (r *Register) free(name string) {
+	d := r.s.Duties[name]
+	if d.Holder != "" {
+		r.tell(Event{Duty: name, Fence: d.Fence, Session: d.Holder, Ended: true})
+		d.Holder, d.Since = "", r.s.Now
+	}
+	r.grant(name)
+}
+
+func (r *Register) end(session string) {
+	delete(r.s.Sessions, session)
+	r.tell(Event{Session: session, Ended: true})
+	for _, name := range slices.Sorted(maps.Keys(r.s.Duties)) {
+		d := r.s.Duties[name]
+		d.Queue = slices.DeleteFunc(d.Queue, func(q string) bool { return q == session })
+		if d.Holder == session {
+			r.free(name)
+		}
+	}
+}
+
+// told takes in that a receiver has seen a fence that was never granted here, or one that was granted here to somebody
+// else than Session: this state is older than what the fleet has been through. The duty is taken away, since who holds it
+// can't act, and granted again only in a later epoch.
+func (r *Register) told(e Entry) Answer {
+	d, why := r.duty(e.Duty)
+	if d == nil {
+		return Answer{Why: why}
+	}
+	order := e.Fence.Compare(d.Fence)
+	known := order < 0 || order == 0 && (d.Holder == "" || d.Holder == e.Session)
+	if known || e.Fence.Compare(d.Barred) <= 0 {
+		return Answer{Fence: d.Fence}
+	}
+	d.Barred = e.Fence
+	r.free(e.Duty)
+	return Answer{Fence: d.Fence, Why: behind}
+}
+
+func (r *Register) tell(e Event) {
+	e.Index = r.s.Index
+	if r.s.Events = append(r.s.Events, e); len(r.s.Events) > mostEvents {
+		r.s.Events = slices.Delete(r.s.Events, 0, len(r.s.Events)-mostEvents)
+	}
+}
+
+// Since gives the events after an index, or false where some of them are no longer kept: then all must be read anew.
+func (r *Register) Since(index uint64) ([]Event, bool) {
+	if len(r.s.Events) == mostEvents && index < r.s.Events[0].Index {
+		return nil, false
+	}
+	n, _ := slices.BinarySearchFunc(r.s.Events, index+1, func(e Event, at uint64) int { return cmp.Compare(e.Index, at) })
+	return slices.Clone(r.s.Events[n:]), true
+}
+
+// Duty and Session give what is kept of one; false: nothing. Duties and Sessions name them, in order.
+func (r *Register) Duty(name string) (Duty, bool) {
+	d := r.s.Duties[name]
+	if d == nil {
+		return Duty{}, false
+	}
+	c := *d
+	c.Queue, c.Steps = slices.Clone(d.Queue), slices.Clone(d.Steps)
+	return c, true
+}
+
+// Stands is the fence under which nothing of a duty is in force any more: what a receiver that knows nothing learns. In an
+// epoch without a grant so far that is the epoch's beginning, since those before it are over.
+func (r *Register) Stands(name string) lease.Fence {
+	stands := lease.Fence{Epoch: r.s.Epoch}
+	if d := r.s.Duties[name]; d != nil && d.Fence.Compare(stands) > 0 {
+		stands = d.Fence
+	}
+	return stands
+}
+
+func (r *Register) Session(name string) (Session, bool) {
+	s := r.s.Sessions[name]
+	if s == nil {
+		return Session{}, false
+	}
+	return *s, true
+}
+
+func (r *Register) Duties() []string   { return slices.Sorted(maps.Keys(r.s.Duties)) }
+func (r *Register) Sessions() []string { return slices.Sorted(maps.Keys(r.s.Sessions)) }
+func (r *Register) Index() uint64      { return r.s.Index }
+func (r *Register) Epoch() uint64      { return r.s.Epoch }
--- /dev/null
+++ b/internal/decide/register/register_test.go
@@ -0,0 +1,233 @@
+package register
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"pgregory.net/rapid"
+
+	"wayloft/internal/decide/lease"
+)
+
+// fleet is a register with the index of its log.
+type fleet struct {
+	*Register
+	at uint64
+}
+
+func (f *fleet) do(e Entry) Answer {
+	f.at++
+	return f.Apply(f.at, e)
+}
+
+func begin(sessions ...string) *fleet {
+	f := &fleet{Register: New("f")}
+	for _, s := range sessions {
+		f.do(Entry{Kind: Open, Session: s, Incarnation: 1, Length: 100})
+	}
+	return f
+}
+
+func take(s string) Entry { return Entry{Kind: Take, Session: s, Incarnation: 1, Duty: "d"} }
+
+func want(t *testing.T, what string, got, want any) {
+	t.Helper()
+	if got != want {
+		t.Fatalf("%s: %v, want %v", what, got, want)
+	}
+}
+
+func fence(epoch, count uint64) lease.Fence { return lease.Fence{Epoch: epoch, Count: count} }
+
+func TestGrantQueueAndEnd(t *testing.T) {
+	f := begin("a", "b", "c")
+	want(t, "first", f.do(take("a")).Fence, fence(1, 1))
+	want(t, "a repeat gets the same", f.do(take("a")).Fence, fence(1, 1))
+	want(t, "taken", f.do(take("b")).Held, false)
+	f.do(take("c"))
+	f.do(Entry{Kind: Beat, Session: "b", Incarnation: 1, Passed: 90})
+	f.do(Entry{Kind: Beat, Session: "c", Incarnation: 1, Passed: 5})
+	d, _ := f.Duty("d")
+	want(t, "still held", d.Holder, "a")
+	f.do(Entry{Kind: Tick, Passed: 6}) // a has been silent for 101
+	d, _ = f.Duty("d")
+	want(t, "next of the queue", d.Holder, "b")
+	want(t, "fence", d.Fence, fence(1, 2))
+	want(t, "who ended", f.do(Entry{Kind: Free, Session: "a", Incarnation: 1, Duty: "d", Fence: fence(1, 1)}).Why, "no such session")
+	a := f.do(Entry{Kind: Pass, Session: "b", Incarnation: 1, Duty: "d", Fence: fence(1, 2), To: "c"})
+	d, _ = f.Duty("d")
+	want(t, "passed on", d.Holder+a.Why, "c")
+	events, all := f.Since(0)
+	if last := events[len(events)-1]; !all || last.Session != "c" || last.Fence != fence(1, 3) {
+		t.Fatalf("events %+v", events)
+	}
+}
+
+func TestNewLeaderGivesWholeLength(t *testing.T) {
+	f := begin("a")
+	f.do(take("a"))
+	f.do(Entry{Kind: Tick, Passed: 90})
+	f.do(Entry{Kind: Lead, Passed: 50})
+	f.do(Entry{Kind: Tick, Passed: 100})
+	d, _ := f.Duty("d")
+	want(t, "held", d.Holder, "a")
+	f.do(Entry{Kind: Tick, Passed: 1})
+	d, _ = f.Duty("d")
+	want(t, "over", d.Holder, "")
+}
+
+// A process that started anew holds nothing of what its former self held.
+func TestIncarnation(t *testing.T) {
+	f := begin("a")
+	f.do(take("a"))
+	f.do(Entry{Kind: Open, Session: "a", Incarnation: 2, Length: 100})
+	d, _ := f.Duty("d")
+	want(t, "freed", d.Holder, "")
+	want(t, "the former self", f.do(take("a")).Why, "no such session")
+	want(t, "an older one", f.do(Entry{Kind: Open, Session: "a", Incarnation: 1, Length: 100}).Held, false)
+	want(t, "fence", f.do(Entry{Kind: Take, Session: "a", Incarnation: 2, Duty: "d"}).Fence, fence(1, 2))
+}
+
+// A council whose state was lost grants nothing under fences that receivers have seen, until its epoch is above.
+func TestLostState(t *testing.T) {
+	f := begin("a")
+	f.do(Entry{Kind: Told, Duty: "d", Fence: fence(1, 7)})
+	a := f.do(take("a"))
+	want(t, "grant", a.Held, false)
+	want(t, "why", a.Why, behind)
+	want(t, "an old epoch", f.do(Entry{Kind: Ascend, Epoch: 1}).Why, "epoch 1 has begun already")
+	f.do(Entry{Kind: Ascend, Epoch: 2})
+	want(t, "above", f.do(take("a")).Fence, fence(2, 1))
+	// An older copy put back grants the same fence to another; who has seen the first says so.
+	want(t, "its own", f.do(Entry{Kind: Told, Duty: "d", Fence: fence(2, 1), Session: "a"}).Why, "")
+	f.do(Entry{Kind: Told, Duty: "d", Fence: fence(2, 1), Session: "z"})
+	d, _ := f.Duty("d")
+	want(t, "taken away", d.Holder, "")
+	if f.do(take("a")).Held {
+		t.Fatal("granted at or under a fence that another has")
+	}
+}
+
+func TestSteps(t *testing.T) {
+	f := begin("a", "b")
+	f.do(take("a"))
+	note := Entry{Kind: Note, Session: "a", Incarnation: 1, Duty: "d", Fence: fence(1, 1), Text: "hold"}
+	want(t, "noted", f.do(note).Held, true)
+	f.do(Entry{Kind: Free, Session: "a", Incarnation: 1, Duty: "d", Fence: fence(1, 1)})
+	f.do(take("b"))
+	note.Text = "late"
+	want(t, "a former holder's", f.do(note).Fence, fence(1, 2))
+	for range 40 {
+		f.do(Entry{Kind: Note, Session: "b", Incarnation: 1, Duty: "d", Fence: fence(1, 2), Text: "go"})
+	}
+	d, _ := f.Duty("d")
+	want(t, "kept", len(d.Steps), mostSteps)
+	for _, s := range d.Steps {
+		want(t, "step", s.Text, "go")
+	}
+}
+
+func TestRefusedWhole(t *testing.T) {
+	later, _ := cbor.Marshal(map[int]any{1: "take", 2: 5, 99: "what a later build means"})
+	kind, _ := cbor.Marshal(map[int]any{1: "merge"})
+	long, _ := cbor.Marshal(map[int]any{1: "take", 7: strings.Repeat("x", longest+1)})
+	for name, c := range map[string]struct {
+		bytes []byte
+		err   error
+	}{"a field": {later, ErrUnknown}, "a kind": {kind, ErrUnknown}, "a long name": {long, ErrUnsound},
+		"nothing": {nil, ErrUnsound}, "half": {Encode(take("a"))[:5], ErrUnsound}} {
+		if _, err := Decode(c.bytes); !errors.Is(err, c.err) {
+			t.Errorf("%s: %v, want %v", name, err, c.err)
+		}
+	}
+	f := begin("a")
+	f.do(take("a"))
+	whole := f.Snapshot()
+	if _, err := Restore("g", whole); err == nil || !strings.Contains(err.Error(), `of fleet "f", not of "g"`) {
+		t.Error("another fleet's:", err)
+	}
+	for n := range whole {
+		if r, err := Restore("f", whole[:n]); err == nil {
+			t.Fatalf("%d of %d bytes read as %v", n, len(whole), r.Duties())
+		}
+	}
+	f.s.Version = version + 1
+	if _, err := Restore("f", f.Snapshot()); !errors.Is(err, ErrUnknown) {
+		t.Error("a later snapshot:", err)
+	}
+}
+
+func draw(t *rapid.T) Entry {
+	name := rapid.SampledFrom([]string{"a", "b", "c"})
+	return Entry{Kind: rapid.SampledFrom([]Kind{Lead, Tick, Open, Beat, End, Take, Free, Pass, Note, Told, Ascend}).Draw(t, "kind"),
+		Passed: uint64(rapid.IntRange(0, 60).Draw(t, "passed")), Session: name.Draw(t, "session"), To: name.Draw(t, "to"),
+		Incarnation: uint64(rapid.IntRange(1, 3).Draw(t, "incarnation")), Length: 100,
+		Duty:  rapid.SampledFrom([]string{"d", "e"}).Draw(t, "duty"),
+		Fence: fence(uint64(rapid.IntRange(1, 3).Draw(t, "epoch")), uint64(rapid.IntRange(0, 4).Draw(t, "count"))),
+		Epoch: uint64(rapid.IntRange(1, 4).Draw(t, "to epoch"))}
+}
+
+// Whatever the entries: fences of a duty only grow with its holders, a holder has a session, no one is queued twice, a
+// snapshot in the middle changes nothing, and bytes are the same again.
+func TestAnyEntries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f, cut := begin("a"), rapid.IntRange(0, 60).Draw(t, "cut")
+		g := begin("a")
+		last, holders := map[string]lease.Fence{}, map[string]string{}
+		for n := range rapid.IntRange(1, 60).Draw(t, "entries") {
+			e := draw(t)
+			decoded, err := Decode(Encode(e))
+			if err != nil || decoded != e {
+				t.Fatalf("%+v came back as %+v, %v", e, decoded, err)
+			}
+			f.do(e)
+			g.do(e)
+			if n == cut {
+				r, err := Restore("f", f.Snapshot())
+				if err != nil {
+					t.Fatal(err)
+				}
+				f.Register = r
+			}
+			for _, name := range f.Duties() {
+				d, _ := f.Duty(name)
+				if d.Fence.Compare(last[name]) < 0 || d.Fence == last[name] && d.Holder != "" && d.Holder != holders[name] {
+					t.Fatalf("%s: %v of %q after %v of %q", name, d.Fence, d.Holder, last[name], holders[name])
+				}
+				if d.Fence != last[name] {
+					holders[name] = d.Holder
+				}
+				last[name] = d.Fence
+				if _, open := f.Session(d.Holder); d.Holder != "" && !open {
+					t.Fatalf("%s is held by %q, which has no session", name, d.Holder)
+				}
+				for i, q := range d.Queue {
+					if _, open := f.Session(q); !open || q == d.Holder || strings.Count(strings.Join(d.Queue, " "), q) > 1 {
+						t.Fatalf("%s: queue %v at %d", name, d.Queue, i)
+					}
+				}
+			}
+		}
+		if !bytes.Equal(f.Snapshot(), g.Snapshot()) {
+			t.Fatal("a snapshot in the middle changed the state")
+		}
+	})
+}
+
+func FuzzRestore(f *testing.F) {
+	r := begin("a", "b")
+	r.do(take("a"))
+	r.do(take("b"))
+	f.Add(r.Snapshot())
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if r, err := Restore("f", b); err == nil {
+			r.Apply(r.Index()+1, Entry{Kind: Tick, Passed: 1})
+			if _, err := Restore("f", r.Snapshot()); err != nil {
+				t.Fatal("what was taken does not come back:", err)
+			}
+		}
+	})
+}
