--- a/internal/decide/lease/holder.go
+++ b/internal/decide/lease/holder.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"hash/fnv"
+	"maps"
 	"math"
 )
 
@@ -76,13 +77,8 @@
 	if h.acting && h.now >= h.until {
 		h.stop()
 	}
-	if h.until <= h.now-h.set.Length { // what is older than a lease can bring none
-		for n, at := range h.asked {
-			if at <= h.now-h.set.Length {
-				delete(h.asked, n)
-			}
-		}
-	}
+	// What is older than a lease can bring none.
+	maps.DeleteFunc(h.asked, func(_ uint64, at float64) bool { return at <= h.now-h.set.Length })
 }
 
 // Want says that this process would hold the duty.
--- a/internal/decide/lease/lease_test.go
+++ b/internal/decide/lease/lease_test.go
@@ -104,3 +104,23 @@
 	}
 	return nil
 }
+
+// Requests that were never answered are forgotten after a lease's length, also while others are answered.
+func TestForgetsRequests(t *testing.T) {
+	h := NewHolder(Settings{Length: 1000, Margin: 100, Seed: 1})
+	h.Want()
+	for at := 0.0; at < 100000; at += 50 {
+		h.At(at)
+		for d, more := h.Next(); more; d, more = h.Next() {
+			if d.Verb == Ask && d.Number%3 == 1 {
+				h.Granted(d.Number, Fence{1, 1})
+			}
+		}
+		if _, may := h.May(); !may {
+			t.Fatalf("%v: not acting", at)
+		}
+		if len(h.asked) > 10 {
+			t.Fatalf("%v: %d requests are kept", at, len(h.asked))
+		}
+	}
+}
