--- a/internal/decide/lease/holder.go
+++ b/internal/decide/lease/holder.go
@@ -1,10 +1,10 @@
 package lease
 
 import (
-	"encoding/binary"
-	"hash/fnv"
 	"maps"
 	"math"
+
+	"wayloft/internal/decide/chance"
 )
 
 const (
@@ -51,24 +51,14 @@
 	number uint64
 	asked  map[uint64]float64 // requests without an answer yet, and when they went out
 	askAt  float64
-	draws  uint64
+	chance chance.Source
 	out    []Decision
 	others Fence // the highest that is known to be somebody else's
 }
 
 // NewHolder makes one that wants nothing yet.
 func NewHolder(set Settings) *Holder {
-	return &Holder{set: set, asked: map[uint64]float64{}, until: math.Inf(-1)}
-}
-
-func (h *Holder) chance() float64 {
-	h.draws++
-	f := fnv.New64a()
-	f.Write(binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, h.set.Seed), h.draws))
-	x := f.Sum64()
-	x ^= x >> 32 // FNV leaves its high bits poor on short inputs
-	x *= 0x9e3779b97f4a7c15
-	return float64(x>>11) / (1 << 53)
+	return &Holder{set: set, chance: chance.Source{Seed: set.Seed}, asked: map[uint64]float64{}, until: math.Inf(-1)}
 }
 
 // At sets the time; all that follows until the next call happens then. A holder that slept finds its lease over.
@@ -121,7 +111,7 @@
 		until = math.Max(until, h.until)
 	}
 	h.fence, h.until = fence, until
-	h.askAt = math.Min(at+h.set.Length*(renewAt-spread*h.chance()), math.Max(until, h.now))
+	h.askAt = math.Min(at+h.set.Length*(renewAt-spread*h.chance.Next()), math.Max(until, h.now))
 	if !h.acting && h.now < h.until {
 		h.acting = true
 		h.out = append(h.out, Decision{Verb: Start, Fence: fence})
@@ -181,7 +171,7 @@
 	if h.wanted && h.askAt <= h.now {
 		h.number++
 		h.asked[h.number] = h.now
-		h.askAt = h.now + h.set.Length*retryPart*(1+h.chance())
+		h.askAt = h.now + h.set.Length*retryPart*(1+h.chance.Next())
 		return Decision{Verb: Ask, Number: h.number}, true
 	}
 	return Decision{}, false
--- a/internal/decide/pool/pool.go
+++ b/internal/decide/pool/pool.go
@@ -7,11 +7,11 @@
 package pool
 
 import (
-	"encoding/binary"
-	"hash/fnv"
 	"maps"
 	"math"
 	"slices"
+
+	"wayloft/internal/decide/chance"
 )
 
 const (
@@ -163,7 +163,7 @@
 type Pool struct {
 	set     Settings
 	now     float64
-	draws   uint64
+	chance  chance.Source
 	last    int
 	conns   map[int]*conn
 	places  map[string]*place
@@ -177,20 +177,10 @@
 
 // New makes a pool that has no connection yet.
 func New(set Settings) *Pool {
-	return &Pool{set: set, conns: map[int]*conn{}, places: map[string]*place{}, totals: map[string]int{},
+	return &Pool{set: set, chance: chance.Source{Seed: set.Seed}, conns: map[int]*conn{}, places: map[string]*place{}, totals: map[string]int{},
 		wants: map[string]*want{}}
 }
 
-func (p *Pool) chance() float64 {
-	p.draws++
-	h := fnv.New64a()
-	h.Write(binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, p.set.Seed), p.draws))
-	x := h.Sum64()
-	x ^= x >> 32
-	x *= 0x9e3779b97f4a7c15
-	return float64(x>>11) / (1 << 53)
-}
-
 // At sets the time; all that follows until the next call happens then.
 func (p *Pool) At(now float64) { p.now, p.fresh = now, true }
 
@@ -327,8 +317,8 @@
 		c.opened.dialed, c.opened = false, nil
 	}
 	c.born = p.now
-	c.lastAge = c.lane.bounds.Age * (leastPart + (1-leastPart)*p.chance())
-	c.lastUse = int(math.Ceil(float64(c.lane.bounds.Uses) * (leastPart + (1-leastPart)*p.chance())))
+	c.lastAge = c.lane.bounds.Age * (leastPart + (1-leastPart)*p.chance.Next())
+	c.lastUse = int(math.Ceil(float64(c.lane.bounds.Uses) * (leastPart + (1-leastPart)*p.chance.Next())))
 	p.rest(c)
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -7,11 +7,11 @@
 
 import (
 	"cmp"
-	"encoding/binary"
-	"hash/fnv"
 	"maps"
 	"math"
 	"slices"
+
+	"wayloft/internal/decide/chance"
 )
 
 const (
@@ -155,7 +155,7 @@
 // Router decides for one instance.
 type Router struct {
 	set                  *Settings
-	seed, draws          uint64
+	chance               chance.Source
 	now, born            float64
 	members              map[string]*member
 	groups               map[int]*group
@@ -185,10 +185,10 @@
 }
 
 func New(set *Settings, seed uint64) *Router {
-	r := &Router{set: set, seed: seed, members: map[string]*member{}, groups: map[int]*group{},
-		txns: map[string]*txn{}, commits: map[string]float64{}, uses: map[*TxnType]*usage{},
-		shares: map[string]*fade{}, wantWatch: math.Inf(1), least: restCheck, alarmAt: math.Inf(1),
-		span: longMemory, admit: map[bool]float64{false: reserve, true: reserve},
+	r := &Router{set: set, chance: chance.Source{Seed: seed}, wantWatch: math.Inf(1), alarmAt: math.Inf(1),
+		members: map[string]*member{}, groups: map[int]*group{}, txns: map[string]*txn{},
+		commits: map[string]float64{}, uses: map[*TxnType]*usage{}, shares: map[string]*fade{},
+		least: restCheck, span: longMemory, admit: map[bool]float64{false: reserve, true: reserve},
 		answers: map[bool]*tally{false: {}, true: {}}}
 	if set.Ask {
 		r.wantWatch = Never
@@ -205,25 +205,17 @@
 	return r
 }
 
-func (r *Router) chance() float64 {
-	r.draws++
-	h := fnv.New64a()
-	h.Write(binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, r.seed), r.draws))
-	x := h.Sum64()
-	x ^= x >> 32 // FNV leaves its high bits poor on short inputs
-	x *= 0x9e3779b97f4a7c15
-	return float64(x>>11) / (1 << 53)
-}
-
 // At sets the time; all that follows until the next call happens then.
 func (r *Router) At(now float64) {
 	r.now, r.born = now, cmp.Or(r.born, now)
 	r.cursor, r.sorted, r.looked, r.stuck = 0, false, false, nil
 }
 
-// look finds members in doubt, once the answers of the batch are heard: hung, vanished or cut off. One pause
-// silences all that is out there together, so a silence must be longer than a look can tell, than this
-// router's own pauses, and than twice what answers have ended; the first answer ends the doubt.
+// look finds members in doubt, once the answers that came with the present batch are heard. Guards against
+// whatever takes txns and answers none: hung, vanished or cut off. Long pauses look the same for a while;
+// the first answer ends the doubt. One pause silences all that is out there together, so that no chance of
+// theirs is against it: a silence must also be longer than a look can tell, than this router's own pauses,
+// and than twice what answers have ended.
 func (r *Router) look() {
 	r.looked = true
 	for _, m := range r.busy {
@@ -272,7 +264,7 @@
 			checkSent: Never, lastAnswer: Never, lastSent: Never, since: r.now,
 			guessed: Never, allow: Never, limit: firstLimit}
 		r.members[id] = m
-		g.members = slices.Insert(g.members, int(r.chance()*float64(len(g.members)+1)), m) // asked in turn
+		g.members = slices.Insert(g.members, int(r.chance.Next()*float64(len(g.members)+1)), m) // asked in turn
 	}
 	r.listed[id], g.checkAt = state != Removed, r.now
 	if started > m.started {
@@ -313,7 +305,7 @@
 // ListFailed says that a call failed or the subscription broke. Many routers must not ask again at once.
 func (r *Router) ListFailed() {
 	if r.set.Ask {
-		r.wantWatch = math.Min(r.wantWatch, r.now+r.set.AskWithin/8*(0.5+r.chance()))
+		r.wantWatch = math.Min(r.wantWatch, r.now+r.set.AskWithin/8*(0.5+r.chance.Next()))
 	}
 }
 
@@ -528,7 +520,8 @@
 }
 
 // adapt moves the limit towards where one answer in five is not soon: with exponential waits, and half the
-// SLA time as soon, one in twenty-five is then late. What a member can't take in time is held here, by worth.
+// SLA time as soon, one in twenty-five is then late. It guards against overload from any cause: what a member
+// can't take in time is held here, by worth. It may hold back too much where a limit seldom moves.
 func (m *member) adapt(ease, routers float64) {
 	step := math.Max(0.1, m.limit/50)
 	switch {
@@ -632,7 +625,8 @@
 		return
 	}
 	// Guards against restarts before the list says so: back after an absence a member may not be primary, and is
-	// cold until the list has had time to tell. One that is back at once lost a connection, and its role stays.
+	// cold until the list has had time to tell; if it doesn't, only this router could not reach the member. One
+	// that is back at once lost a connection, and its role stays: reports may be older than that.
 	if m.shut && m.down {
 		r.crowded.add(r.now, longMemory, 1)
 	} else if m.down && r.now-m.downAt > recheckGap {
@@ -852,7 +846,7 @@
 		r.admit[pri] -= 0.3 * r.admit[pri] / math.Max(1, sub.to.limit)
 	}
 	for _, a := range []*tally{r.answers[pri], g.answers[pri]} {
-		if sub.rare {
+		if sub.rare { // else the member's limit sees to it
 			a.all.add(r.now, longMemory, 1)
 			a.slow.add(r.now, longMemory, slow)
 		}
@@ -873,7 +867,7 @@
 func (r *Router) admits(t *txn, pri bool) bool {
 	mean := r.worths.read(r.now, longMemory) / r.arrived.read(r.now, longMemory)
 	part := r.admit[pri] / r.blame(t.group, pri)
-	return part >= 1 || r.chance() < math.Pow(part, mean*t.kind.SLA/t.value)
+	return part >= 1 || r.chance.Next() < math.Pow(part, mean*t.kind.SLA/t.value)
 }
 
 // place sends, ends or holds one waiting txn.
@@ -939,7 +933,8 @@
 	return Decision{Verb: Decline, Txn: t.id, Wait: r.set.RetryAfter}
 }
 
-// usual is the smoothed time to an answer of a txn type, over all members, at first a quarter of its SLA.
+// usual is the smoothed time to an answer of a txn type, over all members. Until some are in, a quarter of
+// the SLA time is supposed: whoever set it expects answers well inside it.
 func (r *Router) usual(t *txn) float64 {
 	return (t.use.wait.read(r.now, r.span) + prior*t.kind.SLA/4) / (t.use.n.read(r.now, r.span) + prior)
 }
@@ -1050,7 +1045,7 @@
 		if m.zone == r.set.Zone {
 			weight *= 2 // crossing has a price; more would jam zones with few members
 		}
-		if x := math.Log(r.chance()) / weight; best == nil || x > top {
+		if x := math.Log(r.chance.Next()) / weight; best == nil || x > top {
 			best, top = m, x
 		}
 	}
@@ -1103,7 +1098,7 @@
 		return true
 	}
 	if m.allow == Never {
-		m.allow, m.allowAt = t.kind.SLA*r.chance(), r.now
+		m.allow, m.allowAt = t.kind.SLA*r.chance.Next(), r.now
 	}
 	rate := r.set.FallMultiple * w * r.flow
 	m.allow = math.Min(m.allow+rate*(r.now-m.allowAt), math.Max(t.kind.SLA, rate*r.set.FallWindow))
