--- /dev/null
+++ b/internal/decide/agent/agent.go
@@ -0,0 +1,433 @@
+// Package agent decides one process's part in the fleet: its session with the council, the duties that it would hold, and
+// whose orders it takes. It owns the account of what was asked and is not answered; it must never do I/O, read a clock, or
+// keep the process from its own work: all that it says is "you may act for the fleet now", or "no longer".
+//
+// The host feeds it time, answers, the council's watch and others' acts, and pulls what to ask of the council and which
+// duties begin and end. Times are ms on a clock that also runs while the machine sleeps.
+package agent
+
+import (
+	"maps"
+	"math"
+	"slices"
+
+	"wayloft/internal/decide/chance"
+	"wayloft/internal/decide/lease"
+	"wayloft/internal/decide/register"
+)
+
+const (
+	beatPart  = 1.0 / 3 // of a session's length between two beats: two more may fail before it ends
+	retryPart = 1.0 / 8 // of it until the first retry of what failed
+	longest   = 2.0     // of it between two retries, after many: a fleet that waits for its council must not bury it
+	spread    = 0.5     // of each wait, drawn: what came together must not stay together
+	tellAgain = 4.0     // lengths between two words to the council that it is behind
+	mostKnown = 20000   // sessions and duties kept of what the council tells: twice what it keeps itself
+)
+
+// Settings are given once. Times are ms.
+type Settings struct {
+	Name, Kind, Address string
+	Incarnation         uint64 // higher at each start of the process
+	Length, Margin      float64
+	Duties              []string // that it would hold
+	Seed                uint64
+}
+
+// Session and Duty are what the council's watch tells.
+type Session struct {
+	Name, Kind, Address string
+	Incarnation, Policy uint64
+	Ended               bool
+}
+
+type Duty struct {
+	Name, Holder string
+	Fence        lease.Fence
+	Open, Ended  register.Wish
+	Steps        []register.Step
+}
+
+// Update is one word of the watch: all there is, or what has changed.
+type Update struct {
+	Whole    bool
+	Sessions []Session
+	Duties   []Duty
+}
+
+// Verb tells what the host is to do.
+type Verb int
+
+const (
+	Call  Verb = iota // propose Entry to the council, as request Number
+	Stand             // ask the council where Duty's fences stand now, as request Number
+	Start             // Duty is this process's, under Fence
+	Stop              // it is no more: nothing more may go out under Fence
+)
+
+// Decision is one thing for the host to do; only the fields of its verb are set.
+type Decision struct {
+	Verb   Verb
+	Number uint64
+	Entry  register.Entry
+	Duty   string
+	Fence  lease.Fence
+}
+
+type asked struct {
+	kind   register.Kind // "": Stand
+	duty   string
+	number uint64 // the holder's own
+}
+
+// retry is something that is asked until it is answered, less and less often.
+type retry struct{ at, wait float64 }
+
+// Agent is one process's part.
+type Agent struct {
+	set      Settings
+	now      float64
+	chance   chance.Source
+	number   uint64
+	asked    map[uint64]asked
+	open     bool
+	opening  retry
+	beating  retry
+	leaving  bool
+	left     bool
+	holders  map[string]*lease.Holder
+	receiver *lease.Receiver
+	stands   map[string]*retry  // duties whose fences this receiver has yet to learn
+	told     map[string]float64 // by duty: when the council was told that it is behind
+	sessions map[string]Session
+	duties   map[string]Duty
+	out      []Decision
+	policy   uint64
+
+	Reopened int // sessions that the council had ended
+	Refused  int // acts of others turned away for their fence
+}
+
+// New makes one that has no session yet.
+func New(set Settings) *Agent {
+	a := &Agent{set: set, chance: chance.Source{Seed: set.Seed}, asked: map[uint64]asked{}, holders: map[string]*lease.Holder{},
+		receiver: lease.NewReceiver(), stands: map[string]*retry{}, told: map[string]float64{}, sessions: map[string]Session{},
+		duties: map[string]Duty{}, beating: retry{at: math.Inf(1)}}
+	for n, duty := range set.Duties {
+		h := lease.NewHolder(lease.Settings{Length: set.Length, Margin: set.Margin, Seed: set.Seed + uint64(n)})
+		h.Want()
+		a.holders[duty] = h
+	}
+	return a
+}
+
+// At sets the time; all that follows until the next call happens then.
+func (a *Agent) At(now float64) {
+	a.now = math.Max(a.now, now)
+	for _, duty := range slices.Sorted(maps.Keys(a.holders)) {
+		a.holders[duty].At(a.now)
+		a.pull(duty)
+	}
+}
+
+// again puts the next try off, twice as far each time, by a part that is drawn.
+func (a *Agent) again(r *retry) {
+	r.wait = math.Min(math.Max(2*r.wait, a.set.Length*retryPart), a.set.Length*longest)
+	r.at = a.now + r.wait*(1-spread*a.chance.Next())
+}
+
+func (a *Agent) call(of asked, e register.Entry) {
+	a.number++
+	a.asked[a.number] = of
+	e.Session, e.Incarnation = a.set.Name, a.set.Incarnation
+	a.out = append(a.out, Decision{Verb: Call, Number: a.number, Entry: e})
+}
+
+// Entry signs an entry of this process's own: a note of a step, say.
+func (a *Agent) Entry(e register.Entry) register.Entry {
+	e.Session, e.Incarnation = a.set.Name, a.set.Incarnation
+	return e
+}
+
+// pull takes over what a holder decides.
+func (a *Agent) pull(duty string) {
+	h := a.holders[duty]
+	for d, more := h.Next(); more; d, more = h.Next() {
+		switch d.Verb {
+		case lease.Ask:
+			if a.open { // else it is asked for again once there is a session
+				a.call(asked{register.Take, duty, d.Number}, register.Entry{Kind: register.Take, Duty: duty})
+			}
+		case lease.GiveBack:
+			a.call(asked{kind: register.Free}, register.Entry{Kind: register.Free, Duty: duty, Fence: d.Fence})
+		case lease.PassOn:
+			a.call(asked{kind: register.Pass}, register.Entry{Kind: register.Pass, Duty: duty, Fence: d.Fence, To: d.To})
+		case lease.Start, lease.Stop:
+			a.out = append(a.out, Decision{Verb: map[lease.Verb]Verb{lease.Start: Start, lease.Stop: Stop}[d.Verb], Duty: duty, Fence: d.Fence})
+		}
+	}
+}
+
+// Answered conveys the council's answer to a request.
+func (a *Agent) Answered(number uint64, ans register.Answer) {
+	of, known := a.asked[number]
+	if !known {
+		return
+	}
+	delete(a.asked, number)
+	if ans.Why == register.NoSession && of.kind != register.Open {
+		a.lost()
+		return
+	}
+	switch of.kind {
+	case register.Open:
+		if a.leaving {
+			return
+		}
+		if !ans.Held { // another process has this name, or its session is not over yet
+			a.again(&a.opening)
+			return
+		}
+		a.open, a.opening = true, retry{at: math.Inf(1)}
+		a.beaten()
+		for _, duty := range slices.Sorted(maps.Keys(a.holders)) {
+			a.holders[duty].Turn()
+			a.pull(duty)
+		}
+	case register.Beat:
+		a.beaten()
+	case register.Take:
+		h := a.holders[of.duty]
+		if h == nil {
+			return
+		}
+		if ans.Held {
+			h.Granted(of.number, ans.Fence)
+		} else {
+			h.Denied(of.number)
+		}
+		a.pull(of.duty)
+	case register.End:
+		a.left = true
+	case "":
+		a.receiver.Learned(of.duty, ans.Fence)
+		delete(a.stands, of.duty)
+	}
+}
+
+func (a *Agent) beaten() {
+	a.beating = retry{at: a.now + a.set.Length*beatPart*(1-spread*a.chance.Next())}
+}
+
+// lost: the council has ended this session, or never had it. What was held ends by itself, under its own account of time;
+// the process begins again as another incarnation.
+func (a *Agent) lost() {
+	if !a.open || a.leaving {
+		return
+	}
+	a.Reopened++
+	a.open, a.beating, a.opening = false, retry{at: math.Inf(1)}, retry{at: a.now}
+	a.set.Incarnation++
+}
+
+// Failed says that a request brought no answer, or none that is known.
+func (a *Agent) Failed(number uint64) {
+	of, known := a.asked[number]
+	if !known {
+		return
+	}
+	delete(a.asked, number)
+	switch of.kind {
+	case register.Open:
+		a.again(&a.opening)
+	case register.Beat:
+		a.again(&a.beating)
+	case register.End:
+		a.left = true // its length will end it
+	case "":
+		if r := a.stands[of.duty]; r != nil {
+			a.again(r)
+		}
+	}
+}
+
+// Watched takes in what the council tells. It may be old: a higher fence is true whenever it is heard, a lower one says only
+// that somebody should look.
+func (a *Agent) Watched(u Update) {
+	if u.Whole {
+		clear(a.sessions)
+		clear(a.duties)
+	}
+	for _, s := range u.Sessions {
+		if s.Ended {
+			delete(a.sessions, s.Name)
+		} else if len(a.sessions) < mostKnown {
+			a.sessions[s.Name] = s
+		}
+	}
+	for _, d := range u.Duties {
+		if len(a.duties) < mostKnown {
+			a.duties[d.Name] = d
+		}
+		if h := a.holders[d.Name]; h != nil {
+			if d.Holder != a.set.Name {
+				h.Refused(d.Fence)
+			} else if fence, may := h.May(); !may || fence != d.Fence {
+				h.Turn()
+			}
+			a.pull(d.Name)
+		}
+		a.behind(d)
+	}
+}
+
+// behind tells the council of a fence that this receiver has seen and the council seems not to know, or has given to another.
+func (a *Agent) behind(d Duty) {
+	highest, holder := a.receiver.Highest(d.Name)
+	order := highest.Compare(d.Fence)
+	if order < 0 || order == 0 && (holder == "" || d.Holder == "" || holder == d.Holder) {
+		return
+	}
+	if at, once := a.told[d.Name]; once && a.now-at < tellAgain*a.set.Length || !a.open {
+		return
+	}
+	a.told[d.Name] = a.now
+	a.number++
+	a.asked[a.number] = asked{kind: register.Told}
+	a.out = append(a.out, Decision{Verb: Call, Number: a.number, Entry: register.Entry{Kind: register.Told, Duty: d.Name, Fence: highest, Session: holder}})
+}
+
+// Take judges another's act. Of a duty that this receiver knows nothing of it takes none, and asks the council.
+func (a *Agent) Take(s lease.Scope, holder string, fence lease.Fence) (lease.Verdict, lease.Fence) {
+	v, highest := a.receiver.Take(s, holder, fence)
+	switch v {
+	case lease.Unknown:
+		a.Learn(s.Duty)
+	case lease.Old:
+		a.Refused++
+	}
+	return v, highest
+}
+
+// Learn has the council asked where a duty's fences stand, unless that is known.
+func (a *Agent) Learn(duty string) {
+	if !a.receiver.Knows(duty) && a.stands[duty] == nil && len(a.stands) < mostKnown {
+		a.stands[duty] = &retry{at: a.now}
+	}
+}
+
+// Close forgets a scope that is gone.
+func (a *Agent) Close(s lease.Scope) { a.receiver.Close(s) }
+
+// Refusal says that a receiver turned an act of this process away.
+func (a *Agent) Refusal(duty string, higher lease.Fence) {
+	if h := a.holders[duty]; h != nil {
+		h.Refused(higher)
+		a.pull(duty)
+	}
+}
+
+// May tells whether this process may act for a duty now, and the fence that goes with the act. Ask it last, right before.
+func (a *Agent) May(duty string) (lease.Fence, bool) {
+	if h := a.holders[duty]; h != nil {
+		return h.May()
+	}
+	return lease.Fence{}, false
+}
+
+// PassTo hands a duty on to the session named, if this process holds it; it wants it no more.
+func (a *Agent) PassTo(duty, name string) {
+	if h := a.holders[duty]; h != nil {
+		h.Leave(name)
+		a.pull(duty)
+	}
+}
+
+// GoBy says which version of the policy this process goes by; the council hears it with the next beat, now.
+func (a *Agent) GoBy(version uint64) {
+	if a.policy != version {
+		a.policy, a.beating.at = version, math.Min(a.beating.at, a.now)
+	}
+}
+
+// Leave ends it: nothing more is done for the fleet, and the council is told. Left tells when it has been, or can't be.
+func (a *Agent) Leave() {
+	if a.leaving {
+		return
+	}
+	a.leaving = true
+	for _, duty := range slices.Sorted(maps.Keys(a.holders)) {
+		a.holders[duty].Leave("")
+		for d, more := a.holders[duty].Next(); more; d, more = a.holders[duty].Next() {
+			if d.Verb == lease.Stop { // the session's end gives all back at once
+				a.out = append(a.out, Decision{Verb: Stop, Duty: duty, Fence: d.Fence})
+			}
+		}
+	}
+	if !a.open {
+		a.left = true
+		return
+	}
+	a.call(asked{kind: register.End}, register.Entry{Kind: register.End})
+}
+
+// Left tells whether nothing is left to do.
+func (a *Agent) Left() bool { return a.left }
+
+// Next gives the next decision; false: none is left.
+func (a *Agent) Next() (Decision, bool) {
+	switch {
+	case len(a.out) > 0 || a.leaving:
+	case !a.open && a.opening.at <= a.now:
+		a.opening.at = math.Inf(1)
+		a.call(asked{kind: register.Open}, register.Entry{Kind: register.Open, Is: a.set.Kind, Address: a.set.Address,
+			Length: uint64(a.set.Length), Policy: a.policy})
+	case a.open && a.beating.at <= a.now:
+		a.beating.at = math.Inf(1)
+		a.call(asked{kind: register.Beat}, register.Entry{Kind: register.Beat, Policy: a.policy})
+	default:
+		for _, duty := range slices.Sorted(maps.Keys(a.stands)) {
+			if r := a.stands[duty]; r.at <= a.now {
+				r.at = math.Inf(1)
+				a.number++
+				a.asked[a.number] = asked{duty: duty}
+				a.out = append(a.out, Decision{Verb: Stand, Number: a.number, Duty: duty})
+				break
+			}
+		}
+	}
+	if len(a.out) == 0 {
+		return Decision{}, false
+	}
+	d := a.out[0]
+	a.out = a.out[1:]
+	return d, true
+}
+
+// Due is when At must be called again at the latest.
+func (a *Agent) Due() float64 {
+	due := math.Min(a.opening.at, a.beating.at)
+	for _, h := range a.holders {
+		due = math.Min(due, h.Due())
+	}
+	for _, r := range a.stands {
+		due = math.Min(due, r.at)
+	}
+	return due
+}
+
+// Sessions gives the sessions of a kind that the council told of, by name.
+func (a *Agent) Sessions(kind string) (all []Session) {
+	for _, name := range slices.Sorted(maps.Keys(a.sessions)) {
+		if a.sessions[name].Kind == kind {
+			all = append(all, a.sessions[name])
+		}
+	}
+	return all
+}
+
+// Duty gives what the council told of a duty.
+func (a *Agent) Duty(name string) (Duty, bool) { d, ok := a.duties[name]; return d, ok }
+
+// Open tells whether this process has a session, as far as it knows.
+func (a *Agent) Open() bool { return a.open }
--- a/internal/decide/lease/holder.go
+++ b/internal/decide/lease/holder.go
@@ -11,6 +11,7 @@
 	renewAt   = 1.0 / 3 // of a lease: two more renewals may fail before it ends
 	spread    = 1.0 / 6 // of a lease by which renewals are drawn earlier, so that a fleet's don't come together
 	retryPart = 1.0 / 8 // of a lease until an unanswered request is sent again
+	queued    = 8.0     // leases until a candidate asks again though it was told to wait: its turn may have been missed
 )
 
 // Settings are given once. Times are ms.
@@ -119,7 +120,15 @@
 }
 
 // Denied says that somebody else holds the duty; this process is in the queue, and is told when it is its turn.
-func (h *Holder) Denied(number uint64) { delete(h.asked, number) }
+// It asks again after many leases only: a herd of candidates must not weigh on the council.
+func (h *Holder) Denied(number uint64) {
+	_, known := h.asked[number]
+	if delete(h.asked, number); known && number == h.number { // else its turn may have come since
+		if h.askAt = h.now + h.set.Length*queued*(1-spread*h.chance.Next()); h.acting {
+			h.stop() // the council has it otherwise
+		}
+	}
+}
 
 // Refused says that a receiver, or the council, knows a higher fence: the duty is somebody else's, whatever the clock says.
 func (h *Holder) Refused(higher Fence) {
--- a/internal/decide/lease/receiver.go
+++ b/internal/decide/lease/receiver.go
@@ -85,13 +85,17 @@
 	return Taken, fence
 }
 
-// Highest is the highest fence known of a duty, over all its scopes; a council that knows a lower one must not grant it.
-func (r *Receiver) Highest(duty string) (highest Fence) {
+// Knows tells whether anything of a duty may be taken yet.
+func (r *Receiver) Knows(duty string) bool { _, known := r.learned[duty]; return known }
+
+// Highest is the highest fence known of a duty, over all its scopes, and who acted under it, if somebody did; a council that
+// knows a lower one, or another holder, must not grant it.
+func (r *Receiver) Highest(duty string) (highest Fence, holder string) {
 	highest = r.learned[duty]
 	for s, was := range r.seen {
-		if s.Duty == duty && was.fence.Compare(highest) > 0 {
-			highest = was.fence
+		if s.Duty == duty && was.fence.Compare(highest) >= 0 {
+			highest, holder = was.fence, was.holder
 		}
 	}
-	return highest
+	return highest, holder
 }
--- a/internal/decide/register/register.go
+++ b/internal/decide/register/register.go
@@ -43,6 +43,9 @@
 	Note   Kind = "note"   // Session notes down a step of Duty, under Fence, before it is taken
 	Told   Kind = "told"   // a receiver knows of a higher Fence of Duty than is kept here
 	Ascend Kind = "ascend" // an operator began a new epoch
+	Beats  Kind = "beats"  // all of Names are heard from
+	Order  Kind = "order"  // an operator asks the owner of Duty for something: Text
+	Did    Kind = "did"    // Session ended order Number of Duty, under Fence; Text says how
 )
 
 // Entry is one entry of the log; only the fields of its kind are set.
@@ -58,6 +61,16 @@
 	To          string      `cbor:"9,keyasint,omitempty"`
 	Text        string      `cbor:"10,keyasint,omitempty"`
 	Epoch       uint64      `cbor:"11,keyasint,omitempty"`
+	Address     string      `cbor:"12,keyasint,omitempty"` // where Session hears the fleet's orders
+	Policy      uint64      `cbor:"13,keyasint,omitempty"` // the version of the policy that Session goes by
+	Number      uint64      `cbor:"14,keyasint,omitempty"`
+	Names       []Name      `cbor:"15,keyasint,omitempty"`
+}
+
+// Name is one incarnation of a session.
+type Name struct {
+	Session     string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
 }
 
 // Session is a process as the council knows it.
@@ -66,6 +79,8 @@
 	Is          string `cbor:"2,keyasint"`
 	Length      uint64 `cbor:"3,keyasint"`
 	Heard       uint64 `cbor:"4,keyasint"` // on the register's time
+	Address     string `cbor:"5,keyasint"`
+	Policy      uint64 `cbor:"6,keyasint"`
 }
 
 // Duty is something that one process at a time does for the fleet.
@@ -75,7 +90,15 @@
 	Since  uint64      `cbor:"3,keyasint"`
 	Queue  []string    `cbor:"4,keyasint"` // sessions that would hold it, the one that is next first
 	Barred lease.Fence `cbor:"5,keyasint"` // a fence that some receiver has seen though it was never granted here
-	Steps  []Step      `cbor:"6,keyasint"`
+	Steps  []Step      `cbor:"6,keyasint"` // since the order that is open came, or the latest ended
+	Open   Wish        `cbor:"7,keyasint"` // what is asked of the owner
+	Ended  Wish        `cbor:"8,keyasint"` // the latest that was ended, and how
+}
+
+// Wish is an operator's order, numbered within its duty from 1; 0: none.
+type Wish struct {
+	Number uint64 `cbor:"1,keyasint" json:"number"`
+	Text   string `cbor:"2,keyasint" json:"text"`
 }
 
 // Step is a note of an owner's, for itself and for who comes after it.
@@ -91,6 +114,7 @@
 	Ended   bool        `cbor:"3,keyasint,omitempty"`
 	Duty    string      `cbor:"4,keyasint,omitempty"`
 	Fence   lease.Fence `cbor:"5,keyasint,omitzero"`
+	Why     string      `cbor:"6,keyasint,omitempty"` // silent, anew, left: how a session ended
 }
 
 type state struct {
@@ -112,8 +136,19 @@
 	return &Register{state{Version: version, Fleet: fleet, Epoch: 1, Sessions: map[string]*Session{}, Duties: map[string]*Duty{}}}
 }
 
+// Unbegun makes one that grants nothing until its first leader has said in which epoch it begins. Guards against a council
+// that is started anew by mistake: what it grants is above all that was granted before.
+func Unbegun(fleet string) *Register {
+	r := New(fleet)
+	r.s.Epoch = 0
+	return r
+}
+
 const behind = "a receiver knows a higher fence than this council"
 
+// NoSession is why a session that must be opened first is refused.
+const NoSession = "no such session"
+
 var (
 	// ErrUnknown is of an entry, or a snapshot, that a later build wrote: it must not be passed over.
 	ErrUnknown = errors.New("written by a later version")
@@ -154,15 +189,20 @@
 		return e, fmt.Errorf("entry: %w: %w", ErrUnsound, err)
 	}
 	switch e.Kind {
-	case Lead, Tick, Open, Beat, End, Take, Free, Pass, Note, Told, Ascend:
+	case Lead, Tick, Open, Beat, End, Take, Free, Pass, Note, Told, Ascend, Beats, Order, Did:
 	default:
 		return e, fmt.Errorf("entry: %w: kind %.32q", ErrUnknown, e.Kind)
 	}
-	for _, text := range []string{e.Session, e.Is, e.Duty, e.To, e.Text} {
+	for _, text := range []string{e.Session, e.Is, e.Duty, e.To, e.Text, e.Address} {
 		if len(text) > longest {
 			return e, fmt.Errorf("entry: %w: a text of %d bytes, %d at most", ErrUnsound, len(text), longest)
 		}
 	}
+	for _, n := range e.Names {
+		if len(n.Session) > longest {
+			return e, fmt.Errorf("entry: %w: a text of %d bytes, %d at most", ErrUnsound, len(n.Session), longest)
+		}
+	}
 	if e.Passed > mostPassed || e.Length > mostPassed {
 		return e, fmt.Errorf("entry: %w: %d ms passed, a length of %d ms, %d at most", ErrUnsound, e.Passed, e.Length, mostPassed)
 	}
@@ -212,9 +252,10 @@
 
 // Answer is what the process that brought an entry hears.
 type Answer struct {
-	Held  bool        // it holds the duty, under Fence
-	Fence lease.Fence // of its grant; else the highest known
-	Why   string      // where it was refused
+	Held   bool        // it holds the duty, under Fence
+	Fence  lease.Fence // of its grant; else the highest known
+	Why    string      // where it was refused
+	Number uint64      // of the order
 }
 
 // Apply takes one entry in. index is its place in the log; one that is in already is passed over.
@@ -225,6 +266,9 @@
 	r.s.Index = index
 	r.s.Now += e.Passed
 	if e.Kind == Lead {
+		if r.s.Epoch == 0 {
+			r.s.Epoch = e.Epoch
+		}
 		for _, s := range r.s.Sessions {
 			s.Heard = r.s.Now
 		}
@@ -233,8 +277,16 @@
 	switch e.Kind {
 	case Open:
 		return r.open(e)
-	case Beat, End, Take, Free, Pass, Note:
+	case Beat, End, Take, Free, Pass, Note, Did:
 		return r.of(e)
+	case Beats:
+		for _, n := range e.Names {
+			if s := r.s.Sessions[n.Session]; s != nil && s.Incarnation == n.Incarnation {
+				s.Heard = r.s.Now
+			}
+		}
+	case Order:
+		return r.order(e)
 	case Told:
 		return r.told(e)
 	case Ascend:
@@ -251,11 +303,26 @@
 
 // expire ends the sessions that have been silent for longer than their length.
 func (r *Register) expire() {
-	for _, name := range slices.Sorted(maps.Keys(r.s.Sessions)) {
-		if s := r.s.Sessions[name]; r.s.Now-s.Heard > s.Length {
-			r.end(name)
+	var over []string
+	for name, s := range r.s.Sessions {
+		if r.s.Now-s.Heard > s.Length {
+			over = append(over, name)
 		}
 	}
+	slices.Sort(over)
+	for _, name := range over {
+		r.end(name, "silent")
+	}
+}
+
+// Left is how many ms of the leader's time may go by until some session ends, if none is heard from; false: there is none.
+func (r *Register) Left() (ms uint64, any bool) {
+	for _, s := range r.s.Sessions {
+		if left := s.Heard + s.Length - min(r.s.Now, s.Heard+s.Length); !any || left < ms {
+			ms, any = left, true
+		}
+	}
+	return ms, any
 }
 
 func (r *Register) open(e Entry) Answer {
@@ -271,9 +338,10 @@
 		s.Heard = r.s.Now // the same request once more
 		return Answer{Held: true}
 	case s != nil:
-		r.end(e.Session) // its process started anew and knows nothing of what it held
+		r.end(e.Session, "anew") // its process started anew and knows nothing of what it held
 	}
-	r.s.Sessions[e.Session] = &Session{Incarnation: e.Incarnation, Is: e.Is, Length: e.Length, Heard: r.s.Now}
+	r.s.Sessions[e.Session] = &Session{Incarnation: e.Incarnation, Is: e.Is, Length: e.Length, Heard: r.s.Now, Address: e.Address,
+		Policy: e.Policy}
 	r.tell(Event{Session: e.Session})
 	return Answer{Held: true}
 }
@@ -282,14 +350,18 @@
 func (r *Register) of(e Entry) Answer {
 	s := r.s.Sessions[e.Session]
 	if s == nil || s.Incarnation != e.Incarnation {
-		return Answer{Why: "no such session"}
+		return Answer{Why: NoSession}
 	}
 	s.Heard = r.s.Now
 	switch e.Kind {
 	case Beat:
+		if e.Policy != s.Policy {
+			s.Policy = e.Policy
+			r.tell(Event{Session: e.Session})
+		}
 		return Answer{Held: true}
 	case End:
-		r.end(e.Session)
+		r.end(e.Session, "left")
 		return Answer{}
 	case Take:
 		return r.take(e)
@@ -315,7 +387,14 @@
 		if d.Steps = append(d.Steps, Step{d.Fence, e.Text}); len(d.Steps) > mostSteps {
 			d.Steps = slices.Delete(d.Steps, 0, len(d.Steps)-mostSteps)
 		}
+		r.tell(Event{Duty: e.Duty, Fence: d.Fence, Session: d.Holder})
 		return Answer{Held: true, Fence: d.Fence}
+	case Did:
+		if e.Number == d.Open.Number && e.Number > 0 {
+			d.Ended, d.Open, d.Steps = Wish{e.Number, e.Text}, Wish{}, nil
+			r.tell(Event{Duty: e.Duty, Fence: d.Fence, Session: d.Holder})
+		}
+		return Answer{Held: true, Fence: d.Fence, Number: d.Ended.Number}
 	}
 	return Answer{Fence: d.Fence}
 }
@@ -341,6 +420,23 @@
 	return Answer{Fence: d.Fence, Why: why}
 }
 
+// order notes down what an operator wants; the same words again, while it is open, are the same order.
+func (r *Register) order(e Entry) Answer {
+	d, why := r.duty(e.Duty)
+	switch {
+	case d == nil:
+		return Answer{Why: why}
+	case e.Text == "":
+		return Answer{Why: "an order needs words"}
+	case d.Open.Number == 0:
+		d.Open, d.Steps = Wish{d.Ended.Number + 1, e.Text}, nil
+		r.tell(Event{Duty: e.Duty, Fence: d.Fence, Session: d.Holder})
+	case d.Open.Text != e.Text:
+		return Answer{Why: fmt.Sprintf("order %d is open: %s", d.Open.Number, d.Open.Text), Number: d.Open.Number}
+	}
+	return Answer{Held: true, Fence: d.Fence, Number: d.Open.Number}
+}
+
 // duty finds a duty, or makes one that nobody holds yet.
 func (r *Register) duty(name string) (d *Duty, why string) {
 	if d = r.s.Duties[name]; d != nil {
@@ -384,9 +480,9 @@
 	r.grant(name)
 }
 
-func (r *Register) end(session string) {
+func (r *Register) end(session, why string) {
 	delete(r.s.Sessions, session)
-	r.tell(Event{Session: session, Ended: true})
+	r.tell(Event{Session: session, Ended: true, Why: why})
 	for _, name := range slices.Sorted(maps.Keys(r.s.Duties)) {
 		d := r.s.Duties[name]
 		d.Queue = slices.DeleteFunc(d.Queue, func(q string) bool { return q == session })
@@ -397,7 +493,7 @@
 }
 
 // told takes in that a receiver has seen a fence that was never granted here, or one that was granted here to somebody
-// else than Session: this state is older than what the fleet has been through. The duty is taken away, since who holds it
+// else than Session, if it says who acted under it: this state is older than what the fleet has been through. The duty is taken away, since who holds it
 // can't act, and granted again only in a later epoch.
 func (r *Register) told(e Entry) Answer {
 	d, why := r.duty(e.Duty)
@@ -405,11 +501,12 @@
 		return Answer{Why: why}
 	}
 	order := e.Fence.Compare(d.Fence)
-	known := order < 0 || order == 0 && (d.Holder == "" || d.Holder == e.Session)
+	known := order < 0 || order == 0 && (d.Holder == "" || e.Session == "" || d.Holder == e.Session)
 	if known || e.Fence.Compare(d.Barred) <= 0 {
 		return Answer{Fence: d.Fence}
 	}
 	d.Barred = e.Fence
+	r.tell(Event{Duty: e.Duty, Fence: d.Fence})
 	r.free(e.Duty)
 	return Answer{Fence: d.Fence, Why: behind}
 }
@@ -462,4 +559,6 @@
 func (r *Register) Duties() []string   { return slices.Sorted(maps.Keys(r.s.Duties)) }
 func (r *Register) Sessions() []string { return slices.Sorted(maps.Keys(r.s.Sessions)) }
 func (r *Register) Index() uint64      { return r.s.Index }
+func (r *Register) Now() uint64        { return r.s.Now }
+func (r *Register) Fleet() string      { return r.s.Fleet }
 func (r *Register) Epoch() uint64      { return r.s.Epoch }
--- a/internal/decide/register/register_test.go
+++ b/internal/decide/register/register_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -130,6 +131,42 @@
 	}
 }
 
+// An operator's order is open until its duty's owner ends it, whoever that is by then; the same words again are the same.
+func TestOrders(t *testing.T) {
+	f := begin("a", "b")
+	order := Entry{Kind: Order, Duty: "d", Text: "to m2"}
+	want(t, "number", f.do(order).Number, uint64(1))
+	want(t, "again", f.do(order).Number, uint64(1))
+	want(t, "another", f.do(Entry{Kind: Order, Duty: "d", Text: "to m3"}).Why, "order 1 is open: to m2")
+	f.do(take("a"))
+	f.do(Entry{Kind: Note, Session: "a", Incarnation: 1, Duty: "d", Fence: fence(1, 1), Text: "hold"})
+	did := Entry{Kind: Did, Session: "a", Incarnation: 1, Duty: "d", Fence: fence(1, 1), Number: 1, Text: "done"}
+	f.do(take("b"))
+	f.do(Entry{Kind: End, Session: "a", Incarnation: 1})
+	want(t, "a former owner's word", f.do(did).Why, "no such session")
+	d, _ := f.Duty("d")
+	want(t, "steps that the next owner finds", len(d.Steps), 1)
+	did.Session, did.Fence = "b", fence(1, 2)
+	want(t, "ended", f.do(did).Number, uint64(1))
+	d, _ = f.Duty("d")
+	want(t, "what is kept", d.Ended, Wish{1, "done"})
+	want(t, "open", d.Open.Number, uint64(0))
+	want(t, "the next", f.do(Entry{Kind: Order, Duty: "d", Text: "to m3"}).Number, uint64(2))
+}
+
+// Beats of many come as one entry; those of other incarnations count for nothing.
+func TestBeats(t *testing.T) {
+	f := begin("a", "b")
+	f.do(Entry{Kind: Beats, Passed: 90, Names: []Name{{"a", 1}, {"b", 2}, {"z", 1}}})
+	left, any := f.Left()
+	want(t, "left", left, uint64(10))
+	want(t, "any", any, true)
+	f.do(Entry{Kind: Tick, Passed: 11})
+	_, a := f.Session("a")
+	_, b := f.Session("b")
+	want(t, "a, b", [2]bool{a, b}, [2]bool{true, false})
+}
+
 func TestRefusedWhole(t *testing.T) {
 	later, _ := cbor.Marshal(map[int]any{1: "take", 2: 5, 99: "what a later build means"})
 	kind, _ := cbor.Marshal(map[int]any{1: "merge"})
@@ -162,12 +199,12 @@
 
 func draw(t *rapid.T) Entry {
 	name := rapid.SampledFrom([]string{"a", "b", "c"})
-	return Entry{Kind: rapid.SampledFrom([]Kind{Lead, Tick, Open, Beat, End, Take, Free, Pass, Note, Told, Ascend}).Draw(t, "kind"),
+	return Entry{Kind: rapid.SampledFrom([]Kind{Lead, Tick, Open, Beat, End, Take, Free, Pass, Note, Told, Ascend, Beats, Order, Did}).Draw(t, "kind"),
 		Passed: uint64(rapid.IntRange(0, 60).Draw(t, "passed")), Session: name.Draw(t, "session"), To: name.Draw(t, "to"),
 		Incarnation: uint64(rapid.IntRange(1, 3).Draw(t, "incarnation")), Length: 100,
 		Duty:  rapid.SampledFrom([]string{"d", "e"}).Draw(t, "duty"),
 		Fence: fence(uint64(rapid.IntRange(1, 3).Draw(t, "epoch")), uint64(rapid.IntRange(0, 4).Draw(t, "count"))),
-		Epoch: uint64(rapid.IntRange(1, 4).Draw(t, "to epoch"))}
+		Epoch: uint64(rapid.IntRange(1, 4).Draw(t, "to epoch")), Text: "x", Number: uint64(rapid.IntRange(0, 2).Draw(t, "number"))}
 }
 
 // Whatever the entries: fences of a duty only grow with its holders, a holder has a session, no one is queued twice, a
@@ -180,7 +217,7 @@
 		for n := range rapid.IntRange(1, 60).Draw(t, "entries") {
 			e := draw(t)
 			decoded, err := Decode(Encode(e))
-			if err != nil || decoded != e {
+			if err != nil || !reflect.DeepEqual(decoded, e) {
 				t.Fatalf("%+v came back as %+v, %v", e, decoded, err)
 			}
 			f.do(e)
--- /dev/null
+++ b/internal/lab/fleet/twin/history.go
@@ -0,0 +1,63 @@
+package twin
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"wayloft/internal/decide/lease"
+)
+
+// seen is what the history says of a duty so far: the highest fence that an answer told, and whose it is, if that is known.
+type seen struct {
+	fence  lease.Fence
+	holder string
+}
+
+// model says which answers may follow each other, if each takes effect at one moment between its request and its answer: no
+// fence is lower than one told before, and one fence has one holder. That grants end by time is not in the history.
+var model = porcupine.Model{
+	Init: func() any { return seen{} },
+	Step: func(state, in, out any) (bool, any) {
+		was, op := state.(seen), out.(Op)
+		if op.Fence.Compare(was.fence) < 0 {
+			return false, was
+		}
+		next := was
+		if op.Fence.Compare(was.fence) > 0 {
+			next = seen{fence: op.Fence}
+		}
+		if op.Held {
+			if next.holder != "" && next.holder != op.Session {
+				return false, was
+			}
+			next.holder = op.Session
+		}
+		return true, next
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// history checks that what the council answered could have been answered by one process, one request after the other.
+func (w *World) history() (wrong []string) {
+	by := map[string][]porcupine.Operation{}
+	for _, op := range w.Ops {
+		if op.Ended < 0 || !op.Held && op.Fence == (lease.Fence{}) { // unanswered, or refused before the duty was looked at
+			continue
+		}
+		by[op.Duty] = append(by[op.Duty], porcupine.Operation{ClientId: op.Client, Input: op, Call: int64(op.Begun * 1e6),
+			Output: op, Return: int64(math.Max(op.Ended, op.Begun) * 1e6)})
+	}
+	for n := range w.opt.Duties {
+		d := duty(n)
+		switch porcupine.CheckOperationsTimeout(model, by[d], 10*time.Second) {
+		case porcupine.Illegal:
+			wrong = append(wrong, fmt.Sprintf("history of %s: its %d answers can't be put in an order", d, len(by[d])))
+		case porcupine.Unknown:
+			wrong = append(wrong, fmt.Sprintf("history of %s: not decided in 10 s", d))
+		}
+	}
+	return wrong
+}
--- /dev/null
+++ b/internal/lab/fleet/twin/twin.go
@@ -0,0 +1,714 @@
+// Package twin plays a fleet in simulated time: the same council, agents and receivers as the program's processes, over a
+// network, disks and clocks of its own, without a process or a socket. One seed gives one run. It owns time and faults; it
+// must never decide what the pure parts decide.
+package twin
+
+import (
+	"container/heap"
+	crand "crypto/rand"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/sirupsen/logrus"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"wayloft/internal/decide/agent"
+	"wayloft/internal/decide/council"
+	"wayloft/internal/decide/lease"
+	"wayloft/internal/decide/register"
+)
+
+// Planted are defects, each to be found by a checker; the program has none of them.
+type Planted struct {
+	Council   council.Planted
+	Unchecked bool // receivers take whatever comes
+	Forgets   bool // a receiver that restarted takes orders without having asked where their fences stand
+	Overstays bool // a lease is counted from the answer on, not from the request
+	SameEpoch bool // a council that lost its state begins again in the same epoch
+	Unsaved   bool // a process of the council answers before its disk does
+}
+
+// Options say what is played.
+type Options struct {
+	Seed     uint64
+	Council  int
+	Routers  int
+	Duties   int
+	Quiet    bool    // no faults
+	For      float64 // ms with faults; as long again without
+	Planted  Planted
+	Schedule func(*World) // events of its own in place of drawn ones
+	Owners   int          // of the routers, how many would hold duties; 0: all
+}
+
+// Lease and margin of the twin's sessions, ms.
+const (
+	Length = 2000.0
+	Margin = 200.0
+	tick   = 50.0
+)
+
+// Report is what a run came to.
+type Report struct {
+	Wrong     []string
+	Acts      int // taken by receivers
+	Late      int // refused for their fence
+	Grants    int
+	Elections int
+	Faults    map[string]int
+	Unowned   []float64 // ms without an owner after an owner stopped, was killed or cut off, each time
+	Entries   uint64    // of the council's log
+	Bytes     int       // between all processes
+	Messages  int
+	Ops       []Op
+	Ended     float64
+	Stuck     []string // duties without an owner long after the last fault
+}
+
+// Op is one request at the council as its client saw it.
+type Op struct {
+	Client, Number int
+	Duty, Session  string
+	Kind           string // take or stand
+	Begun, Ended   float64
+	Held           bool
+	Fence          lease.Fence
+}
+
+type event struct {
+	at  float64
+	seq int
+	do  func()
+}
+
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *queue) Pop() any {
+	old := *q
+	x := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return x
+}
+
+// Proc is one process of the twin.
+type Proc struct {
+	Name   string
+	w      *World
+	life   int  // grows with each start; what was meant for an earlier one is dropped
+	up     bool // runs, or is stopped
+	asleep bool // stopped: what comes waits
+	waits  []func()
+	ahead  float64 // its clock against the world's
+
+	node    *council.Node // of a process of the council
+	disk    council.Stored
+	slow    float64 // ms that its disk takes beyond the usual
+	lost    bool    // its folder is, for good
+	joins   bool    // it takes another's place
+	waiting map[uint64]asker
+	read    map[uint64]string
+
+	agent  *agent.Agent
+	duties []string
+	leader string
+	calls  map[uint64]call // by the agent's numbers
+	watch  uint64
+	acting map[string]lease.Fence
+	seen   map[string]lease.Fence // where Forgets is planted
+	tries  int
+}
+
+type asker struct {
+	proc   *Proc
+	life   int
+	number uint64
+}
+
+// call is a request without an answer yet.
+type call struct {
+	op    int    // its place in the history; -1: not kept
+	again func() // sends it once more, to who leads
+}
+
+// World is one run.
+type World struct {
+	Report
+	Now     float64
+	opt     Options
+	rand    *rand.Rand
+	queue   queue
+	seq     int
+	Council []*Proc
+	Routers []*Proc
+	byName  map[string]*Proc
+	cut     map[[2]string]bool // from, to
+	loss    float64
+	number  uint64
+	taken   map[string]lease.Fence // by receiver and scope: the highest ever accepted there
+	holders map[string]string      // by duty and fence: who acted under it
+	granted map[string]string      // by duty and fence: to whom, as a leader applied it
+	top     map[string]lease.Fence // the highest of these
+	owner   map[string]string      // by duty: who acts, as the world sees it
+	since   map[string]float64     // when it last had none
+	log     *logrus.Logger
+}
+
+// Play runs one world to its end.
+func Play(o Options) *World {
+	w := &World{opt: o, rand: rand.New(rand.NewPCG(o.Seed, 0x9e3779b97f4a7c15)), byName: map[string]*Proc{}, cut: map[[2]string]bool{},
+		taken: map[string]lease.Fence{}, holders: map[string]string{}, granted: map[string]string{}, top: map[string]lease.Fence{}, owner: map[string]string{},
+		since: map[string]float64{}, number: 1 << 32}
+	w.Faults = map[string]int{}
+	w.log = logrus.New()
+	w.log.SetOutput(io.Discard)
+	w.log.SetLevel(logrus.PanicLevel)
+	// The engine draws its election time-outs from the system's source; here that must come from the seed.
+	was := crand.Reader
+	crand.Reader = rand.NewChaCha8(seeded(o.Seed))
+	defer func() { crand.Reader = was }()
+
+	for n := range o.Council {
+		p := &Proc{Name: fmt.Sprint("c", n+1), w: w, ahead: float64(n) * 1e6}
+		w.Council, w.byName[p.Name] = append(w.Council, p), p
+	}
+	for _, p := range w.Council {
+		p.start()
+	}
+	for n := range o.Routers {
+		p := &Proc{Name: fmt.Sprint("r", n+1), w: w, ahead: float64(n) * 1e5}
+		if o.Owners == 0 || n < o.Owners {
+			for d := range o.Duties {
+				p.duties = append(p.duties, duty(d))
+			}
+		}
+		w.Routers, w.byName[p.Name] = append(w.Routers, p), p
+	}
+	for _, p := range w.Routers {
+		w.After(w.rand.Float64()*200, p.start)
+	}
+	switch {
+	case o.Schedule != nil:
+		o.Schedule(w)
+	case !o.Quiet:
+		w.draw()
+	}
+	end := 2 * o.For
+	w.After(end, func() {})
+	for len(w.queue) > 0 {
+		e := heap.Pop(&w.queue).(event)
+		if e.at > end {
+			break
+		}
+		w.Now = e.at
+		e.do()
+	}
+	w.finish()
+	return w
+}
+
+func seeded(seed uint64) (b [32]byte) {
+	for n := range b {
+		b[n] = byte(seed >> (8 * (n % 8)))
+	}
+	return b
+}
+
+func duty(n int) string { return fmt.Sprint("sight/", n) }
+
+// After has something happen in so many ms.
+func (w *World) After(ms float64, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.Now + ms, w.seq, do})
+}
+
+func (w *World) wrong(format string, args ...any) {
+	if len(w.Wrong) < 20 {
+		w.Wrong = append(w.Wrong, fmt.Sprintf("%.0f ms: ", w.Now)+fmt.Sprintf(format, args...))
+	}
+}
+
+// send carries something from one process to another, unless the way is cut or it is lost. What reaches a process that is
+// stopped waits for it; what reaches one that is down, or another life of it, is gone.
+func (w *World) send(from, to *Proc, bytes int, do func()) {
+	w.Messages++
+	w.Bytes += bytes
+	life := to.life
+	w.After(0.2+w.rand.ExpFloat64()*0.8, func() {
+		if w.cut[[2]string{from.Name, to.Name}] || w.rand.Float64() < w.loss || !to.up || to.life != life {
+			return
+		}
+		to.run(do)
+	})
+}
+
+// run has a process do something, once it is awake.
+func (p *Proc) run(do func()) {
+	if p.asleep {
+		p.waits = append(p.waits, do)
+		return
+	}
+	do()
+	p.settle()
+}
+
+// later has a process do something in so many ms, if it is still the same life.
+func (p *Proc) later(ms float64, do func()) {
+	life := p.life
+	p.w.After(ms, func() {
+		if p.up && p.life == life {
+			p.run(do)
+		}
+	})
+}
+
+func (p *Proc) clock() float64 { return p.w.Now + p.ahead + 1 }
+
+func (p *Proc) isCouncil() bool { return p.Name[0] == 'c' }
+
+func (p *Proc) start() {
+	if p.up || p.lost {
+		return
+	}
+	p.life++
+	p.up, p.asleep, p.waits = true, false, nil
+	if p.isCouncil() {
+		p.startCouncil()
+	} else {
+		p.startRouter()
+	}
+	p.settle()
+	p.beat()
+}
+
+// beat looks at the clock whenever something is due.
+func (p *Proc) beat() {
+	due := tick
+	if p.agent != nil {
+		due = min(max(p.agent.Due()-p.clock(), 1), 100)
+	}
+	p.later(due, func() {
+		if p.node != nil {
+			p.node.At(p.clock())
+		} else {
+			p.agent.At(p.clock())
+		}
+		p.beat()
+	})
+}
+
+func (p *Proc) settle() {
+	if p.node != nil {
+		p.settleCouncil()
+	} else if p.agent != nil {
+		p.settleRouter()
+	}
+}
+
+// Kill ends a process at once.
+func (p *Proc) Kill() {
+	p.up, p.asleep, p.waits, p.node, p.agent = false, false, nil, nil, nil
+	for _, d := range p.duties {
+		p.w.stopped(p, d)
+	}
+}
+
+// Stop has a process stand still; Wake goes on with it.
+func (p *Proc) Stop() { p.asleep = p.up }
+
+func (p *Proc) Wake() {
+	if !p.asleep {
+		return
+	}
+	p.asleep = false
+	waits := p.waits
+	p.waits = nil
+	for _, do := range waits {
+		if !p.up {
+			return
+		}
+		do()
+		p.settle()
+	}
+}
+
+func (p *Proc) startCouncil() {
+	p.waiting, p.read = map[uint64]asker{}, map[uint64]string{}
+	var peers []council.Peer
+	for _, o := range p.w.Council {
+		if !o.joins && !p.joins {
+			peers = append(peers, council.Peer{Name: o.Name})
+		}
+	}
+	node, fresh, err := council.New(council.Settings{Fleet: "f", Name: p.Name, Peers: peers, Epoch: p.w.epoch(), Tick: tick, Keep: 200, Log: p.w.log,
+		Planted: p.w.opt.Planted.Council}, p.disk)
+	if err != nil {
+		p.w.wrong("%s does not start: %v", p.Name, err)
+		p.up = false
+		return
+	}
+	if fresh != nil {
+		p.store(*fresh)
+	}
+	p.node = node
+	node.At(p.clock())
+}
+
+// epoch is the time at which a council would begin, as the program takes it; a defect has it stand still.
+func (w *World) epoch() uint64 {
+	if w.opt.Planted.SameEpoch {
+		return 1
+	}
+	return 1 + uint64(w.Now/1000)
+}
+
+// store is the process's disk; what it is given is copied, as a disk would.
+func (p *Proc) store(d council.Decision) {
+	clone := func(m proto.Message) proto.Message { return proto.Clone(m) }
+	if d.Snapshot != nil && d.Snapshot.GetMetadata().GetIndex() > 0 {
+		p.disk.Snapshot = clone(d.Snapshot).(*raftpb.Snapshot)
+		at := d.Snapshot.GetMetadata().GetIndex()
+		if d.Verb == council.Cut {
+			at = d.Below - 1
+		}
+		p.disk.Entries = slices.DeleteFunc(p.disk.Entries, func(e *raftpb.Entry) bool { return e.GetIndex() <= at })
+	}
+	if len(d.Entries) > 0 {
+		first := d.Entries[0].GetIndex()
+		p.disk.Entries = slices.DeleteFunc(p.disk.Entries, func(e *raftpb.Entry) bool { return e.GetIndex() >= first })
+		for _, e := range d.Entries {
+			p.disk.Entries = append(p.disk.Entries, clone(e).(*raftpb.Entry))
+		}
+	}
+	if d.Hard != nil {
+		p.disk.Hard = clone(d.Hard).(*raftpb.HardState)
+	}
+}
+
+func (p *Proc) settleCouncil() {
+	w := p.w
+	for d, more := p.node.Next(); more; d, more = p.node.Next() {
+		switch d.Verb {
+		case council.Save:
+			if w.opt.Planted.Unsaved {
+				p.node.Saved()
+				p.later(50, func() { p.store(d) })
+				continue
+			}
+			p.later(0.3+w.rand.ExpFloat64()*0.5+p.slow, func() {
+				p.store(d)
+				p.node.Saved()
+			})
+		case council.Cut:
+			p.store(d)
+		case council.Send:
+			peer, _ := p.node.Peer(d.Message.GetTo())
+			to := w.byName[peer.Name]
+			if to == nil {
+				continue
+			}
+			m := proto.Clone(d.Message).(*raftpb.Message)
+			w.send(p, to, proto.Size(m), func() {
+				if to.node != nil {
+					to.node.Step(m)
+				}
+			})
+			if m.GetType() == raftpb.MsgSnap {
+				p.later(20, func() { p.node.Sent(m.GetTo(), true) })
+			}
+		case council.Done, council.Moved, council.Lost:
+			p.answer(d)
+		case council.Led:
+			if d.Leader.Name == p.Name {
+				w.Elections++
+			}
+		case council.Past:
+			if leads, _ := p.node.Leads(); leads && d.Event.Duty != "" && d.Event.Session != "" && !d.Event.Ended {
+				key := d.Event.Duty + " " + d.Event.Fence.String()
+				if _, before := w.granted[key]; !before {
+					w.granted[key] = d.Event.Session
+					if d.Event.Fence.Compare(w.top[d.Event.Duty]) > 0 {
+						w.top[d.Event.Duty] = d.Event.Fence
+					}
+					w.Grants++
+				}
+			}
+		}
+	}
+	if err := p.node.Failed(); err != nil {
+		w.wrong("%s: %v", p.Name, err)
+		p.Kill()
+	}
+}
+
+func (p *Proc) answer(d council.Decision) {
+	who, waits := p.waiting[d.Number]
+	if !waits {
+		return
+	}
+	delete(p.waiting, d.Number)
+	ans := d.Answer
+	if duty, read := p.read[d.Number]; read {
+		delete(p.read, d.Number)
+		if d.Verb == council.Done {
+			ans = register.Answer{Fence: p.node.Register().Stands(duty)}
+		}
+	}
+	to := who.proc
+	p.w.send(p, to, 64, func() {
+		if to.life == who.life && to.agent != nil {
+			to.heard(who.number, d.Verb, ans, d.Leader.Name)
+		}
+	})
+}
+
+func (p *Proc) startRouter() {
+	p.tries++
+	p.calls, p.acting, p.seen, p.watch, p.leader = map[uint64]call{}, map[string]lease.Fence{}, map[string]lease.Fence{}, 0, ""
+	margin := Margin
+	if p.w.opt.Planted.Overstays {
+		margin = -1000 // as if it were counted from a late answer
+	}
+	p.agent = agent.New(agent.Settings{Name: p.Name, Kind: "router", Address: p.Name, Incarnation: uint64(p.tries) * 1000, Length: Length,
+		Margin: margin, Duties: p.duties, Seed: p.w.opt.Seed + uint64(len(p.Name)) + uint64(p.tries)<<8 + uint64(p.Name[len(p.Name)-1])<<16})
+	p.agent.At(p.clock())
+	for d := range p.w.opt.Duties {
+		p.agent.Learn(duty(d))
+	}
+	p.look()
+}
+
+// look is the watch: it asks some process of the council what has changed.
+func (p *Proc) look() {
+	w := p.w
+	c := w.Council[w.rand.IntN(len(w.Council))]
+	life, since := p.life, p.watch
+	w.send(p, c, 16, func() {
+		u, index := agent.Changes(c.node.Register(), since)
+		w.send(c, p, 16+48*(len(u.Sessions)+len(u.Duties)), func() {
+			if p.life == life && p.watch == since {
+				p.watch = index
+				p.agent.Watched(u)
+			}
+		})
+	})
+	p.later(100+w.rand.Float64()*20, p.look)
+}
+
+func (p *Proc) settleRouter() {
+	for d, more := p.agent.Next(); more; d, more = p.agent.Next() {
+		switch d.Verb {
+		case agent.Call, agent.Stand:
+			p.calls[d.Number] = call{op: p.begin(d)}
+			p.ask(d, 0)
+		case agent.Start:
+			p.acting[d.Duty] = d.Fence
+			p.w.began(p, d.Duty)
+			p.act(d.Duty, d.Fence)
+		case agent.Stop:
+			delete(p.acting, d.Duty)
+			p.w.stopped(p, d.Duty)
+		}
+	}
+}
+
+// begin notes a request for the history that is checked; takes and reads alone are.
+func (p *Proc) begin(d agent.Decision) int {
+	op := Op{Client: p.w.client(p), Duty: d.Duty, Kind: "stand", Begun: p.w.Now, Ended: -1}
+	if d.Verb == agent.Call {
+		if d.Entry.Kind != register.Take {
+			return -1
+		}
+		op.Duty, op.Session, op.Kind = d.Entry.Duty, d.Entry.Session, "take"
+	}
+	p.w.Ops = append(p.w.Ops, op)
+	return len(p.w.Ops) - 1
+}
+
+// ask sends a request to who is thought to lead, or to anybody; unanswered for 300 ms, it has failed.
+func (p *Proc) ask(d agent.Decision, tries int) {
+	w := p.w
+	open, waits := p.calls[d.Number]
+	if !waits {
+		return
+	}
+	if tries > 3 {
+		p.fail(d.Number)
+		return
+	}
+	c := w.byName[p.leader]
+	if c == nil {
+		c = w.Council[w.rand.IntN(len(w.Council))]
+	}
+	open.again = func() { p.ask(d, tries+1) }
+	p.calls[d.Number] = open
+	life := p.life
+	w.send(p, c, 96, func() {
+		w.number++
+		c.waiting[w.number] = asker{p, life, d.Number}
+		c.node.At(c.clock())
+		if d.Verb == agent.Stand {
+			c.read[w.number] = d.Duty
+			c.node.Read(w.number)
+		} else {
+			c.node.Do(w.number, d.Entry)
+		}
+	})
+	p.later(300, func() {
+		if _, waits := p.calls[d.Number]; waits {
+			p.leader = ""
+			p.fail(d.Number)
+		}
+	})
+}
+
+func (p *Proc) fail(number uint64) {
+	delete(p.calls, number)
+	p.agent.At(p.clock())
+	p.agent.Failed(number)
+}
+
+// heard takes in how the council answered.
+func (p *Proc) heard(number uint64, how council.Verb, ans register.Answer, leader string) {
+	c, open := p.calls[number]
+	if !open {
+		return
+	}
+	switch how {
+	case council.Moved:
+		if p.leader = leader; leader == "" {
+			p.fail(number)
+		} else {
+			c.again()
+		}
+	case council.Lost:
+		p.fail(number)
+	default:
+		delete(p.calls, number)
+		if c.op >= 0 {
+			op := &p.w.Ops[c.op]
+			op.Ended, op.Held, op.Fence = p.w.Now, ans.Held, ans.Fence
+		}
+		p.agent.At(p.clock())
+		p.agent.Answered(number, ans)
+	}
+}
+
+// act has an owner send acts for as long as it may. Between its look and its act it may be stopped.
+func (p *Proc) act(duty string, as lease.Fence) {
+	w := p.w
+	if now, still := p.acting[duty]; !still || now != as {
+		return
+	}
+	p.agent.At(p.clock())
+	if fence, may := p.agent.May(duty); may {
+		if holder, later := w.above(duty, fence); later && w.Faults["wiped"] == 0 {
+			w.wrong("%s finds that it may act for %s under %v, which %s was granted", p.Name, duty, fence, holder)
+		}
+		for range 2 {
+			to := w.Routers[w.rand.IntN(len(w.Routers))]
+			p.later(w.rand.Float64()*30, func() { p.order(to, duty, fence) })
+		}
+	}
+	p.later(40+w.rand.Float64()*40, func() { p.act(duty, as) })
+}
+
+// above tells whether a higher fence of a duty has been granted, and to whom.
+func (w *World) above(duty string, fence lease.Fence) (string, bool) {
+	top := w.top[duty]
+	return w.granted[duty+" "+top.String()], top.Compare(fence) > 0
+}
+
+func (p *Proc) order(to *Proc, duty string, fence lease.Fence) {
+	w := p.w
+	life := p.life
+	w.send(p, to, 80, func() {
+		verdict, highest := to.judge(lease.Scope{Duty: duty, About: "g"}, p.Name, fence)
+		switch verdict {
+		case lease.Taken:
+			w.accept(to, duty, p.Name, fence)
+		case lease.Old:
+			w.Late++
+		}
+		w.send(to, p, 32, func() {
+			if p.life == life && verdict == lease.Old {
+				p.agent.Refusal(duty, highest)
+			}
+		})
+	})
+}
+
+// judge is the receiver's own, or what is left of it where a defect is planted.
+func (p *Proc) judge(s lease.Scope, holder string, fence lease.Fence) (lease.Verdict, lease.Fence) {
+	switch {
+	case p.w.opt.Planted.Unchecked:
+		return lease.Taken, fence
+	case p.w.opt.Planted.Forgets:
+		if fence.Compare(p.seen[s.Duty]) < 0 {
+			return lease.Old, p.seen[s.Duty]
+		}
+		p.seen[s.Duty] = fence
+		return lease.Taken, fence
+	}
+	return p.agent.Take(s, holder, fence)
+}
+
+// accept checks what a receiver took against all that was ever taken there, whatever it remembers.
+func (w *World) accept(at *Proc, duty, holder string, fence lease.Fence) {
+	w.Acts++
+	key := at.Name + " " + duty
+	if fence.Compare(w.taken[key]) < 0 {
+		w.wrong("%s took an act of %s for %s under %v after one under %v", at.Name, holder, duty, fence, w.taken[key])
+	}
+	w.taken[key] = fence
+	one := duty + " " + fence.String()
+	if other := w.holders[one]; other != "" && other != holder {
+		w.wrong("%s: %v is both %s's and %s's", duty, fence, other, holder)
+	}
+	w.holders[one] = holder
+}
+
+func (w *World) client(p *Proc) int { return slices.Index(w.Routers, p) }
+
+// began and stopped keep the time without an owner.
+func (w *World) began(p *Proc, duty string) {
+	if w.owner[duty] == "" {
+		if at, was := w.since[duty]; was {
+			w.Unowned = append(w.Unowned, w.Now-at)
+		}
+	}
+	w.owner[duty] = p.Name
+}
+
+func (w *World) stopped(p *Proc, duty string) {
+	if w.owner[duty] == p.Name {
+		w.owner[duty], w.since[duty] = "", w.Now
+	}
+}
+
+// finish looks at what is left in the end: long after the last fault each duty has an owner.
+func (w *World) finish() {
+	w.Ended = w.Now
+	for n := range w.opt.Duties {
+		d := duty(n)
+		if w.owner[d] == "" {
+			w.Stuck = append(w.Stuck, d)
+		}
+	}
+	for _, p := range w.Council {
+		if p.node != nil {
+			w.Entries = max(w.Entries, p.node.Register().Index())
+		}
+	}
+	if len(w.Wrong) == 0 {
+		w.Wrong = w.history()
+	}
+}
--- /dev/null
+++ b/internal/lab/fleet/twin/twin_test.go
@@ -0,0 +1,137 @@
+package twin
+
+import (
+	"flag"
+	"slices"
+	"testing"
+)
+
+var schedules = flag.Int("schedules", 100, "drawn schedules that the twin plays")
+
+func common(seed uint64) Options {
+	return Options{Seed: seed, Council: 3, Routers: 5, Duties: 2, For: 12000}
+}
+
+// Whatever the faults: no act is taken under a fence lower than one taken there before, one fence has one holder, nobody finds
+// that it may act once another was granted the duty, the council's answers are linearizable, and when all is over each
+// duty has an owner.
+func TestSchedules(t *testing.T) {
+	late, acts, grants, faults := 0, 0, 0, map[string]int{}
+	for seed := range uint64(*schedules) {
+		w := Play(common(seed))
+		if len(w.Wrong) > 0 {
+			t.Fatalf("seed %d: %v\n%v", seed, w.Wrong, w.Faults)
+		}
+		if len(w.Stuck) > 0 {
+			t.Fatalf("seed %d: nobody owns %v in the end\n%v", seed, w.Stuck, w.Faults)
+		}
+		late, acts, grants = late+w.Late, acts+w.Acts, grants+w.Grants
+		for k, n := range w.Faults {
+			faults[k] += n
+		}
+	}
+	t.Logf("%d schedules: %d acts taken, %d late ones refused, %d grants, faults %v", *schedules, acts, late, grants, faults)
+	if late < *schedules/20 || grants < 2**schedules {
+		t.Errorf("%d late acts and %d grants in %d schedules test little", late, grants, *schedules)
+	}
+}
+
+func TestSameSeedSameRun(t *testing.T) {
+	a, b := Play(common(7)), Play(common(7))
+	if a.Acts != b.Acts || a.Messages != b.Messages || a.Bytes != b.Bytes || !slices.Equal(a.Ops, b.Ops) {
+		t.Fatalf("%d acts, %d messages, %d bytes; then %d, %d, %d", a.Acts, a.Messages, a.Bytes, b.Acts, b.Messages, b.Bytes)
+	}
+}
+
+// lateWake has owners stopped between their look and their act, and all others restart before they wake.
+func lateWake(w *World) {
+	for at := 3000.0; at < w.opt.For; at += 4500 {
+		w.After(at, func() {
+			if p := w.Owner(duty(0)); p != nil {
+				w.StopFor(p, 3000)
+				w.After(2930, func() {
+					for _, o := range w.Routers {
+						if o != p {
+							w.KillFor(o, 20)
+						}
+					}
+				})
+			}
+		})
+	}
+}
+
+// formerLeader cuts the leader off from the council alone, while routers that just started ask where fences stand and the
+// duty changes hands.
+func formerLeader(w *World) {
+	for at := 3000.0; at < w.opt.For; at += 3000 {
+		w.After(at, func() {
+			l := w.Leader()
+			if l == nil {
+				return
+			}
+			w.CutOff(l, true, true, w.Council, 1500)
+			for n, p := range w.Routers {
+				w.After(float64(n)*150, func() { w.KillFor(p, 20) })
+			}
+		})
+	}
+}
+
+// Each planted defect is found by some schedule among the first of a few hundred, and none is found without it.
+func TestPlanted(t *testing.T) {
+	wiped := func(w *World) {
+		w.draw()
+		w.After(4000+w.rand.Float64()*4000, w.Wipe)
+	}
+	for _, c := range []struct {
+		name     string
+		schedule func(*World)
+		plant    func(*Planted)
+	}{
+		{"no check of the fence", lateWake, func(p *Planted) { p.Unchecked = true }},
+		{"a receiver that forgets", lateWake, func(p *Planted) { p.Forgets = true }},
+		{"a lease counted for too long", nil, func(p *Planted) { p.Overstays = true }},
+		{"the epoch is not raised", wiped, func(p *Planted) { p.SameEpoch = true }},
+		{"answered before it is durable", nil, func(p *Planted) { p.Unsaved = true }},
+		{"answered before it is agreed", formerLeader, func(p *Planted) { p.Council.EarlyAnswer = true }},
+		{"reads of a leader that was one", formerLeader, func(p *Planted) { p.Council.StaleRead = true }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range uint64(200) {
+				o := common(seed)
+				o.Schedule = c.schedule
+				if c.plant(&o.Planted); o.Planted.Council.EarlyAnswer { // it asks without end
+					o.For = 4000
+				}
+				if w := Play(o); len(w.Wrong) > 0 {
+					t.Logf("seed %d: %.200s", seed, w.Wrong[0])
+					o.Planted = Planted{}
+					if w := Play(o); len(w.Wrong) > 0 {
+						t.Errorf("without it: %v", w.Wrong)
+					}
+					return
+				}
+			}
+			t.Error("not found")
+		})
+	}
+}
+
+// A fleet of 600 routers on a council of three, without faults and with its council away for a while.
+func TestLarge(t *testing.T) {
+	w := Play(Options{Seed: 3, Council: 3, Routers: 600, Duties: 13, Owners: 40, For: 8000, Schedule: func(w *World) {
+		w.After(3000, func() {
+			for _, p := range w.Council {
+				w.StopFor(p, 3000)
+			}
+		})
+	}})
+	if len(w.Wrong)+len(w.Stuck) > 0 {
+		t.Fatal(w.Wrong, w.Stuck)
+	}
+	t.Logf("%d messages, %d bytes, %d entries, %d grants, without an owner for %.0f ms", w.Messages, w.Bytes, w.Entries, w.Grants, w.Unowned)
+	if w.Grants != 13 {
+		t.Errorf("%d grants of 13 duties: their owners were to find them again under the same fence", w.Grants)
+	}
+}
