A declined txn is told to come back while an answer is worth something; sight and holds in the module

Now it is four fifths of the time in which an answer could still be in time.

The module hears two more things: Sighted, another router's check (a position, whom to ask first; it makes nobody known or primary), and Hold, which has writes of a group wait for a planned change as without a primary.

Room: what fades is internal/decide/fade (arithmetic), sessions' commits are internal/decide/commits (a memory); neither decides. Scenarios come_back, sighted, held_writes and TestSightSparesChecks each fail without their lines.

--- /dev/null
+++ b/internal/decide/fade/fade_test.go
@@ -0,0 +1,22 @@
+package fade
+
+import (
+	"math"
+	"testing"
+)
+
+func TestFades(t *testing.T) {
+	var f Sum
+	f.Add(1000, 100, 8)
+	if got := f.Read(1100, 100); math.Abs(got-8/math.E) > 1e-9 {
+		t.Errorf("after one span %v", got)
+	}
+	if again := f.Read(1050, 100); again != f.Sum {
+		t.Errorf("a clock that goes back changed it to %v", again)
+	}
+	f.Most(1100, 100, 2)
+	f.Most(1100, 100, 5)
+	if f.Sum != 5 {
+		t.Errorf("the most is %v", f.Sum)
+	}
+}
--- /dev/null
+++ b/internal/decide/handover/handover.go
@@ -0,0 +1,408 @@
+// Package handover decides a planned change of a group's primary: what its owner does, step by step, each noted in the register
+// before it is taken, so that the next owner knows where the last one stood; and what a router makes of being asked to hold
+// writes. It owns the order of steps and the bounds; it must never do one itself, or hold a write for longer than a router's
+// own bound whatever becomes of the owner.
+//
+// What a late owner could do: release writes to a primary that yielded, or have a second member take over. Each step goes with
+// the fence of the owner's grant; a router that has seen a higher one refuses it, and so does a member, by its guard row, in
+// the same transaction as the step.
+package handover
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+
+	"wayloft/internal/decide/lease"
+	"wayloft/internal/decide/register"
+)
+
+// Duty names the duty of a group.
+func Duty(group int) string { return fmt.Sprintf("handover/%d", group) }
+
+// Steps, as they are noted. Each says what is done next, so that one that is noted may have been taken or not.
+const (
+	hold    = "hold"    // FROM TO: routers hold new writes, what runs ends
+	yield   = "yield"   // FROM TO: the old primary takes no more writes
+	take    = "take"    // FROM TO: the new one does
+	release = "release" // FROM TO: routers let go
+	back    = "back"    // FROM TO: nothing comes of it: the old primary takes writes again, routers let go
+)
+
+// Settings are given once. Times are ms.
+type Settings struct {
+	Hold float64 // the most that a router holds
+	Wait float64 // for what runs, of that
+	Step float64 // for one step at a member, or one word to a router
+}
+
+// Verb tells what the host is to do.
+type Verb int
+
+const (
+	Find Verb = iota // ask the group's members which one is primary: Found
+	Note             // note Text in the register: Noted
+	Tell             // tell router To: Told
+	Do               // have member To take Step, under the fence: Done
+	End              // the order is over, as Text says
+)
+
+// Word is what a router is told.
+type Word int
+
+const (
+	Hold Word = iota
+	Look      // how many writes run
+	Release
+)
+
+// What a member is to do. Each may be asked again, and is refused without an effect where the member has seen a higher fence.
+const (
+	Bar   = "bar"   // nothing, but refuse lower fences from then on
+	Yield = "yield" // take no more writes
+	Take  = "take"  // take writes
+)
+
+// Outcome is how a step at a member ended.
+type Outcome int
+
+const (
+	Took    Outcome = iota
+	Refused         // the member has seen a higher fence
+	Failed          // it had no effect, for a reason that may pass or not
+	Unknown         // it may have had one
+)
+
+// Decision is one thing for the host to do; only the fields of its verb are set.
+type Decision struct {
+	Verb Verb
+	Text string
+	To   string
+	Word Word
+	Step string
+	Most float64 // Hold: for so many ms at most
+}
+
+// Owner carries one order out.
+type Owner struct {
+	set      Settings
+	now      float64
+	begun    float64
+	from, to string
+	phase    string // "": the primary is looked for
+	at       int    // how far within the phase
+	waits    bool   // for the host's answer
+	since    float64
+	routers  map[string]*guest
+	held     bool // some router was told to hold
+	why      string
+	out      []Decision
+	over     bool
+	tries    int
+}
+
+type guest struct {
+	told    Word
+	waits   bool
+	holds   bool
+	running int
+	failed  int
+}
+
+// Order is the text of an operator's order.
+func Order(to string) string { return "to " + to }
+
+// NewOwner takes an order up where the steps say that it stands.
+func NewOwner(set Settings, order string, steps []register.Step, now float64) (*Owner, error) {
+	to, ok := strings.CutPrefix(order, "to ")
+	if !ok || to == "" {
+		return nil, fmt.Errorf("the order %q is none that this build knows", order)
+	}
+	o := &Owner{set: set, now: now, begun: now, to: to, routers: map[string]*guest{}}
+	if len(steps) == 0 {
+		o.out = append(o.out, Decision{Verb: Find})
+		o.waits = true
+		return o, nil
+	}
+	last := strings.Fields(steps[len(steps)-1].Text)
+	if len(last) != 3 || last[2] != to {
+		return nil, fmt.Errorf("the step %q is none that this build knows", steps[len(steps)-1].Text)
+	}
+	o.from, o.held = last[1], true
+	switch last[0] {
+	case hold: // nothing has changed at the members, but what the owner before had begun may still be on its way there
+		o.why = "its owner was lost while writes were held"
+		o.begin(back)
+	case yield, take, release, back:
+		if last[0] == back {
+			o.why = "taken back"
+		}
+		o.begin(last[0])
+	default:
+		return nil, fmt.Errorf("the step %q is none that this build knows", steps[len(steps)-1].Text)
+	}
+	return o, nil
+}
+
+// At sets the time; all that follows until the next call happens then.
+func (o *Owner) At(now float64) {
+	o.now = math.Max(o.now, now)
+	o.step()
+}
+
+// begin notes a phase down, and enters it once that is noted.
+func (o *Owner) begin(phase string) {
+	o.phase, o.at, o.waits, o.tries = phase, -1, true, 0
+	o.out = append(o.out, Decision{Verb: Note, Text: phase + " " + o.from + " " + o.to})
+}
+
+// Found says which member takes writes, or why nobody can tell.
+func (o *Owner) Found(member string, err error) {
+	if o.phase != "" || !o.waits {
+		return
+	}
+	o.waits = false
+	switch {
+	case err != nil:
+		o.end("nothing was changed: " + err.Error())
+	case member == o.to:
+		o.end("nothing was changed: " + o.to + " is the primary already")
+	default:
+		o.from = member
+		o.begin(hold)
+	}
+}
+
+// Noted says that a step is noted, or that it can't be: then this process owns nothing any more.
+func (o *Owner) Noted(ok bool) {
+	if o.at != -1 {
+		return
+	}
+	if !ok {
+		o.over = true
+		return
+	}
+	o.at, o.waits, o.since = 0, false, o.now
+	o.step()
+}
+
+// Routers says who has a session now; those that come late are told to hold too, those that went are not waited for.
+func (o *Owner) Routers(names []string) {
+	for _, name := range names {
+		if o.routers[name] == nil {
+			o.routers[name] = &guest{}
+		}
+	}
+	for name := range o.routers {
+		if !slices.Contains(names, name) {
+			delete(o.routers, name)
+		}
+	}
+	o.step()
+}
+
+// Told says how a router answered: whether it did as told, and how many writes run there.
+func (o *Owner) Told(router string, word Word, ok bool, running int) {
+	g := o.routers[router]
+	if g == nil || !g.waits || g.told != word {
+		return
+	}
+	g.waits = false
+	if !ok {
+		g.failed++
+	} else {
+		g.failed = 0
+		g.holds, g.running = word != Release, running
+	}
+	o.step()
+}
+
+// Done says how a step at a member ended.
+func (o *Owner) Done(how Outcome, why string) {
+	if !o.waits || o.at < 0 {
+		return
+	}
+	o.waits = false
+	switch {
+	case how == Refused:
+		o.over = true // somebody else owns this now
+	case how == Took:
+		o.at, o.tries = o.at+1, 0
+	case how == Failed && (o.phase == yield || o.phase == take):
+		o.why = why
+		o.begin(back)
+	case o.phase == take && o.now-o.begun > 4*o.set.Hold, o.phase == yield && o.now-o.begun > o.set.Hold:
+		o.why = "not done in time: " + why
+		o.begin(back)
+	case o.phase == back && o.tries >= 3: // all that can be done has been: an operator must look
+		o.why += "; " + why
+		o.at, o.tries = o.at+1, 0
+	default:
+		o.tries++ // asked again, which does no harm
+		o.since = o.now
+	}
+	o.step()
+}
+
+func (o *Owner) end(how string) {
+	if !o.over {
+		o.over = true
+		o.out = append(o.out, Decision{Verb: End, Text: how})
+	}
+}
+
+// step goes on as far as it can.
+func (o *Owner) step() {
+	if o.over || o.waits && o.phase != hold && o.phase != release && o.phase != back || o.at < 0 {
+		return
+	}
+	switch o.phase {
+	case hold:
+		o.quiet()
+	case yield:
+		switch o.at {
+		case 0: // the next: an owner of before may have a step on its way there
+			o.do(o.to, Bar)
+		case 1:
+			o.do(o.from, Yield)
+		default:
+			o.begin(take)
+		}
+	case take:
+		switch o.at {
+		case 0:
+			o.do(o.from, Yield) // again, for who takes over here: it does no harm
+		case 1:
+			o.do(o.to, Take)
+		default:
+			o.begin(release)
+		}
+	case release:
+		if o.letGo() {
+			o.end("done: " + o.to + " is the primary in place of " + o.from)
+		}
+	case back:
+		switch {
+		case o.at == 0: // what an owner of before still has on its way must find the door shut
+			o.do(o.to, Bar)
+		case o.at == 1:
+			o.do(o.from, Take)
+		case o.letGo():
+			o.end("taken back, " + o.from + " is the primary: " + o.why)
+		}
+	}
+}
+
+// quiet has all routers hold, and goes on once nothing runs, or it has taken long enough: what still runs then is turned
+// away by the member itself.
+func (o *Owner) quiet() {
+	still, late := 0, o.now-o.since > o.set.Wait
+	for _, name := range slices.Sorted(maps.Keys(o.routers)) {
+		g := o.routers[name]
+		switch {
+		case g.waits:
+			still++
+		case !g.holds && g.failed < 3:
+			still++
+			o.tell(name, g, Hold)
+		case g.holds && g.running > 0 && !late:
+			still++
+			o.tell(name, g, Look)
+		}
+	}
+	if still == 0 || late {
+		o.begin(yield)
+	}
+}
+
+// letGo tells all routers to let go, and tells whether each has heard, or can't be reached: it lets go by itself.
+func (o *Owner) letGo() bool {
+	still := 0
+	for _, name := range slices.Sorted(maps.Keys(o.routers)) {
+		g := o.routers[name]
+		switch {
+		case g.waits:
+			still++
+		case g.told != Release && g.failed < 6 || g.told == Release && g.failed > 0 && g.failed < 3:
+			still++
+			o.tell(name, g, Release)
+		}
+	}
+	return still == 0
+}
+
+func (o *Owner) tell(name string, g *guest, w Word) {
+	if g.told != w {
+		g.failed = 0
+	}
+	g.told, g.waits = w, true
+	o.out = append(o.out, Decision{Verb: Tell, To: name, Word: w, Most: o.set.Hold})
+}
+
+func (o *Owner) do(member, step string) {
+	if o.waits || o.tries > 0 && o.now-o.since < o.set.Step/4 {
+		return
+	}
+	o.waits = true
+	o.out = append(o.out, Decision{Verb: Do, To: member, Step: step})
+}
+
+// Over tells whether nothing is left to do, whether the order has ended or another owns it.
+func (o *Owner) Over() bool { return o.over && len(o.out) == 0 }
+
+// Phase tells where it stands, for people.
+func (o *Owner) Phase() string { return o.phase }
+
+// Next gives the next decision; false: none is left.
+func (o *Owner) Next() (Decision, bool) {
+	if len(o.out) == 0 {
+		return Decision{}, false
+	}
+	d := o.out[0]
+	o.out = o.out[1:]
+	return d, true
+}
+
+// Guests is a router's part: which groups' writes wait, and until when. A handover is named by its fence's epoch and its order's
+// number; the same one never holds for longer than its bound, however often it asks.
+type Guests struct {
+	bound float64
+	holds map[int]holding
+}
+
+type holding struct {
+	epoch, number uint64
+	until         float64
+	over          bool
+}
+
+// NewGuests makes a router's part; bound is the most, in ms, that it holds for one handover.
+func NewGuests(bound float64) *Guests { return &Guests{bound: bound, holds: map[int]holding{}} }
+
+// Hold says until when writes of a group wait; 0: they don't.
+func (g *Guests) Hold(group int, fence lease.Fence, number uint64, most, now float64) (until float64) {
+	h, had := g.holds[group]
+	if had && h.epoch == fence.Epoch && h.number == number {
+		if h.over {
+			return 0
+		}
+		return h.until
+	}
+	if math.IsNaN(most) || most < 0 {
+		most = 0
+	}
+	g.holds[group] = holding{epoch: fence.Epoch, number: number, until: now + math.Min(most, g.bound)}
+	return g.holds[group].until
+}
+
+// Release lets a group's writes go; what still asks to hold for the same handover, later, asks in vain.
+func (g *Guests) Release(group int, fence lease.Fence, number uint64) {
+	g.holds[group] = holding{epoch: fence.Epoch, number: number, over: true}
+}
+
+// Forget drops groups that are gone.
+func (g *Guests) Forget(but map[int]bool) {
+	maps.DeleteFunc(g.holds, func(group int, _ holding) bool { return !but[group] })
+}
--- a/router/router.go
+++ b/router/router.go
@@ -12,6 +12,8 @@
 	"slices"
 
 	"wayloft/internal/decide/chance"
+	"wayloft/internal/decide/commits"
+	"wayloft/internal/decide/fade"
 )
 
 const (
@@ -28,25 +30,13 @@
 	lostAfter  = 5.5    // expected waits; one healthy txn in 250 takes longer (e^-5.5)
 	firstLimit = 1.0    // submissions at once to a member not yet known: all routers may start together
 	reserve    = 1.5    // of the chance to be taken on, so that a few slow answers in a row change nothing
+	slack      = 0.8    // of the time in which a declined txn could come back, so that it is not too late
 	leastLimit = 0.2    // a fifth of the time, so that a member that recovers is still noticed
 )
 
 // Never is the time of what has not happened, and the position of what told none.
 var Never = math.Inf(-1)
 
-// fade is a sum that decays; it is brought up to date when read.
-type fade struct{ sum, at float64 }
-
-func (f *fade) read(now, span float64) float64 {
-	if now > f.at {
-		f.sum *= math.Exp((f.at - now) / span)
-		f.at = now
-	}
-	return f.sum
-}
-
-func (f *fade) add(now, span, x float64) { f.sum = f.read(now, span) + x }
-
 // member is this router's own record of one server.
 type member struct {
 	id, zone                        string
@@ -64,32 +54,30 @@
 	since, downAt, guessed          float64 // first listed; went down; was last back from a possible restart
 	allow, allowAt                  float64 // while cold: SLA time it may be sent; Never: nothing counted
 	checkSent, lastAnswer, lastSent float64
+	sighted                         float64 // when another router's check was last heard of
 	out                             []*submission
-	load                            float64 // of these, without those whose clients have yet to go on
-	overtaken                       float64 // when the latest submission that it has answered was sent
-	doubted                         bool    // has been silent too long; cleared by any answer to a submission
-	doubtAt                         float64 // when the doubt began
-	passed                          bool    // a check has passed since, and no trial has gone out
-	pause                           fade    // the longest unlikely silence that an answer has ended
-	slow, good, bad                 fade    // latency against the usual; committed; failed, refused or lost
-	limit                           float64 // how many of this router's submissions it may hold at once
-	tested                          bool    // the limit has been found once
+	load                            float64  // of these, without those whose clients have yet to go on
+	overtaken                       float64  // when the latest submission that it has answered was sent
+	doubted                         bool     // has been silent too long; cleared by any answer to a submission
+	doubtAt                         float64  // when the doubt began
+	passed                          bool     // a check has passed since, and no trial has gone out
+	pause                           fade.Sum // the longest unlikely silence that an answer has ended
+	slow, good, bad                 fade.Sum // latency against the usual; committed; failed, refused or lost
+	limit                           float64  // how many of this router's submissions it may hold at once
+	tested                          bool     // the limit has been found once
 }
 
 type group struct {
-	no             int
-	members        []*member
-	used           bool            // it has had traffic here
-	held, checkAt  float64         // when a txn last found no member to go to; when its next check may be due
-	asked          float64         // when its latest check went out; Never: one has come back since
-	arrived, reads fade            // txns; reads that need a known position
-	repeatable     float64         // when the last repeatable txn came
-	answers        map[bool]*tally // of replicas, of primaries
+	no                  int
+	members             []*member
+	used                bool                // it has had traffic here
+	held, checkAt, halt float64             // when a txn last found no member; a check may be due; writes wait
+	asked               float64             // when its latest check went out; Never: one has come back since
+	arrived, reads      fade.Sum            // txns; reads that need a known position
+	repeatable          float64             // when the last repeatable txn came
+	answers             map[bool]*fade.Mean // of replicas, of primaries
 }
 
-// tally counts the answers that told how quick members are, and the slow ones among them.
-type tally struct{ all, slow fade }
-
 type submission struct {
 	to                         *member
 	of                         *txn
@@ -119,9 +107,9 @@
 
 // usage is what one txn type has shown of itself.
 type usage struct {
-	wait, n fade
-	ended   fade     // tries ended here without success, whose clients may come back
-	habits  [2]habit // what many tries are given
+	took   fade.Mean // until an answer
+	ended  fade.Sum  // tries ended here without success, whose clients may come back
+	habits [2]habit  // what many tries are given
 }
 
 type habit struct{ ttl, votes float64 }
@@ -133,7 +121,7 @@
 	n := slices.IndexFunc(u.habits[:], func(h habit) bool {
 		return math.Abs(ttl-h.ttl) <= kind.Expiry/50 // a fiftieth: the clock's tick and the network
 	})
-	weak, step, first := 0, 1.0, !marked && u.ended.read(now, 2*kind.Expiry) < 0.5
+	weak, step, first := 0, 1.0, !marked && u.ended.Read(now, 2*kind.Expiry) < 0.5
 	if u.habits[1].votes < u.habits[0].votes {
 		weak = 1
 	}
@@ -148,7 +136,7 @@
 	if first || n >= 0 && (n != weak || !marked && u.habits[n].votes > 3) {
 		return 0
 	}
-	u.ended.add(now, 2*kind.Expiry, -1)
+	u.ended.Add(now, 2*kind.Expiry, -1)
 	return math.Max(0, kind.Expiry-ttl)
 }
 
@@ -161,40 +149,40 @@
 	groups               map[int]*group
 	txns                 map[string]*txn
 	waiting              []*txn
-	cursor, pruneAt      int                // which of them was looked at last
-	stuck                *txn               // what found no member last, since the last input
-	sorted, looked       bool               // since the last input; looked: for silent members
-	busy                 []*member          // those that hold submissions
-	used                 []*group           // those that have had traffic
-	admit                map[bool]float64   // chance to take txns on, for replicas and primaries
-	answers              map[bool]*tally    // from all groups
-	worths               fade               // worth by work of what arrived
-	commits              map[string]float64 // session: its last commit, where tokens are the router's own memory
-	done                 fade               // SLA times committed; unlike latency they hold still in a jam
-	flow, most           float64            // the most of them a ms and member; members up at once
-	crowded              fade               // connections refused by members whose checks went on
-	idle                 []*member          // whose connections are to be closed
-	arrived, heard, lost fade               // txns; submissions answered in any way, and rather lost than long
-	span                 float64            // ms over which what is measured fades
+	cursor               int                 // which of them was looked at last
+	stuck                *txn                // what found no member last, since the last input
+	sorted, looked       bool                // since the last input; looked: for silent members
+	busy                 []*member           // those that hold submissions
+	used                 []*group            // those that have had traffic
+	admit                map[bool]float64    // chance to take txns on, for replicas and primaries
+	answers              map[bool]*fade.Mean // from all groups
+	worths               fade.Sum            // worth by work of what arrived
+	commits              commits.Memory      // where session tokens are the router\'s own memory
+	done                 fade.Sum            // SLA times committed; unlike latency they hold still in a jam
+	flow, most           float64             // the most of them a ms and member; members up at once
+	crowded              fade.Sum            // connections refused by members whose checks went on
+	idle                 []*member           // whose connections are to be closed
+	arrived, heard, lost fade.Sum            // txns; submissions answered in any way, and rather lost than long
+	span                 float64             // ms over which what is measured fades
 	uses                 map[*TxnType]*usage
-	shares               map[string]*fade // by tenant
+	shares               map[string]*fade.Sum // by tenant
 	listed               map[string]bool
-	least                float64 // the shortest check period
-	late                 fade    // how late the alarm rang at most: pauses of this router's own
-	wantWatch, alarmAt   float64 // when to ask for the list again; the alarm that is out
+	least                float64  // the shortest check period
+	late                 fade.Sum // how late the alarm rang at most: pauses of this router's own
+	wantWatch, alarmAt   float64  // when to ask for the list again; the alarm that is out
 }
 
 func New(set *Settings, seed uint64) *Router {
 	r := &Router{set: set, chance: chance.Source{Seed: seed}, wantWatch: math.Inf(1), alarmAt: math.Inf(1),
 		members: map[string]*member{}, groups: map[int]*group{}, txns: map[string]*txn{},
-		commits: map[string]float64{}, uses: map[*TxnType]*usage{}, shares: map[string]*fade{},
+		uses: map[*TxnType]*usage{}, shares: map[string]*fade.Sum{},
 		least: restCheck, span: longMemory, admit: map[bool]float64{false: reserve, true: reserve},
-		answers: map[bool]*tally{false: {}, true: {}}}
+		answers: map[bool]*fade.Mean{false: {}, true: {}}}
 	if set.Ask {
 		r.wantWatch = Never
 	}
 	for name := range set.Tenants {
-		r.shares[name] = &fade{}
+		r.shares[name] = &fade.Sum{}
 	}
 	for _, kind := range set.TxnTypes {
 		r.uses[kind] = &usage{}
@@ -212,10 +200,10 @@
 }
 
 // look finds members in doubt, once the answers that came with the present batch are heard. Guards against
-// whatever takes txns and answers none: hung, vanished or cut off. Long pauses look the same for a while;
-// the first answer ends the doubt. One pause silences all that is out there together, so that no chance of
-// theirs is against it: a silence must also be longer than a look can tell, than this router's own pauses,
-// and than twice what answers have ended.
+// whatever takes txns and answers none: hung, vanished or cut off. Long pauses look the same for a while; the
+// first answer ends the doubt. One pause silences all that is out there together, so that no chance of theirs
+// is against it: a silence must also be longer than a look can tell, than this router's own pauses, and than
+// twice what answers have ended.
 func (r *Router) look() {
 	r.looked = true
 	for _, m := range r.busy {
@@ -234,18 +222,15 @@
 
 // hush is how long all that is out at a member may keep quiet together and mean nothing.
 func (r *Router) hush(m *member) float64 {
-	return math.Max(2*m.pause.read(r.now, longMemory), beat+2*r.late.read(r.now, longMemory))
+	return math.Max(2*m.pause.Read(r.now, longMemory), beat+2*r.late.Read(r.now, longMemory))
 }
 
-// most keeps the largest of what was added, fading.
-func (f *fade) most(now, span, x float64) { f.sum = math.Max(f.read(now, span), x) }
-
 // group finds a group, or makes one; only what the list names is kept, whatever clients name.
 func (r *Router) group(no int, listed bool) *group {
 	g := r.groups[no]
 	if g == nil {
 		g = &group{no: no, held: Never, asked: Never, used: !listed,
-			answers: map[bool]*tally{false: {}, true: {}}}
+			answers: map[bool]*fade.Mean{false: {}, true: {}}}
 		if listed {
 			r.groups[no] = g
 		}
@@ -261,7 +246,7 @@
 	m := r.members[id]
 	if m == nil {
 		m = &member{id: id, zone: zone, group: g, claim: Never, denial: Never, gtid: Never, started: Never,
-			checkSent: Never, lastAnswer: Never, lastSent: Never, since: r.now,
+			checkSent: Never, lastAnswer: Never, lastSent: Never, sighted: Never, since: r.now,
 			guessed: Never, allow: Never, limit: firstLimit}
 		r.members[id] = m
 		g.members = slices.Insert(g.members, int(r.chance.Next()*float64(len(g.members)+1)), m) // asked in turn
@@ -325,29 +310,28 @@
 		effect: kind.Effect, half: r.now + ttl/2, needs: Never, session: session, mayRun: Never, asked: Never,
 		value: kind.Value}
 	switch {
-	case kind.Level == Session && r.set.Remembered && r.commits[session] != 0:
-		t.needs = r.commits[session]
+	case kind.Level == Session && r.set.Remembered && r.commits.Of(session) != 0:
+		t.needs = r.commits.Of(session)
 	case kind.Level == Session && tokenAge != 0: // a commit may be dated a little ahead
 		t.needs = r.now - tokenAge
 	case kind.Level == Fresh:
 		t.needs = r.now
 	}
-	r.arrived.add(r.now, longMemory, 1)
-	r.span = math.Max(memory, math.Min(longMemory, sample*longMemory/r.arrived.sum))
-	g.arrived.add(r.now, r.span, 1)
+	r.arrived.Add(r.now, longMemory, 1)
+	r.span = math.Max(memory, math.Min(longMemory, sample*longMemory/r.arrived.Sum))
+	g.arrived.Add(r.now, r.span, 1)
 	g.checkAt = r.now
 	if r.use(g); kind.Effect == Repeatable {
 		g.repeatable = r.now
 	}
 	if kind.Level == Bounded && r.set.Lag == LagAnswers { // else members see to the bound themselves
-		g.reads.add(r.now, r.span, 1)
+		g.reads.Add(r.now, r.span, 1)
 	}
-	if f := r.shares[tenant]; f != nil {
-		if f.add(r.now, r.span, 1); f.sum*1000/r.span > r.set.Tenants[tenant]/float64(r.set.Routers) {
-			t.value *= r.set.OverShareValue
-		}
+	if f := r.shares[tenant]; f != nil &&
+		f.Add(r.now, r.span, 1)*1000/r.span > r.set.Tenants[tenant]/float64(r.set.Routers) {
+		t.value *= r.set.OverShareValue
 	}
-	r.worths.add(r.now, longMemory, t.value/kind.SLA)
+	r.worths.Add(r.now, longMemory, t.value/kind.SLA)
 	r.txns[id] = t
 	r.waiting, r.sorted = append(r.waiting, t), false
 	return true
@@ -388,8 +372,8 @@
 	}
 }
 
-// Turn says whose turn it is in a submission that takes more than one: the member's, or its client's or
-// the pool's, who make it rest. started: part of the answer is with the client, so it is never sent again.
+// Turn says whose turn it is in a submission that takes more than one: the member's, or its client's or the
+// pool's, who make it rest. started: part of the answer is with the client, so it is never sent again.
 func (r *Router) Turn(id string, seq int, rests, started bool) {
 	t := r.txns[id]
 	if t == nil || seq >= len(t.subs) || !t.subs[seq].out {
@@ -415,7 +399,7 @@
 func (r *Router) heardFrom(sub *submission) {
 	m := sub.to
 	if quiet, since := r.silence(m); quiet > doubt/2 {
-		m.pause.most(r.now, longMemory, r.now-since)
+		m.pause.Most(r.now, longMemory, r.now-since)
 	}
 	m.lastAnswer, m.overtaken = r.now, math.Max(m.overtaken, sub.at)
 	m.doubted, m.down, m.shut = false, false, false
@@ -423,19 +407,15 @@
 
 // remember keeps a session's last commit, and at times drops those that every member has by now.
 func (r *Router) remember(session string, gtid float64) {
-	if gtid == Never {
-		gtid = r.now
-	}
-	r.commits[session] = math.Max(r.commits[session], gtid)
-	if len(r.commits) > r.pruneAt {
+	r.commits.Add(session, cmp.Or(math.Max(gtid, 0), r.now)) // none told: now
+	if r.commits.Full() {
 		least := math.Inf(1)
 		for _, m := range r.members {
 			if !m.barred {
 				least = math.Min(least, m.gtid)
 			}
 		}
-		maps.DeleteFunc(r.commits, func(_ string, at float64) bool { return at <= least })
-		r.pruneAt = 2*len(r.commits) + 1000
+		r.commits.Drop(least)
 	}
 }
 
@@ -447,7 +427,7 @@
 }
 
 func (r *Router) lose(t *txn) {
-	t.use.ended.add(r.now, 2*t.kind.Expiry, 1)
+	t.use.ended.Add(r.now, 2*t.kind.Expiry, 1)
 	r.forget(t)
 }
 
@@ -463,20 +443,20 @@
 	}
 	if len(m.out) == 0 {
 		r.busy = slices.DeleteFunc(r.busy, func(o *member) bool { return o == m })
-		if r.crowded.read(r.now, longMemory) > math.Max(0.5, r.arrived.sum/20) { // a few are no full tables
+		if r.crowded.Read(r.now, longMemory) > math.Max(0.5, r.arrived.Sum/20) { // a few are no full tables
 			r.idle = append(r.idle, m)
 		}
 	}
 	switch how {
 	case Committed, Errored, Full, Miss:
-		r.heard.add(r.now, r.span, 1)
+		r.heard.Add(r.now, r.span, 1)
 		thought := r.primary(m.group) == m
 		m.tell(role, r.now, gtid)
 		if how == Miss {
 			r.missed(m, t, thought)
 		}
 	case ConnectFailed, Reset:
-		m.bad.add(r.now, r.span, 1)
+		m.bad.Add(r.now, r.span, 1)
 		m.shut = how == ConnectFailed
 		r.markDown(m)
 	}
@@ -484,13 +464,12 @@
 	case how == Committed:
 		r.follow(t)
 		usual := r.usual(t)
-		t.use.wait.add(r.now, r.span, rtt)
-		t.use.n.add(r.now, r.span, 1)
-		m.slow.add(r.now, r.span, rtt/usual)
-		m.good.add(r.now, r.span, 1)
+		t.use.took.Add(r.now, r.span, rtt, 1)
+		m.slow.Add(r.now, r.span, rtt/usual)
+		m.good.Add(r.now, r.span, 1)
 		r.steer(sub, t.kind.SLA/2/rtt)
 	case how == Errored:
-		m.bad.add(r.now, r.span, 1)
+		m.bad.Add(r.now, r.span, 1)
 	case how == TimedOut || how == Revoked:
 		r.unanswered(sub)
 	case how == Full:
@@ -504,10 +483,9 @@
 	m, t := sub.to, sub.of
 	waits, loss := (r.now-sub.at)/sub.expected, r.usualLoss()
 	lost := loss / (loss + (1-loss)*math.Exp(-waits))
-	r.lost.add(r.now, r.span, lost)
-	m.bad.add(r.now, r.span, lost)
-	t.use.wait.add(r.now, r.span, (1-lost)*(r.now-sub.at+sub.expected))
-	t.use.n.add(r.now, r.span, 1-lost)
+	r.lost.Add(r.now, r.span, lost)
+	m.bad.Add(r.now, r.span, lost)
+	t.use.took.Add(r.now, r.span, (1-lost)*(r.now-sub.at+sub.expected), 1-lost)
 	if lost < 0.5 && r.now-sub.at > math.Min(t.kind.SLA/2, 2*sub.expected) { // else its client's time was short
 		r.steer(sub, 0)
 	}
@@ -515,8 +493,8 @@
 
 // usualLoss is the share of this router's submissions that get no answer though they may run.
 func (r *Router) usualLoss() float64 {
-	lost := r.lost.read(r.now, r.span)
-	return (lost + prior*rareLoss) / (lost + r.heard.read(r.now, r.span) + prior)
+	lost := r.lost.Read(r.now, r.span)
+	return (lost + prior*rareLoss) / (lost + r.heard.Read(r.now, r.span) + prior)
 }
 
 // adapt moves the limit towards where one answer in five is not soon: with exponential waits, and half the
@@ -542,9 +520,9 @@
 	return m.load < m.limit && (m.limit >= 1 || now-m.lastSent >= expected/m.limit)
 }
 
-// silence is how long the member has kept quiet, summed over what is out there, in expected waits, as far
-// as losses on the way don't explain it, and since when. What later answers have overtaken is lost, or
-// long, and tells nothing.
+// silence is how long the member has kept quiet, summed over what is out there, in expected waits, as far as
+// losses on the way don't explain it, and since when. What later answers have overtaken is lost, or long, and
+// tells nothing.
 func (r *Router) silence(m *member) (sum, since float64) {
 	since = r.now
 	for _, sub := range m.out {
@@ -628,7 +606,7 @@
 	// cold until the list has had time to tell; if it doesn't, only this router could not reach the member. One
 	// that is back at once lost a connection, and its role stays: reports may be older than that.
 	if m.shut && m.down {
-		r.crowded.add(r.now, longMemory, 1)
+		r.crowded.Add(r.now, longMemory, 1)
 	} else if m.down && r.now-m.downAt > recheckGap {
 		if m.denial = math.Max(m.denial, m.downAt); r.now-m.guessed > longMemory {
 			m.guessed = r.now
@@ -653,6 +631,25 @@
 	}
 }
 
+// Sighted conveys another router's check: a position, which of one start never goes back, and whom to ask.
+func (r *Router) Sighted(node string, started float64, role Role, gtid float64) {
+	if m := r.members[node]; m != nil && started >= m.started {
+		r.Reported(node, Unsaid, gtid)
+		m.sighted = r.now // stands in for a resting check until it goes quiet
+		if g := m.group; role == Primary {
+			g.members = slices.Insert(slices.DeleteFunc(g.members, func(o *member) bool { return o == m }), 0, m)
+		}
+	}
+}
+
+// Hold has writes of a group wait until then, as without a primary; an earlier time has it asked anew.
+func (r *Router) Hold(groupNo int, until float64) {
+	g := r.group(groupNo, false)
+	if g.halt = until; until <= r.now {
+		r.recheck(g)
+	}
+}
+
 // Gone says that the client of a txn has left; nothing is owed any more.
 func (r *Router) Gone(id string) {
 	if t := r.txns[id]; t != nil {
@@ -662,7 +659,7 @@
 
 func (r *Router) Rang() {
 	if r.now > r.alarmAt-beat/2 {
-		r.late.most(r.now, longMemory, r.now-r.alarmAt)
+		r.late.Most(r.now, longMemory, r.now-r.alarmAt)
 		r.alarmAt = math.Inf(1)
 	}
 }
@@ -741,7 +738,7 @@
 // answer tells as much; sooner for a member marked unknown or down, and for all while txns need a primary.
 func (r *Router) checkDue(m *member) float64 {
 	g, gone := m.group, m.checkSent-m.downAt
-	each := float64(len(g.members)) * r.span / g.arrived.read(r.now, r.span)
+	each := float64(len(g.members)) * r.span / g.arrived.Read(r.now, r.span)
 	switch {
 	case m.barred:
 		return math.Inf(1)
@@ -761,9 +758,10 @@
 	case !m.known:
 		return m.checkSent + math.Max(recheckGap, each)
 	}
-	need := 2 * float64(len(g.members)) * r.span / g.reads.read(r.now, r.span)
-	rest := math.Max(restCheck, perCheck*each) + math.Max(0, m.lastAnswer-m.checkSent)
-	return m.checkSent + math.Max(r.least, math.Min(need, rest))
+	need := 2 * float64(len(g.members)) * r.span / g.reads.Read(r.now, r.span)
+	seen := math.Max(m.checkSent, m.sighted)
+	rest := math.Max(restCheck, perCheck*each) + math.Max(0, m.lastAnswer-seen)
+	return seen + math.Max(r.least, math.Min(need, rest))
 }
 
 // primary is the member with the latest claim that nothing later denies.
@@ -777,7 +775,10 @@
 	return best
 }
 
-func (r *Router) headless(g *group) bool { p := r.primary(g); return p == nil || p.doubted }
+func (r *Router) headless(g *group) bool {
+	p := r.primary(g)
+	return p == nil || p.doubted || r.now < g.halt
+}
 
 // nextRevoke takes repeatable txns back to send them again: from a member in doubt, and where the answer is
 // rather lost than late, if another try can still be in time. One that is only long is worked on twice.
@@ -845,11 +846,9 @@
 	} else if slow = 1; sub.rare {
 		r.admit[pri] -= 0.3 * r.admit[pri] / math.Max(1, sub.to.limit)
 	}
-	for _, a := range []*tally{r.answers[pri], g.answers[pri]} {
-		if sub.rare { // else the member's limit sees to it
-			a.all.add(r.now, longMemory, 1)
-			a.slow.add(r.now, longMemory, slow)
-		}
+	if sub.rare { // else the member's limit sees to it
+		r.answers[pri].Add(r.now, longMemory, slow, 1)
+		g.answers[pri].Add(r.now, longMemory, slow, 1)
 	}
 	sub.to.adapt(ease, float64(r.set.Routers))
 }
@@ -858,14 +857,13 @@
 // is more. Guards against a jam of a few groups that has txns of all others refused, or hides behind them.
 func (r *Router) blame(g *group, pri bool) float64 {
 	all, own := r.answers[pri], g.answers[pri]
-	share := math.Max(0.2, all.slow.read(r.now, longMemory)/math.Max(1, all.all.read(r.now, longMemory)))
-	slow := own.slow.read(r.now, longMemory) + prior*share
-	return slow / (own.all.read(r.now, longMemory) + prior) / share
+	share := math.Max(0.2, all.All.Read(r.now, longMemory)/math.Max(1, all.Weight.Read(r.now, longMemory)))
+	return own.Of(r.now, longMemory, prior, share) / share
 }
 
 // admits decides by worth for work, against the others', whether to take a txn on, or let a primary have it.
 func (r *Router) admits(t *txn, pri bool) bool {
-	mean := r.worths.read(r.now, longMemory) / r.arrived.read(r.now, longMemory)
+	mean := r.worths.Read(r.now, longMemory) / r.arrived.Read(r.now, longMemory)
 	part := r.admit[pri] / r.blame(t.group, pri)
 	return part >= 1 || r.chance.Next() < math.Pow(part, mean*t.kind.SLA/t.value)
 }
@@ -929,19 +927,23 @@
 	if t.mayRun != Never && !promise {
 		return Decision{Verb: RollBack, Txn: t.id}
 	}
-	// A repeat could not be answered in time either; the wait may be longer than needed after a short jam.
-	return Decision{Verb: Decline, Txn: t.id, Wait: r.set.RetryAfter}
+	// Back while it is worth the most, else late: nothing here tells how long a jam lasts.
+	wait := r.set.RetryAfter
+	if left := t.arrived + t.kind.SLA - r.now - r.usual(t); left > 0 {
+		wait = math.Min(wait, slack*left)
+	}
+	return Decision{Verb: Decline, Txn: t.id, Wait: wait}
 }
 
 // usual is the smoothed time to an answer of a txn type, over all members. Until some are in, a quarter of
 // the SLA time is supposed: whoever set it expects answers well inside it.
 func (r *Router) usual(t *txn) float64 {
-	return (t.use.wait.read(r.now, r.span) + prior*t.kind.SLA/4) / (t.use.n.read(r.now, r.span) + prior)
+	return t.use.took.Of(r.now, r.span, prior, t.kind.SLA/4)
 }
 
 // slowness is the member's smoothed latency against what is usual.
 func (r *Router) slowness(m *member) float64 {
-	return (m.slow.read(r.now, r.span) + prior) / (m.good.read(r.now, r.span) + prior)
+	return (m.slow.Read(r.now, r.span) + prior) / (m.good.Read(r.now, r.span) + prior)
 }
 
 func (r *Router) expects(t *txn, m *member) float64 { return r.usual(t) * r.slowness(m) }
@@ -1035,7 +1037,7 @@
 	var best *member
 	top := Never
 	for _, m := range from {
-		good, bad := m.good.read(r.now, r.span), m.bad.read(r.now, r.span)
+		good, bad := m.good.Read(r.now, r.span), m.bad.Read(r.now, r.span)
 		cost := r.slowness(m) * (1 + m.load)
 		// Guards against members that fail or refuse quickly, whose latency would draw more txns to them.
 		weight := math.Pow((good+1)/(good+bad+1), 4) / (cost * cost)
@@ -1063,7 +1065,7 @@
 
 // fit is the one place that every send passes: it gives the member back if the txn may go there now.
 func (r *Router) fit(t *txn, m *member) *member {
-	if m == nil || m.barred || m.down || t.placed || t.over {
+	if m == nil || m.barred || m.down || t.placed || t.over || t.needsPrimary() && r.now < m.group.halt {
 		return nil
 	}
 	// Rule 2: a referenced txn that may have run stays where its repeats are discarded.
@@ -1109,7 +1111,7 @@
 // follow keeps the best average that members have committed, over the most that were ever up, lest a loss of
 // many raises it. Guards against restarts of many, and lulls.
 func (r *Router) follow(t *txn) {
-	r.done.add(r.now, longMemory, t.kind.SLA)
+	r.done.Add(r.now, longMemory, t.kind.SLA)
 	span := longMemory * (1 - math.Exp(-math.Max(longMemory/3, r.now-r.born)/longMemory))
-	r.flow = math.Max(r.flow, r.done.sum/span/r.most)
+	r.flow = math.Max(r.flow, r.done.Sum/span/r.most)
 }
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -21,8 +21,10 @@
 //	returned t1 miss role=replica gtid=90 done     of the submission sent last
 //	checked a ok role=primary gtid=100             or another outcome
 //	gone t1
+//	sighted a started=-5 role=primary gtid=100     another router's check; started: Never unless it says
+//	hold 2000 | hold none                          writes of group 1 wait until then
 //	want submit t1 a|b                 a decision that must be among those just pulled; it is used up
-//	never submit t1                    none such may be left among them
+//	never submit t1                    none such may be left among them; a decline tells its wait: decline t1 400
 //
 // All members are in group 1, unless it says otherwise, and in the zone of their name's first letter.
 var (
@@ -153,6 +155,10 @@
 		}
 	case "gone":
 		p.r.Gone(w[1])
+	case "sighted":
+		p.r.Sighted(w[1], number(o["started"], Never), roleWords[o["role"]], number(o["gtid"], Never))
+	case "hold":
+		p.r.Hold(1, number(w[1], 0))
 	default:
 		return fmt.Errorf("unknown step")
 	}
@@ -201,7 +207,11 @@
 				p.count[d.Txn]++
 				p.last[d.Txn] = d
 			}
-			p.out = append(p.out, strings.Join(strings.Fields(verbWords[d.Verb]+" "+d.Txn+" "+d.Member), " "))
+			line := strings.Join(strings.Fields(verbWords[d.Verb]+" "+d.Txn+" "+d.Member), " ")
+			if d.Verb == Decline {
+				line += fmt.Sprintf(" %.0f", d.Wait)
+			}
+			p.out = append(p.out, line)
 		}
 	}
 	i := slices.IndexFunc(p.out, func(line string) bool {
@@ -272,3 +282,49 @@
 		}
 	}
 }
+
+// Where another router's checks are heard of, resting checks of one's own stay out; they are back within a period once it goes
+// quiet.
+func TestSightSparesChecks(t *testing.T) {
+	read := &TxnType{SLA: 500, Value: 1, Expiry: 1000, Level: Bounded, Bound: 900}
+	roles := map[string]Role{"a": Primary, "b": Replica, "c": Replica}
+	play := func(sightUpTo float64) (checks []float64) {
+		r := New(&Settings{Routers: 1, Submissions: 6, CanCheck: true, ColdFrom: 1, WarmUp: 1, FallMultiple: 2, FallWindow: 1000,
+			TxnTypes: map[string]*TxnType{"read": read}}, 1)
+		r.At(1)
+		r.ListStart()
+		for _, id := range []string{"a", "b", "c"} {
+			r.Listed(id, "z", 1, Up, Never)
+		}
+		r.ListEnd(true)
+		for at := 10.0; at < 10000; at += 10 {
+			r.At(at)
+			if int(at)%200 == 0 && at < sightUpTo {
+				for _, id := range []string{"a", "b", "c"} {
+					r.Sighted(id, Never, roles[id], at)
+				}
+			}
+			id := fmt.Sprint(at)
+			r.Arrive(id, "", "", "read", 1, 0, 1000, false)
+			for d, more := r.Next(); more; d, more = r.Next() {
+				switch d.Verb {
+				case Check:
+					checks = append(checks, at)
+					r.Reported(d.Member, roles[d.Member], at)
+					r.Checked(d.Member, Committed)
+				case Submit:
+					r.Returned(d.Txn, d.Seq, Committed, 5, true, roles[d.Member], at)
+				}
+			}
+		}
+		return checks
+	}
+	alone, helped, quiet := play(0), play(1e9), play(5000)
+	if len(helped) > 6 || len(alone) < 60 {
+		t.Errorf("%d checks, %d with sight", len(alone), len(helped))
+	}
+	back := slices.IndexFunc(quiet, func(at float64) bool { return at > 5000 })
+	if back < 0 || quiet[back] > 4800+restCheck+100 {
+		t.Errorf("sight went quiet at 4,800; checks: %v", quiet)
+	}
+}
