--- a/cmd/wayloft/config.go
+++ b/cmd/wayloft/config.go
@@ -29,6 +29,7 @@
 	perMember               int // connections; 0: any number
 	pools                   []settings.Pooled
 	user, database          string            // of checks and of the platform's form
+	fleet                   *settings.Fleet   // its part in a fleet; nil: none
 	texts                   map[string]string // what only a restart puts in force, as it is in the file
 }
 
--- /dev/null
+++ b/cmd/wayloft/join.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"net"
+
+	"wayloft/internal/decide/handover"
+	"wayloft/internal/decide/sight"
+	"wayloft/internal/discovery"
+	"wayloft/internal/fleet"
+	"wayloft/internal/record"
+	"wayloft/internal/settings"
+	"wayloft/router"
+)
+
+// join has the router take part in its fleet; leave gives back what it holds there.
+func (s *service) join(conf *config) (leave func(), err error) {
+	f := conf.fleet
+	listener, err := net.Listen("tcp", f.Orders)
+	if err != nil {
+		return nil, fmt.Errorf("fleet.orders: %w", err)
+	}
+	rec, err := record.Open(f.Record, conf.name)
+	if err != nil {
+		listener.Close()
+		return nil, fmt.Errorf("fleet.record: %w", err)
+	}
+	s.listed = map[string]discovery.Entry{}
+	set := fleet.Settings{Fleet: f.Name, Name: conf.name, Kind: "router", Council: f.Council, Via: f.Via, Listen: f.Orders,
+		Address: cmp.Or(f.Known, listener.Addr().String()), Length: float64(f.Session), Margin: float64(f.Margin), Sight: float64(f.Sight),
+		Bound: float64(f.MostHeld), Ahead: float64(f.ClockAhead), Record: rec}
+	if h := f.Handover; h != nil {
+		set.Handover = true
+		set.Hold = handover.Settings{Hold: float64(h.Hold), Wait: float64(h.Wait), Step: float64(h.Step)}
+		set.Adapter = adapter(h)
+	}
+	s.link = fleet.New(set, s)
+	s.host.Reports(s.report)
+	ctx, cancel := context.WithCancel(context.Background())
+	go s.link.Run(ctx, listener)
+	return func() {
+		cancel()
+		<-s.link.Ended()
+		rec.Close()
+	}, nil
+}
+
+func adapter(h *settings.Handover) *fleet.Adapter {
+	return &fleet.Adapter{User: h.User, Database: h.Database, Primary: h.Primary, Guard: h.Guard, Seen: h.Seen, Yield: h.Yield,
+		Take: h.Take, Within: float64(h.Step)}
+}
+
+// keep notes the list for the fleet's part.
+func (s *service) keep(l *discovery.List) {
+	if s.listed == nil {
+		return
+	}
+	if l.Whole {
+		clear(s.listed)
+	}
+	for _, e := range l.Entries {
+		if e.State == router.Up {
+			s.listed[e.ID] = e
+		} else {
+			delete(s.listed, e.ID)
+		}
+	}
+}
+
+// started gives a start as it goes between processes: 0 for long ago.
+func started(at float64) float64 {
+	if at == router.Never {
+		return 0
+	}
+	return at
+}
+
+// report hands a member's report to the fleet's part.
+func (s *service) report(member string, role router.Role, gtid float64) {
+	r := sight.Report{Member: member, Started: started(s.listed[member].Started), Primary: role == router.Primary,
+		Replica: role == router.Replica, At: s.host.Now()}
+	if gtid != router.Never {
+		r.Position = gtid
+	}
+	s.link.Reported(r)
+}
+
+// What follows is what the fleet's part asks of a router, on its loop but for Post.
+
+func (s *service) Post(f func()) { s.host.Post(f) }
+func (s *service) Now() float64  { return s.host.Now() }
+
+func (s *service) Groups() map[int][]fleet.Member {
+	groups := map[int][]fleet.Member{}
+	for _, e := range s.listed {
+		groups[e.Group] = append(groups[e.Group], fleet.Member{ID: e.ID, Addr: e.Addr, Started: started(e.Started)})
+	}
+	return groups
+}
+
+func (s *service) Look(member string) {
+	if _, there := s.listed[member]; there {
+		s.host.Look(member)
+	}
+}
+
+func (s *service) Sighted(r sight.Report) {
+	since, role, position := r.Started, router.Unsaid, r.Position
+	if since == 0 {
+		since = router.Never
+	}
+	if r.Primary {
+		role = router.Primary
+	} else if r.Replica {
+		role = router.Replica
+	}
+	if position == 0 {
+		position = router.Never
+	}
+	s.host.Sighted(r.Member, since, role, position)
+}
+
+func (s *service) Hold(group int, until float64) { s.host.Hold(group, until) }
+
+func (s *service) Writes(group int) (running, waiting int) { return s.host.Writes(group) }
--- a/cmd/wayloft/main.go
+++ b/cmd/wayloft/main.go
@@ -47,6 +47,8 @@
 var cli struct {
 	Serve   serveCmd   `cmd:"" help:"Serve until SIGTERM, then answer all that was taken and exit."`
 	Check   checkCmd   `cmd:"" help:"Read the configuration and say what is wrong with it."`
+	Council councilCmd `cmd:"" help:"The processes that keep the fleet's small state."`
+	Fleet   fleetCmd   `cmd:"" help:"What processes of the fleet do as one."`
 	Lab     labCmd     `cmd:"" help:"Try a router out on loopback, with a stand-in cluster."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
--- a/cmd/wayloft/serve.go
+++ b/cmd/wayloft/serve.go
@@ -17,6 +17,7 @@
 	"wayloft/internal/decide/pool"
 	"wayloft/internal/decide/session"
 	"wayloft/internal/discovery"
+	"wayloft/internal/fleet"
 	"wayloft/internal/host"
 	"wayloft/internal/members"
 	"wayloft/internal/must"
@@ -53,6 +54,8 @@
 	side    *members.Members
 	watcher *discovery.Watcher
 	lost    bool // the watch on the list is down
+	link    *fleet.Link
+	listed  map[string]discovery.Entry // the list, kept for the fleet's part; nil without one
 }
 
 // serve runs a router on a listener until a signal but SIGHUP comes and all that was taken is answered.
@@ -61,6 +64,7 @@
 	defer cancel()
 	asked := make(chan struct{}, 1)
 	s := &service{}
+	var err error
 	s.host = host.New(host.NewLoop(conf.sockets), router.New(conf.set, conf.seed), conf.set.TxnTypes, func() {
 		select {
 		case asked <- struct{}{}:
@@ -103,6 +107,12 @@
 			func(err error) { s.host.Post(func() { s.failed(err) }) })
 	}
 
+	leave := func() {}
+	if conf.fleet != nil {
+		if leave, err = s.join(conf); err != nil {
+			return err
+		}
+	}
 	known := *conf.known
 	known.Whole = true
 	s.host.Soon(func() { s.list(&known) })
@@ -130,6 +140,7 @@
 	}()
 	s.host.After(everyNow, s.now)
 	s.host.Run()
+	leave()
 	s.status("ended")
 	return nil
 }
@@ -155,6 +166,7 @@
 // list tells the module and the members' side of a list.
 func (s *service) list(l *discovery.List) {
 	s.side.List(l)
+	s.keep(l)
 	r := s.host.List()
 	r.ListStart()
 	for _, e := range l.Entries {
--- a/cmd/wayloft/toml.go
+++ b/cmd/wayloft/toml.go
@@ -45,6 +45,9 @@
 			Started: router.Never})
 	}
 	c.user, c.database = f.Fleet.User, f.Fleet.Database
+	if len(f.Fleet.Council) > 0 {
+		c.fleet = &f.Fleet
+	}
 	c.texts = map[string]string{}
 	return c, checkAddresses(c, c.discovery != "")
 }
--- /dev/null
+++ b/internal/council/council.go
@@ -0,0 +1,672 @@
+// Package council is the process that keeps a share of the fleet's small state: it carries out what decide/council decides, with
+// a ledger for its disk and gRPC for the others. It owns the listener, the ways to the other processes and the clock; it must
+// never see a txn, decide who holds what, or answer before the ledger has what the answer rests on.
+package council
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+	"go.etcd.io/raft/v3/raftpb"
+	"golang.org/x/net/netutil"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"wayloft/internal/decide/agent"
+	"wayloft/internal/decide/council"
+	"wayloft/internal/decide/register"
+	"wayloft/internal/fleetpb"
+	"wayloft/internal/ledger"
+	"wayloft/internal/record"
+	"wayloft/internal/wire"
+)
+
+const (
+	inbox     = 1024 // inputs that wait at most; whoever brings more waits instead
+	perPeer   = 256  // messages that wait for one process; more are dropped, as a network would
+	coalesce  = 5 * time.Millisecond
+	alive     = time.Second     // an empty word to watchers, so that they can tell silence
+	longest   = 4 << 20         // bytes of one message
+	streams   = 256             // at once on one connection
+	handshake = 5 * time.Second // for a connection to begin to speak the protocol
+)
+
+// Settings are given once.
+type Settings struct {
+	Fleet, Name string
+	Dir         string
+	Peers       []council.Peer    // who begins the council; empty: it joins one that has begun
+	Via         map[string]string // ways to others by name, in place of the addresses that the council knows
+	Tick        float64           // ms
+	Keep        uint64            // entries until the log is cut
+	Connections int               // at once
+	Ahead       float64           // ms that this process's clock is ahead, for tests
+	Record      *record.Record
+}
+
+// Council is one process.
+type Council struct {
+	fleetpb.UnimplementedCouncilServer
+	set    Settings
+	node   *council.Node
+	disk   *ledger.Ledger
+	met    *council.Met
+	self   council.Identity
+	inbox  chan func()
+	ctx    context.Context
+	number uint64
+	asked  map[uint64]func(council.Decision)
+	ways   map[uint64]*way
+	mu     sync.Mutex
+	moved  chan struct{} // closed when the register has changed
+	index  uint64
+	ended  error
+}
+
+var stored = struct{ hard, snapshot, met string }{"hard", "snapshot", "met"}
+
+// Read gives what a ledger holds of a process of the council.
+func Read(l *ledger.Ledger) (s council.Stored, met *council.Met, err error) {
+	records, values, err := l.Read()
+	if err != nil {
+		return s, nil, err
+	}
+	met = council.NewMet()
+	if b := values[stored.met]; b != nil {
+		if err := cbor.Unmarshal(b, &met.Known); err != nil {
+			return s, nil, fmt.Errorf("met: %w", err)
+		}
+	}
+	if b := values[stored.hard]; b != nil {
+		s.Hard = &raftpb.HardState{}
+		if err := proto.Unmarshal(b, s.Hard); err != nil {
+			return s, nil, fmt.Errorf("state: %w", err)
+		}
+	}
+	if b := values[stored.snapshot]; b != nil {
+		s.Snapshot = &raftpb.Snapshot{}
+		if err := proto.Unmarshal(b, s.Snapshot); err != nil {
+			return s, nil, fmt.Errorf("snapshot: %w", err)
+		}
+	}
+	for _, r := range records {
+		e := &raftpb.Entry{}
+		if err := proto.Unmarshal(r.Bytes, e); err != nil || e.GetIndex() != r.Number {
+			return s, nil, fmt.Errorf("entry %d: not sound: %w", r.Number, err)
+		}
+		s.Entries = append(s.Entries, e)
+	}
+	return s, met, nil
+}
+
+// Store writes what a decision holds.
+func Store(l *ledger.Ledger, d council.Decision) error {
+	b := ledger.Batch{Values: map[string][]byte{}, Below: d.Below}
+	put := func(name string, m proto.Message) error {
+		text, err := proto.Marshal(m)
+		b.Values[name] = text
+		return err
+	}
+	if d.Hard != nil {
+		if err := put(stored.hard, d.Hard); err != nil {
+			return err
+		}
+	}
+	if d.Snapshot.GetMetadata().GetIndex() > 0 {
+		if err := put(stored.snapshot, d.Snapshot); err != nil {
+			return err
+		}
+		b.Anew = d.Verb == council.Save // another process's, or the first: what was there before is no part of it
+	}
+	for _, e := range d.Entries {
+		text, err := proto.Marshal(e)
+		if err != nil {
+			return err
+		}
+		b.Records = append(b.Records, ledger.Record{Number: e.GetIndex(), Bytes: text})
+	}
+	return l.Store(b)
+}
+
+// Open makes a process from its folder. It does nothing until Run.
+func Open(set Settings) (*Council, error) {
+	l, err := ledger.Open(set.Dir, set.Fleet, set.Name, wire.Draw)
+	if err != nil {
+		return nil, err
+	}
+	had, met, err := Read(l)
+	if err != nil {
+		l.Close()
+		return nil, fmt.Errorf("%s: %w", set.Dir, err)
+	}
+	// The engine's own lines are about its inner life; what it warns of may help on the day.
+	log := logrus.New()
+	log.SetOutput(logrus.StandardLogger().Out)
+	log.SetFormatter(logrus.StandardLogger().Formatter)
+	log.SetLevel(logrus.ErrorLevel)
+	node, fresh, err := council.New(council.Settings{Fleet: set.Fleet, Name: set.Name, Peers: set.Peers, Epoch: uint64(time.Now().Unix()),
+		Tick: set.Tick, Keep: set.Keep, Log: log}, had)
+	if err == nil && fresh != nil {
+		err = Store(l, *fresh)
+	}
+	if err != nil {
+		l.Close()
+		return nil, fmt.Errorf("%s: %w", set.Dir, err)
+	}
+	c := &Council{set: set, node: node, disk: l, met: met, inbox: make(chan func(), inbox), asked: map[uint64]func(council.Decision){},
+		ways: map[uint64]*way{}, moved: make(chan struct{}), number: uint64(time.Now().UnixNano())}
+	c.self = council.Identity{Name: set.Name, Folder: l.Head.Folder, Starts: l.Head.Starts, Term: had.Hard.GetTerm(),
+		Last: had.Snapshot.GetMetadata().GetIndex()}
+	if n := len(had.Entries); n > 0 {
+		c.self.Last = had.Entries[n-1].GetIndex()
+	}
+	return c, nil
+}
+
+// Run serves on a listener until ctx ends or the process can't go on.
+func (c *Council) Run(ctx context.Context, listener net.Listener) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer c.disk.Close()
+	c.ctx = ctx
+	checks := wire.Server(c.set.Fleet)
+	server := grpc.NewServer(grpc.MaxRecvMsgSize(longest), grpc.MaxConcurrentStreams(streams), grpc.ConnectionTimeout(handshake),
+		grpc.ChainUnaryInterceptor(checks.Unary), grpc.ChainStreamInterceptor(checks.Stream),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: alive / 2, PermitWithoutStream: true}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 5 * time.Second, Timeout: 5 * time.Second}))
+	fleetpb.RegisterCouncilServer(server, c)
+	go server.Serve(netutil.LimitListener(listener, c.set.Connections))
+	defer server.Stop()
+	logrus.WithFields(logrus.Fields{"name": c.set.Name, "listen": listener.Addr().String(), "fleet": c.set.Fleet, "folder": c.set.Dir,
+		"applied": c.node.Applied(), "epoch": c.node.Register().Epoch()}).Info("council")
+	c.set.Record.Add("up", record.Fields{"applied": c.node.Applied(), "epoch": c.node.Register().Epoch()})
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for c.ended == nil {
+		select {
+		case <-ctx.Done():
+			return nil
+		case f := <-c.inbox:
+			f()
+			for n := len(c.inbox); n > 0; n-- { // what is there already is stored together
+				(<-c.inbox)()
+			}
+		case <-timer.C:
+		}
+		c.node.At(c.now())
+		c.settle()
+		timer.Reset(time.Duration((c.node.Due() - c.now()) * float64(time.Millisecond)))
+	}
+	return c.ended
+}
+
+func (c *Council) now() float64 { return wire.Boottime() + c.set.Ahead }
+
+// settle carries out what the node decides.
+func (c *Council) settle() {
+	for d, more := c.node.Next(); more; d, more = c.node.Next() {
+		switch d.Verb {
+		case council.Save:
+			if err := Store(c.disk, d); err != nil { // what it would say next rests on this: it must say nothing more
+				c.ended = err
+				return
+			}
+			c.node.Saved()
+		case council.Cut:
+			if err := Store(c.disk, d); err != nil {
+				c.ended = err
+				return
+			}
+		case council.Send:
+			c.send(d.Message)
+		case council.Done, council.Moved, council.Lost:
+			if f := c.asked[d.Number]; f != nil {
+				delete(c.asked, d.Number)
+				f(d)
+			}
+		case council.Led:
+			_, term := c.node.Leads()
+			logrus.WithFields(logrus.Fields{"leader": d.Leader.Name, "term": term}).Info("leads")
+			c.set.Record.Add("leads", record.Fields{"leader": d.Leader.Name, "term": term})
+		case council.Past:
+			c.past(d.Event)
+		}
+	}
+	if err := c.node.Failed(); err != nil {
+		c.ended = err
+		return
+	}
+	if at := c.node.Register().Index(); at != c.index {
+		c.index = at
+		c.mu.Lock()
+		close(c.moved)
+		c.moved = make(chan struct{})
+		c.mu.Unlock()
+	}
+}
+
+// past writes what has become so; each process of the council does, so that its record is whole.
+func (c *Council) past(e register.Event) {
+	leads, _ := c.node.Leads()
+	f := record.Fields{"index": e.Index, "session": e.Session, "duty": e.Duty, "fence": e.Fence.String(), "ended": e.Ended, "why": e.Why}
+	what := "session"
+	if e.Duty != "" {
+		what = "duty"
+	}
+	c.set.Record.Add(what, f)
+	if !leads || e.Duty == "" {
+		return
+	}
+	line := logrus.WithFields(logrus.Fields{"duty": e.Duty, "fence": e.Fence, "holder": e.Session})
+	d, _ := c.node.Register().Duty(e.Duty)
+	switch {
+	case d.Barred.Epoch >= c.node.Register().Epoch() && d.Holder == "":
+		line.WithField("seen", d.Barred).Error("not granted: a receiver has seen a fence that this council never gave; begin a new epoch (council recover)")
+	case e.Ended:
+		line.Info("freed")
+	case e.Session != "":
+		line.Info("granted")
+	}
+}
+
+// ask has the loop do something that ends by a decision under a new number.
+func (c *Council) ask(ctx context.Context, begin func(number uint64)) (council.Decision, error) {
+	answer := make(chan council.Decision, 1)
+	var number uint64
+	if err := c.post(ctx, func() {
+		c.number++
+		number = c.number
+		c.asked[number] = func(d council.Decision) { answer <- d }
+		c.node.At(c.now())
+		begin(number)
+	}); err != nil {
+		return council.Decision{}, err
+	}
+	select {
+	case d := <-answer:
+		if d.Verb == council.Lost {
+			return d, status.Error(codes.Aborted, "it may have been taken or not: ask again")
+		}
+		return d, nil
+	case <-ctx.Done():
+		c.post(c.ctx, func() { delete(c.asked, number) })
+		return council.Decision{}, status.FromContextError(ctx.Err()).Err()
+	case <-c.ctx.Done():
+		return council.Decision{}, status.Error(codes.Unavailable, "this process is ending")
+	}
+}
+
+func (c *Council) post(ctx context.Context, f func()) error {
+	select {
+	case c.inbox <- f:
+		return nil
+	case <-ctx.Done():
+		return status.FromContextError(ctx.Err()).Err()
+	case <-c.ctx.Done():
+		return status.Error(codes.Unavailable, "this process is ending")
+	}
+}
+
+// asks are the kinds of entries that others may bring; time and leadership are the leader's alone to tell.
+var asks = map[register.Kind]bool{register.Open: true, register.Beat: true, register.End: true, register.Take: true, register.Free: true,
+	register.Pass: true, register.Note: true, register.Told: true, register.Order: true, register.Did: true, register.Ascend: true}
+
+// Do is the service's.
+func (c *Council) Do(ctx context.Context, q *fleetpb.Request) (*fleetpb.Answer, error) {
+	var d council.Decision
+	var err error
+	var stands register.Answer
+	if q.Stand != "" {
+		d, err = c.ask(ctx, func(number uint64) {
+			then := c.asked[number]
+			c.asked[number] = func(d council.Decision) {
+				stands.Fence = c.node.Register().Stands(q.Stand)
+				then(d)
+			}
+			c.node.Read(number)
+		})
+		d.Answer = stands
+	} else {
+		e, bad := register.Decode(q.Entry)
+		if bad != nil {
+			return nil, status.Error(codes.InvalidArgument, bad.Error())
+		}
+		if !asks[e.Kind] || e.Passed != 0 {
+			return nil, status.Errorf(codes.InvalidArgument, "entry: %q is not for others to bring", e.Kind)
+		}
+		d, err = c.ask(ctx, func(number uint64) { c.node.Do(number, e) })
+	}
+	if err != nil {
+		return nil, err
+	}
+	if d.Verb == council.Moved {
+		return &fleetpb.Answer{Moved: true, Leader: d.Leader.Name, Address: d.Leader.Addr}, nil
+	}
+	return &fleetpb.Answer{Held: d.Answer.Held, Fence: wire.Fence(d.Answer.Fence), Why: d.Answer.Why, Number: d.Answer.Number}, nil
+}
+
+// Watch is the service's.
+func (c *Council) Watch(from *fleetpb.WatchFrom, stream grpc.ServerStreamingServer[fleetpb.Update]) error {
+	since, first := from.Index, true
+	for {
+		c.mu.Lock()
+		moved := c.moved
+		c.mu.Unlock()
+		got := make(chan *fleetpb.Update, 1)
+		if err := c.post(stream.Context(), func() {
+			u, index := agent.Changes(c.node.Register(), since)
+			out := wire.Update(u)
+			out.Index = index
+			got <- out
+		}); err != nil {
+			return err
+		}
+		select {
+		case u := <-got:
+			if len(u.Sessions)+len(u.Duties) > 0 || u.Whole || first {
+				if err := stream.Send(u); err != nil {
+					return err
+				}
+			}
+			since, first = u.Index, false
+		case <-c.ctx.Done():
+			return status.Error(codes.Unavailable, "this process is ending")
+		}
+		quiet := time.NewTimer(alive)
+		select {
+		case <-moved:
+			time.Sleep(coalesce)
+		case <-quiet.C:
+			if err := stream.Send(&fleetpb.Update{Index: since}); err != nil {
+				return err
+			}
+		case <-stream.Context().Done():
+			return nil
+		case <-c.ctx.Done():
+			return status.Error(codes.Unavailable, "this process is ending")
+		}
+		quiet.Stop()
+	}
+}
+
+// Look is the service's.
+func (c *Council) Look(ctx context.Context, _ *fleetpb.Empty) (*fleetpb.State, error) {
+	var out *fleetpb.State
+	d, err := c.ask(ctx, func(number uint64) {
+		then := c.asked[number]
+		c.asked[number] = func(d council.Decision) {
+			out = c.state()
+			then(d)
+		}
+		c.node.Read(number)
+	})
+	if err != nil {
+		return nil, err
+	}
+	if d.Verb == council.Moved {
+		return &fleetpb.State{Moved: true, Leader: d.Leader.Name, Address: d.Leader.Addr}, nil
+	}
+	return out, nil
+}
+
+func (c *Council) state() *fleetpb.State {
+	r := c.node.Register()
+	u, index := agent.Changes(r, 0)
+	s := &fleetpb.State{State: wire.Update(u), Epoch: r.Epoch(), Refused: r.Refused()}
+	s.State.Index = index
+	for _, one := range s.State.Sessions {
+		had, _ := r.Session(one.Name)
+		one.SilentMs, one.Refused = r.Now()-had.Heard, had.Refused
+	}
+	for _, one := range s.State.Duties {
+		d, _ := r.Duty(one.Name)
+		one.SinceMs, one.Queue, one.Barred = r.Now()-d.Since, d.Queue, wire.Fence(d.Barred)
+	}
+	for _, p := range c.node.Council() {
+		s.Council = append(s.Council, &fleetpb.Peer{Name: p.Name, Address: p.Addr, Leader: p.Leader, Applied: p.Applied, Level: p.Level, Known: p.Known})
+	}
+	return s
+}
+
+// Change is the service's.
+func (c *Council) Change(ctx context.Context, m *fleetpb.Members) (*fleetpb.Answer, error) {
+	var add []council.Peer
+	for _, p := range m.Add {
+		if _, _, err := net.SplitHostPort(p.Address); err != nil || p.Name == "" {
+			return nil, status.Errorf(codes.InvalidArgument, "a process needs a name and an address, not %q and %q", p.Name, p.Address)
+		}
+		add = append(add, council.Peer{Name: p.Name, Addr: p.Address})
+	}
+	d, err := c.ask(ctx, func(number uint64) { c.node.Change(number, add, m.Remove) })
+	if err != nil {
+		return nil, err
+	}
+	if d.Verb == council.Moved {
+		return &fleetpb.Answer{Moved: true, Leader: d.Leader.Name, Address: d.Leader.Addr}, nil
+	}
+	return &fleetpb.Answer{Held: d.Answer.Held, Why: d.Answer.Why}, nil
+}
+
+// Carry is the service's: what another process of the council says, for as long as it goes on.
+func (c *Council) Carry(stream grpc.ClientStreamingServer[fleetpb.Parcel, fleetpb.Empty]) error {
+	var from string
+	for first := true; ; first = false {
+		p, err := stream.Recv()
+		if err != nil {
+			return nil
+		}
+		if first && p.From == nil {
+			return status.Error(codes.InvalidArgument, "the first parcel must say who sends")
+		}
+		if p.From != nil {
+			if err := c.hello(stream.Context(), p.From); err != nil {
+				return err
+			}
+			from = p.From.Name
+		}
+		if len(p.Message) == 0 {
+			continue
+		}
+		m := &raftpb.Message{}
+		if err := proto.Unmarshal(p.Message, m); err != nil {
+			return status.Errorf(codes.InvalidArgument, "message of %s: %v", from, err)
+		}
+		if m.GetFrom() != council.ID(from) {
+			return status.Errorf(codes.InvalidArgument, "message of %d on the way of %s", m.GetFrom(), from)
+		}
+		if err := c.post(stream.Context(), func() {
+			c.met.Heard(from, m, c.node.Applied())
+			if err := c.node.Step(m); err != nil {
+				logrus.WithError(err).WithField("from", from).Debug("message passed over")
+			}
+		}); err != nil {
+			return err
+		}
+	}
+}
+
+// hello judges another process's folder, and stores what is new of it before anything else of it is taken.
+func (c *Council) hello(ctx context.Context, p *fleetpb.Identity) error {
+	result := make(chan error, 1)
+	if err := c.post(ctx, func() {
+		news, err := c.met.Hello(council.Identity{Name: p.Name, Folder: p.Folder, Starts: p.Starts, Term: p.Term, Last: p.Last})
+		if err != nil {
+			logrus.WithField("from", p.Name).WithError(err).Error("not taken")
+			c.set.Record.Add("stranger", record.Fields{"from": p.Name, "why": err.Error()})
+			result <- status.Error(codes.FailedPrecondition, err.Error())
+			return
+		}
+		if news {
+			in := map[string]bool{p.Name: true}
+			for _, o := range c.node.Council() {
+				in[o.Name] = true
+			}
+			for _, o := range c.set.Peers {
+				in[o.Name] = true
+			}
+			c.met.Forget(in)
+			b, err := cbor.Marshal(c.met.Known)
+			if err == nil {
+				err = c.disk.Store(ledger.Batch{Values: map[string][]byte{stored.met: b}})
+			}
+			if err != nil {
+				c.ended = err
+			}
+		}
+		result <- nil
+	}); err != nil {
+		return err
+	}
+	select {
+	case err := <-result:
+		return err
+	case <-c.ctx.Done():
+		return status.Error(codes.Unavailable, "this process is ending")
+	}
+}
+
+// way is how messages get to one other process.
+type way struct {
+	messages chan *raftpb.Message
+	addr     string
+	stop     context.CancelFunc
+}
+
+// send hands a message to the way to its process; one that is full drops it, as a network would.
+func (c *Council) send(m *raftpb.Message) {
+	peer, known := c.node.Peer(m.GetTo())
+	if !known {
+		return
+	}
+	addr := peer.Addr
+	if via := c.set.Via[peer.Name]; via != "" {
+		addr = via
+	}
+	w := c.ways[peer.ID]
+	if w != nil && w.addr != addr {
+		w.stop()
+		w = nil
+	}
+	if w == nil {
+		ctx, cancel := context.WithCancel(c.ctx)
+		w = &way{messages: make(chan *raftpb.Message, perPeer), addr: addr, stop: cancel}
+		c.ways[peer.ID] = w
+		go c.carry(ctx, w, peer)
+		for id, other := range c.ways { // of those that left
+			if _, still := c.node.Peer(id); !still {
+				other.stop()
+				delete(c.ways, id)
+			}
+		}
+	}
+	select {
+	case w.messages <- m:
+	default:
+		c.sent(m, false)
+	}
+}
+
+// sent tells the engine what became of a message, where it must know.
+func (c *Council) sent(m *raftpb.Message, arrived bool) {
+	report := func() {
+		if m.GetType() == raftpb.MsgSnap {
+			c.node.Sent(m.GetTo(), arrived)
+		} else if !arrived {
+			c.node.Unreachable(m.GetTo())
+		}
+	}
+	if arrived && m.GetType() != raftpb.MsgSnap {
+		return
+	}
+	go c.post(c.ctx, report)
+}
+
+// carry keeps a stream to one process and begins another whenever it ends.
+func (c *Council) carry(ctx context.Context, w *way, peer council.Peer) {
+	conn, err := wire.Dial(w.addr, c.set.Fleet)
+	if err != nil {
+		logrus.WithError(err).WithField("to", peer.Name).Error("no way to another process of the council")
+		return
+	}
+	defer conn.Close()
+	told := ""
+	for ctx.Err() == nil {
+		err := c.stream(ctx, fleetpb.NewCouncilClient(conn), w, peer)
+		if ctx.Err() != nil {
+			return
+		}
+		if why := status.Convert(err).Message(); status.Code(err) == codes.FailedPrecondition && why != told {
+			told = why
+			logrus.WithField("to", peer.Name).Error(why)
+			c.set.Record.Add("refused", record.Fields{"by": peer.Name, "why": why})
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wire.Spread(time.Duration(c.set.Tick * float64(time.Millisecond)))):
+		}
+	}
+}
+
+func (c *Council) stream(ctx context.Context, to fleetpb.CouncilClient, w *way, peer council.Peer) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s, err := to.Carry(ctx)
+	if err != nil {
+		c.drain(w)
+		return err
+	}
+	id := &fleetpb.Identity{Name: c.self.Name, Folder: c.self.Folder, Starts: c.self.Starts, Term: c.self.Term, Last: c.self.Last}
+	for first := true; ; first = false {
+		var m *raftpb.Message
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.Context().Done():
+			return ended(s)
+		case m = <-w.messages:
+		}
+		text, err := proto.Marshal(m)
+		if err != nil {
+			return err
+		}
+		p := &fleetpb.Parcel{Message: text}
+		if first {
+			p.From = id
+		}
+		if err := s.Send(p); err != nil {
+			c.sent(m, false)
+			return ended(s)
+		}
+		c.sent(m, true)
+	}
+}
+
+// ended gives the reason that the other end gave.
+func ended(s grpc.ClientStreamingClient[fleetpb.Parcel, fleetpb.Empty]) error {
+	_, err := s.CloseAndRecv()
+	if err == nil {
+		err = errors.New("the other end ended it")
+	}
+	return err
+}
+
+// drain drops what waits for a process that is out of reach: when it is back, old messages are of no use to it.
+func (c *Council) drain(w *way) {
+	for {
+		select {
+		case m := <-w.messages:
+			c.sent(m, false)
+		default:
+			return
+		}
+	}
+}
--- a/internal/decide/agent/agent.go
+++ b/internal/decide/agent/agent.go
@@ -23,6 +23,7 @@
 	spread    = 0.5     // of each wait, drawn: what came together must not stay together
 	tellAgain = 4.0     // lengths between two words to the council that it is behind
 	mostKnown = 20000   // sessions and duties kept of what the council tells: twice what it keeps itself
+	mostHeld  = 1000    // duties that one process would hold
 )
 
 // Settings are given once. Times are ms.
@@ -113,14 +114,32 @@
 	a := &Agent{set: set, chance: chance.Source{Seed: set.Seed}, asked: map[uint64]asked{}, holders: map[string]*lease.Holder{},
 		receiver: lease.NewReceiver(), stands: map[string]*retry{}, told: map[string]float64{}, sessions: map[string]Session{},
 		duties: map[string]Duty{}, beating: retry{at: math.Inf(1)}}
-	for n, duty := range set.Duties {
-		h := lease.NewHolder(lease.Settings{Length: set.Length, Margin: set.Margin, Seed: set.Seed + uint64(n)})
-		h.Want()
-		a.holders[duty] = h
+	for _, duty := range set.Duties {
+		a.Want(duty)
 	}
 	return a
 }
 
+// Want says that this process would hold a duty, too.
+func (a *Agent) Want(duty string) {
+	if a.holders[duty] != nil || a.leaving || len(a.holders) >= mostHeld {
+		return
+	}
+	h := lease.NewHolder(lease.Settings{Length: a.set.Length, Margin: a.set.Margin, Seed: a.set.Seed + uint64(len(a.holders))})
+	h.At(a.now)
+	h.Want()
+	a.holders[duty] = h
+}
+
+// Unwant gives a duty up, held or not.
+func (a *Agent) Unwant(duty string) {
+	if h := a.holders[duty]; h != nil {
+		h.Leave("")
+		a.pull(duty)
+		delete(a.holders, duty)
+	}
+}
+
 // At sets the time; all that follows until the next call happens then.
 func (a *Agent) At(now float64) {
 	a.now = math.Max(a.now, now)
@@ -368,7 +387,7 @@
 		a.left = true
 		return
 	}
-	a.call(asked{kind: register.End}, register.Entry{Kind: register.End})
+	a.call(asked{kind: register.End}, register.Entry{Kind: register.End, Refused: uint64(a.Refused)})
 }
 
 // Left tells whether nothing is left to do.
@@ -384,7 +403,7 @@
 			Length: uint64(a.set.Length), Policy: a.policy})
 	case a.open && a.beating.at <= a.now:
 		a.beating.at = math.Inf(1)
-		a.call(asked{kind: register.Beat}, register.Entry{Kind: register.Beat, Policy: a.policy})
+		a.call(asked{kind: register.Beat}, register.Entry{Kind: register.Beat, Policy: a.policy, Refused: uint64(a.Refused)})
 	default:
 		for _, duty := range slices.Sorted(maps.Keys(a.stands)) {
 			if r := a.stands[duty]; r.at <= a.now {
--- a/internal/decide/council/council.go
+++ b/internal/decide/council/council.go
@@ -26,11 +26,12 @@
 	electionTicks = 10 // etcd's own ratio: a heartbeat each tick, an election after ten without
 	tail          = 64 // entries kept behind a snapshot, so that who is a little behind needs none
 	mostPending   = 10000
-	mostBeats     = 512        // names in one entry
-	mostPassed    = 60000      // ms in one entry, the register's own bound
-	inFlight      = 64         // messages to one process without an answer
-	sizePerMsg    = 1 << 18    // bytes
-	uncommitted   = 4 << 20    // bytes of entries that wait for a majority
+	mostBeats     = 512     // names in one entry
+	mostPassed    = 60000   // ms in one entry, the register's own bound
+	inFlight      = 64      // messages to one process without an answer
+	sizePerMsg    = 1 << 18 // bytes
+	uncommitted   = 4 << 20 // bytes of entries that wait for a majority
+	mostGone      = 1000
 	mostPeers     = 9          // of a council: more only make it slower
 	format        = uint64(1)  // of the snapshot
 	catchUp       = uint64(64) // entries that a process may lack and still be called level
@@ -110,6 +111,7 @@
 	mem     *raft.MemoryStorage
 	reg     *register.Register
 	peers   map[uint64]Peer
+	gone    []uint64
 	conf    *raftpb.ConfState
 	applied uint64
 	snapAt  uint64
@@ -147,6 +149,7 @@
 	Format   uint64          `cbor:"1,keyasint"`
 	Peers    map[uint64]Peer `cbor:"2,keyasint"`
 	Register []byte          `cbor:"3,keyasint"`
+	Gone     []uint64        `cbor:"4,keyasint"` // who left: their numbers are not given again
 }
 
 var coding = func() cbor.EncMode {
@@ -167,20 +170,24 @@
 
 // Image reads a snapshot: the council's own members, and the register.
 func Image(fleet string, snapshot *raftpb.Snapshot) (map[uint64]Peer, *register.Register, error) {
-	var i image
+	i, reg, err := unpack(fleet, snapshot)
+	return i.Peers, reg, err
+}
+
+func unpack(fleet string, snapshot *raftpb.Snapshot) (i image, reg *register.Register, err error) {
 	if err := cbor.Unmarshal(snapshot.GetData(), &i); err != nil {
-		return nil, nil, fmt.Errorf("snapshot: %w: %w", register.ErrUnsound, err)
+		return i, nil, fmt.Errorf("snapshot: %w: %w", register.ErrUnsound, err)
 	}
 	if i.Format > format {
-		return nil, nil, fmt.Errorf("snapshot: %w: format %d, this build knows %d", register.ErrUnknown, i.Format, format)
+		return i, nil, fmt.Errorf("snapshot: %w: format %d, this build knows %d", register.ErrUnknown, i.Format, format)
 	}
-	reg, err := register.Restore(fleet, i.Register)
-	return i.Peers, reg, err
+	reg, err = register.Restore(fleet, i.Register)
+	return i, reg, err
 }
 
 // Pack makes a snapshot's data.
-func Pack(peers map[uint64]Peer, reg *register.Register) []byte {
-	return encode(image{Format: format, Peers: peers, Register: reg.Snapshot()})
+func Pack(peers map[uint64]Peer, gone []uint64, reg *register.Register) []byte {
+	return encode(image{Format: format, Peers: peers, Register: reg.Snapshot(), Gone: gone})
 }
 
 // First is the snapshot with which a council begins: the same at each of those who begin it. Its epoch is the first leader's
@@ -193,7 +200,7 @@
 		conf.Voters = append(conf.Voters, p.ID)
 	}
 	slices.Sort(conf.Voters)
-	return &raftpb.Snapshot{Data: Pack(all, register.Unbegun(fleet)),
+	return &raftpb.Snapshot{Data: Pack(all, nil, register.Unbegun(fleet)),
 		Metadata: &raftpb.SnapshotMetadata{ConfState: conf, Index: proto.Uint64(1), Term: proto.Uint64(1)}}
 }
 
@@ -262,11 +269,11 @@
 }
 
 func (n *Node) restore(s *raftpb.Snapshot) error {
-	peers, reg, err := Image(n.set.Fleet, s)
+	i, reg, err := unpack(n.set.Fleet, s)
 	if err != nil {
 		return err
 	}
-	n.peers, n.reg, n.conf = peers, reg, s.GetMetadata().GetConfState()
+	n.peers, n.gone, n.reg, n.conf = i.Peers, i.Gone, reg, s.GetMetadata().GetConfState()
 	n.applied, n.snapAt = s.GetMetadata().GetIndex(), s.GetMetadata().GetIndex()
 	n.events = n.reg.Index()
 	return nil
@@ -347,7 +354,7 @@
 		n.out = append(n.out, Decision{Verb: Lost, Number: number}) // a refusal would say that somebody else holds what was asked for
 	case e.Kind == register.Beat && e.Policy == 0:
 		n.pending[number] = true
-		n.beats = append(n.beats, beat{number, register.Name{Session: e.Session, Incarnation: e.Incarnation}})
+		n.beats = append(n.beats, beat{number, register.Name{Session: e.Session, Incarnation: e.Incarnation, Refused: e.Refused}})
 	default:
 		n.pending[number] = true
 		if err := n.propose(e, number, nil); err != nil {
@@ -431,6 +438,8 @@
 		p.ID = ID(p.Name)
 		if old, taken := n.peers[p.ID]; taken && old.Name != p.Name {
 			why = fmt.Sprintf("%q and %q have one number: rename one", old.Name, p.Name)
+		} else if slices.Contains(n.gone, p.ID) {
+			why = fmt.Sprintf("%q was of this council before: its votes may still be on their way, take another name", p.Name)
 		}
 		cc.Changes = append(cc.Changes, &raftpb.ConfChangeSingle{Type: raftpb.ConfChangeAddNode.Enum(), NodeId: proto.Uint64(p.ID)})
 		left++
@@ -629,7 +638,14 @@
 	in := func(id uint64) bool {
 		return slices.Contains(n.conf.GetVoters(), id) || slices.Contains(n.conf.GetVotersOutgoing(), id)
 	}
-	maps.DeleteFunc(n.peers, func(id uint64, _ Peer) bool { return !in(id) })
+	for _, id := range slices.Sorted(maps.Keys(n.peers)) {
+		if !in(id) {
+			delete(n.peers, id)
+			if n.gone = append(n.gone, id); len(n.gone) > mostGone {
+				n.gone = n.gone[1:]
+			}
+		}
+	}
 	if who.By == n.id {
 		n.done(who.Number, register.Answer{Held: true})
 	}
@@ -638,7 +654,7 @@
 
 // cut takes a snapshot and drops what lies behind it, but for a tail.
 func (n *Node) cut() {
-	s, err := n.mem.CreateSnapshot(n.applied, n.conf, Pack(n.peers, n.reg))
+	s, err := n.mem.CreateSnapshot(n.applied, n.conf, Pack(n.peers, n.gone, n.reg))
 	if err != nil {
 		n.failed = err
 		return
@@ -693,6 +709,9 @@
 // Failed tells why this process can't go on: an entry or a snapshot that it doesn't know, or that is unsound.
 func (n *Node) Failed() error { return n.failed }
 
+// Applied is the index up to which entries are known to be agreed, and are applied here.
+func (n *Node) Applied() uint64 { return n.applied }
+
 // Register gives the state as far as it is applied here; it must not be changed, nor kept.
 func (n *Node) Register() *register.Register { return n.reg }
 
--- /dev/null
+++ b/internal/decide/council/met.go
@@ -0,0 +1,83 @@
+package council
+
+import (
+	"fmt"
+	"slices"
+
+	"go.etcd.io/raft/v3/raftpb"
+)
+
+// Identity is what a process says of its folder when it begins to talk.
+type Identity struct {
+	Name   string   `cbor:"1,keyasint"`
+	Folder uint64   `cbor:"2,keyasint"` // drawn when it was made
+	Starts []uint64 `cbor:"3,keyasint"` // drawn at each start, the latest last
+	Term   uint64   `cbor:"4,keyasint"` // what it held at this start
+	Last   uint64   `cbor:"5,keyasint"`
+}
+
+// Met remembers the folders of the council's other processes. Raft rests on a process remembering what it voted for and what
+// it acknowledged; one whose folder was lost, or put back from an older copy, may break that, so nothing of it is taken. What
+// it can't tell: a copy that is as old as the latest start, if this process started since and heard nothing in between.
+type Met struct {
+	Known  map[string]Seen   `cbor:"1,keyasint"` // to be stored whenever Hello says so
+	surely map[string]uint64 // entries that it acknowledged and that are committed
+	term   map[string]uint64
+}
+
+// Seen is a folder as it was met last.
+type Seen struct {
+	Folder uint64 `cbor:"1,keyasint"`
+	Start  uint64 `cbor:"2,keyasint"`
+}
+
+// NewMet makes one that has met nobody.
+func NewMet() *Met {
+	return &Met{Known: map[string]Seen{}, surely: map[string]uint64{}, term: map[string]uint64{}}
+}
+
+// Hello judges who begins to talk; news: what is known has changed and must be stored before its first message is taken.
+func (m *Met) Hello(id Identity) (news bool, err error) {
+	if len(id.Starts) == 0 || id.Name == "" {
+		return false, fmt.Errorf("it doesn't say who it is")
+	}
+	last := id.Starts[len(id.Starts)-1]
+	was, known := m.Known[id.Name]
+	switch {
+	case known && was.Folder != id.Folder:
+		return false, fmt.Errorf("%s has another folder than before: one that was lost can't vote again; remove %s from the council and add a process under a new name", id.Name, id.Name)
+	case known && !slices.Contains(id.Starts, was.Start),
+		id.Term < m.term[id.Name], id.Last < m.surely[id.Name]:
+		return false, fmt.Errorf("the folder of %s is an older copy: it has forgotten what it acknowledged; remove %s from the council and add a process under a new name", id.Name, id.Name)
+	case known && was.Start == last:
+		return false, nil
+	case !known && len(m.Known) >= 4*mostPeers:
+		return false, fmt.Errorf("too many processes have been met")
+	}
+	m.Known[id.Name] = Seen{id.Folder, last}
+	return true, nil
+}
+
+// Heard notes what a message proves of its sender's disk; committed is as far as this process knows.
+func (m *Met) Heard(name string, msg *raftpb.Message, committed uint64) {
+	switch msg.GetType() {
+	case raftpb.MsgPreVote, raftpb.MsgPreVoteResp:
+		return // these carry a term that nobody has stored
+	case raftpb.MsgAppResp:
+		if !msg.GetReject() {
+			m.surely[name] = max(m.surely[name], min(msg.GetIndex(), committed))
+		}
+	}
+	m.term[name] = max(m.term[name], msg.GetTerm())
+}
+
+// Forget drops all but those named.
+func (m *Met) Forget(but map[string]bool) {
+	for name := range m.Known {
+		if !but[name] {
+			delete(m.Known, name)
+			delete(m.surely, name)
+			delete(m.term, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/decide/council/recover.go
@@ -0,0 +1,75 @@
+package council
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"wayloft/internal/decide/register"
+)
+
+// Recovery is what beginning a council again from one folder comes to.
+type Recovery struct {
+	Store     Decision // in place of all that is stored
+	Epoch     uint64   // that begins
+	Was       uint64
+	Index     uint64 // of the last entry that is kept
+	Committed uint64 // of the last one known to be agreed; those after it may or may not have been
+	GivenUp   []Peer // processes that are no more of the council
+}
+
+// Recover begins a council of one from what one of its processes had stored, in a later epoch. All its entries are kept, also
+// those that it doesn't know to be agreed: the ones who knew are lost. What only they had is given up; the later epoch
+// keeps it from doing harm.
+func Recover(fleet, name, addr string, stored Stored, above uint64) (Recovery, error) {
+	if stored.Snapshot == nil {
+		return Recovery{}, errors.New("nothing is stored here")
+	}
+	i, reg, err := unpack(fleet, stored.Snapshot)
+	if err != nil {
+		return Recovery{}, err
+	}
+	r := Recovery{Was: reg.Epoch(), Index: stored.Snapshot.GetMetadata().GetIndex(), Committed: stored.Hard.GetCommit()}
+	term := stored.Snapshot.GetMetadata().GetTerm()
+	for _, e := range stored.Entries {
+		if e.GetIndex() <= r.Index {
+			continue
+		}
+		if e.GetIndex() != r.Index+1 {
+			return Recovery{}, fmt.Errorf("entry %d is missing", r.Index+1)
+		}
+		r.Index, term = e.GetIndex(), e.GetTerm()
+		if e.GetType() != raftpb.EntryNormal || len(e.GetData()) == 0 {
+			continue
+		}
+		var rec record
+		if err := cbor.Unmarshal(e.GetData(), &rec); err != nil {
+			return Recovery{}, fmt.Errorf("entry %d: %w", r.Index, err)
+		}
+		entry, err := register.Decode(rec.Entry)
+		if err != nil {
+			return Recovery{}, fmt.Errorf("entry %d: %w", r.Index, err)
+		}
+		reg.Apply(r.Index, entry)
+	}
+	r.Was = reg.Epoch()
+	r.Epoch = max(r.Was, above) + 1
+	self := Peer{ID: ID(name), Name: name, Addr: addr}
+	for _, id := range slices.Sorted(maps.Keys(i.Peers)) {
+		if id != self.ID {
+			r.GivenUp = append(r.GivenUp, i.Peers[id])
+			i.Gone = append(i.Gone, id)
+		}
+	}
+	reg.Apply(r.Index+1, register.Entry{Kind: register.Ascend, Epoch: r.Epoch})
+	r.Store = Decision{Verb: Save,
+		Hard: &raftpb.HardState{Term: proto.Uint64(max(term, stored.Hard.GetTerm()) + 1), Vote: proto.Uint64(0), Commit: proto.Uint64(r.Index + 1)},
+		Snapshot: &raftpb.Snapshot{Data: Pack(map[uint64]Peer{self.ID: self}, i.Gone, reg), Metadata: &raftpb.SnapshotMetadata{
+			ConfState: &raftpb.ConfState{Voters: []uint64{self.ID}}, Index: proto.Uint64(r.Index + 1), Term: proto.Uint64(max(term, 1))}}}
+	return r, nil
+}
--- a/internal/decide/register/register.go
+++ b/internal/decide/register/register.go
@@ -65,12 +65,14 @@
 	Policy      uint64      `cbor:"13,keyasint,omitempty"` // the version of the policy that Session goes by
 	Number      uint64      `cbor:"14,keyasint,omitempty"`
 	Names       []Name      `cbor:"15,keyasint,omitempty"`
+	Refused     uint64      `cbor:"16,keyasint,omitempty"` // acts that Session turned away for their fence, since its start
 }
 
 // Name is one incarnation of a session.
 type Name struct {
 	Session     string `cbor:"1,keyasint"`
 	Incarnation uint64 `cbor:"2,keyasint"`
+	Refused     uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Session is a process as the council knows it.
@@ -81,6 +83,7 @@
 	Heard       uint64 `cbor:"4,keyasint"` // on the register's time
 	Address     string `cbor:"5,keyasint"`
 	Policy      uint64 `cbor:"6,keyasint"`
+	Refused     uint64 `cbor:"7,keyasint"`
 }
 
 // Duty is something that one process at a time does for the fleet.
@@ -126,6 +129,7 @@
 	Sessions map[string]*Session `cbor:"6,keyasint"`
 	Duties   map[string]*Duty    `cbor:"7,keyasint"`
 	Events   []Event             `cbor:"8,keyasint"`
+	Refused  uint64              `cbor:"9,keyasint"` // by sessions that are over
 }
 
 // Register is the state after the entries so far.
@@ -282,7 +286,7 @@
 	case Beats:
 		for _, n := range e.Names {
 			if s := r.s.Sessions[n.Session]; s != nil && s.Incarnation == n.Incarnation {
-				s.Heard = r.s.Now
+				s.Heard, s.Refused = r.s.Now, max(s.Refused, n.Refused)
 			}
 		}
 	case Order:
@@ -352,7 +356,7 @@
 	if s == nil || s.Incarnation != e.Incarnation {
 		return Answer{Why: NoSession}
 	}
-	s.Heard = r.s.Now
+	s.Heard, s.Refused = r.s.Now, max(s.Refused, e.Refused)
 	switch e.Kind {
 	case Beat:
 		if e.Policy != s.Policy {
@@ -481,6 +485,7 @@
 }
 
 func (r *Register) end(session, why string) {
+	r.s.Refused += r.s.Sessions[session].Refused
 	delete(r.s.Sessions, session)
 	r.tell(Event{Session: session, Ended: true, Why: why})
 	for _, name := range slices.Sorted(maps.Keys(r.s.Duties)) {
@@ -560,5 +565,6 @@
 func (r *Register) Sessions() []string { return slices.Sorted(maps.Keys(r.s.Sessions)) }
 func (r *Register) Index() uint64      { return r.s.Index }
 func (r *Register) Now() uint64        { return r.s.Now }
+func (r *Register) Refused() uint64    { return r.s.Refused }
 func (r *Register) Fleet() string      { return r.s.Fleet }
 func (r *Register) Epoch() uint64      { return r.s.Epoch }
--- a/internal/decide/register/register_test.go
+++ b/internal/decide/register/register_test.go
@@ -157,7 +157,7 @@
 // Beats of many come as one entry; those of other incarnations count for nothing.
 func TestBeats(t *testing.T) {
 	f := begin("a", "b")
-	f.do(Entry{Kind: Beats, Passed: 90, Names: []Name{{"a", 1}, {"b", 2}, {"z", 1}}})
+	f.do(Entry{Kind: Beats, Passed: 90, Names: []Name{{"a", 1, 3}, {"b", 2, 0}, {"z", 1, 0}}})
 	left, any := f.Left()
 	want(t, "left", left, uint64(10))
 	want(t, "any", any, true)
@@ -165,6 +165,8 @@
 	_, a := f.Session("a")
 	_, b := f.Session("b")
 	want(t, "a, b", [2]bool{a, b}, [2]bool{true, false})
+	f.do(Entry{Kind: End, Session: "a", Incarnation: 1, Refused: 4})
+	want(t, "refused, of those that are over", f.Refused(), uint64(4))
 }
 
 func TestRefusedWhole(t *testing.T) {
--- /dev/null
+++ b/internal/fleet/client.go
@@ -0,0 +1,240 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"wayloft/internal/decide/lease"
+	"wayloft/internal/decide/register"
+	"wayloft/internal/fleetpb"
+	"wayloft/internal/wire"
+)
+
+// oneTry is how long one process of the council has for an answer, before another is asked.
+const oneTry = 600 * time.Millisecond
+
+// Client asks the council: whoever leads it, by way of whoever answers.
+type Client struct {
+	fleet string
+	addrs []string
+	via   map[string]string
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+	lead  string // address of who led when it was last heard
+}
+
+// NewClient makes one; via gives other ways to processes, by name.
+func NewClient(fleet string, addrs []string, via map[string]string) *Client {
+	return &Client{fleet: fleet, addrs: addrs, via: via, conns: map[string]*grpc.ClientConn{}}
+}
+
+// Close ends all its connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.conns {
+		conn.Close()
+	}
+	clear(c.conns)
+}
+
+func (c *Client) conn(addr string) (*grpc.ClientConn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn := c.conns[addr]; conn != nil {
+		return conn, nil
+	}
+	conn, err := wire.Dial(addr, c.fleet)
+	if err != nil {
+		return nil, err
+	}
+	if len(c.conns) > 4*len(c.addrs)+16 { // addresses that leaders of the past had
+		for a, old := range c.conns {
+			if !slices.Contains(c.addrs, a) && a != c.lead {
+				old.Close()
+				delete(c.conns, a)
+			}
+		}
+	}
+	c.conns[addr] = conn
+	return conn, nil
+}
+
+// next gives the address to ask: of who leads, or any but those that just failed.
+func (c *Client) next(failed map[string]bool) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lead != "" && !failed[c.lead] {
+		return c.lead
+	}
+	var left []string
+	for _, a := range c.addrs {
+		if !failed[a] {
+			left = append(left, a)
+		}
+	}
+	if len(left) == 0 {
+		clear(failed)
+		left = c.addrs
+	}
+	return left[rand.IntN(len(left))]
+}
+
+func (c *Client) leads(name, addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if via := c.via[name]; via != "" {
+		addr = via
+	}
+	c.lead = addr
+}
+
+// final tells whether another try, or another process, can't bring another answer.
+func final(err error) bool {
+	switch status.Code(err) {
+	case codes.FailedPrecondition, codes.InvalidArgument, codes.Unimplemented, codes.ResourceExhausted:
+		return true
+	}
+	return false
+}
+
+// ask calls f with one process after the other until it has answered, or ctx ends.
+func (c *Client) ask(ctx context.Context, f func(context.Context, fleetpb.CouncilClient) (moved bool, name, addr string, err error)) error {
+	failed := map[string]bool{}
+	var last error
+	for n := 0; ; n++ {
+		addr := c.next(failed)
+		conn, err := c.conn(addr)
+		if err == nil {
+			var moved bool
+			var name, to string
+			one, cancel := context.WithTimeout(ctx, oneTry)
+			moved, name, to, err = f(one, fleetpb.NewCouncilClient(conn))
+			cancel()
+			switch {
+			case err == nil && !moved:
+				c.leads("", addr)
+				return nil
+			case err == nil && name != "":
+				c.leads(name, to)
+				if c.next(nil) == addr { // it is sent to where it was sent from
+					c.leads("", "")
+				}
+				last = nil
+			case err == nil:
+				err = errors.New("it knows no leader")
+			}
+		}
+		if err != nil {
+			over := final(err)
+			if err = fmt.Errorf("council at %s: %s", addr, status.Convert(err).Message()); over {
+				return err
+			}
+			last = err
+			failed[addr] = true
+			c.leads("", "")
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		if n >= len(c.addrs) || last != nil {
+			select {
+			case <-ctx.Done():
+			case <-time.After(wire.Spread(20 * time.Millisecond)):
+			}
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if last == nil {
+		last = ctx.Err()
+	}
+	return last
+}
+
+// Do has an entry proposed.
+func (c *Client) Do(ctx context.Context, e register.Entry) (a register.Answer, err error) {
+	err = c.request(ctx, &fleetpb.Request{Entry: register.Encode(e)}, &a)
+	return a, err
+}
+
+// Stands asks where a duty's fences stand now.
+func (c *Client) Stands(ctx context.Context, duty string) (lease.Fence, error) {
+	var a register.Answer
+	err := c.request(ctx, &fleetpb.Request{Stand: duty}, &a)
+	return a.Fence, err
+}
+
+func (c *Client) request(ctx context.Context, q *fleetpb.Request, into *register.Answer) error {
+	return c.ask(ctx, func(ctx context.Context, to fleetpb.CouncilClient) (bool, string, string, error) {
+		a, err := to.Do(ctx, q)
+		if err != nil {
+			return false, "", "", err
+		}
+		*into = wire.Answer(a)
+		return a.Moved, a.Leader, a.Address, nil
+	})
+}
+
+// Look gives the state as it is now.
+func (c *Client) Look(ctx context.Context) (s *fleetpb.State, err error) {
+	err = c.ask(ctx, func(ctx context.Context, to fleetpb.CouncilClient) (bool, string, string, error) {
+		var err error
+		if s, err = to.Look(ctx, &fleetpb.Empty{}); err != nil {
+			return false, "", "", err
+		}
+		return s.Moved, s.Leader, s.Address, nil
+	})
+	return s, err
+}
+
+// Change has processes join or leave the council.
+func (c *Client) Change(ctx context.Context, m *fleetpb.Members) (a register.Answer, err error) {
+	err = c.ask(ctx, func(ctx context.Context, to fleetpb.CouncilClient) (bool, string, string, error) {
+		got, err := to.Change(ctx, m)
+		if err != nil {
+			return false, "", "", err
+		}
+		a = wire.Answer(got)
+		return got.Moved, got.Leader, got.Address, nil
+	})
+	return a, err
+}
+
+// quiet is how long a watch may say nothing: an empty word comes each second.
+const quiet = 4 * time.Second
+
+// Watch hears of what changes from some process of the council, until ctx ends or it falls silent. What it tells first is all
+// there is.
+func (c *Client) Watch(ctx context.Context, deliver func(*fleetpb.Update)) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c.mu.Lock()
+	addr := c.addrs[rand.IntN(len(c.addrs))]
+	c.mu.Unlock()
+	conn, err := c.conn(addr)
+	if err != nil {
+		return err
+	}
+	silent := time.AfterFunc(quiet, cancel)
+	defer silent.Stop()
+	s, err := fleetpb.NewCouncilClient(conn).Watch(ctx, &fleetpb.WatchFrom{})
+	for err == nil {
+		var u *fleetpb.Update
+		if u, err = s.Recv(); err == nil {
+			silent.Reset(quiet)
+			deliver(u)
+		}
+	}
+	return fmt.Errorf("council at %s: %s", addr, status.Convert(err).Message())
+}
--- /dev/null
+++ b/internal/fleet/handover.go
@@ -0,0 +1,305 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/sirupsen/logrus"
+
+	"wayloft/internal/decide/handover"
+	"wayloft/internal/decide/lease"
+	"wayloft/internal/decide/register"
+	"wayloft/internal/fleetpb"
+	"wayloft/internal/record"
+	"wayloft/internal/wire"
+)
+
+// Adapter is how a planned change is done at the members: statements of the settings.
+type Adapter struct {
+	User, Database string
+	Primary        string  // one row, true at the member that takes writes
+	Guard          string  // $1: the fence; changes one row, none where the member has seen a higher one
+	Seen           string  // the guard row's fence, as one row; none where there is no guard row
+	Yield, Take    string  // in the same transaction as Guard
+	Within         float64 // ms, for one step
+}
+
+// Number is a fence as one number, for a guard row.
+func Number(f lease.Fence) (int64, error) {
+	if f.Epoch >= 1<<34 || f.Count >= 1<<29 {
+		return 0, fmt.Errorf("the fence %v is beyond what a guard row holds", f)
+	}
+	return int64(f.Epoch<<29 | f.Count), nil
+}
+
+func (a *Adapter) connect(ctx context.Context, addr string) (*pgx.Conn, error) {
+	conf, err := pgx.ParseConfig("")
+	if err != nil {
+		return nil, err
+	}
+	host, text, err := net.SplitHostPort(addr)
+	if err != nil {
+		return nil, err
+	}
+	port, err := strconv.ParseUint(text, 10, 16)
+	if err != nil {
+		return nil, err
+	}
+	conf.Host, conf.Port, conf.User, conf.Database, conf.TLSConfig, conf.Fallbacks = host, uint16(port), a.User, a.Database, nil, nil
+	conf.Password = ""
+	conf.DefaultQueryExecMode = pgx.QueryExecModeExec
+	return pgx.ConnectConfig(ctx, conf)
+}
+
+// primary asks a member whether it takes writes.
+func (a *Adapter) primary(ctx context.Context, addr string) (yes bool, err error) {
+	c, err := a.connect(ctx, addr)
+	if err != nil {
+		return false, err
+	}
+	defer c.Close(context.Background())
+	var text string
+	if err = c.QueryRow(ctx, a.Primary).Scan(&text); err != nil {
+		return false, err
+	}
+	return text == "t" || text == "true" || text == "on", nil
+}
+
+// step does one step at a member, under a fence.
+func (a *Adapter) step(ctx context.Context, addr, step string, fence lease.Fence) (handover.Outcome, error) {
+	number, err := Number(fence)
+	if err != nil {
+		return handover.Failed, err
+	}
+	c, err := a.connect(ctx, addr)
+	if err != nil {
+		return handover.Unknown, err // an earlier try may be on its way, so it is not said that nothing has happened
+	}
+	defer c.Close(context.Background())
+	tx, err := c.Begin(ctx)
+	if err != nil {
+		return handover.Unknown, err
+	}
+	defer tx.Rollback(context.Background())
+	tag, err := tx.Exec(ctx, a.Guard, number)
+	if err != nil {
+		return handover.Failed, fmt.Errorf("guard row: %w", err)
+	}
+	if tag.RowsAffected() == 0 {
+		var seen string
+		if err := tx.QueryRow(ctx, a.Seen).Scan(&seen); errors.Is(err, pgx.ErrNoRows) {
+			return handover.Failed, errors.New("there is no guard row: without it nothing keeps a former owner's step from running late")
+		} else if err != nil {
+			return handover.Failed, fmt.Errorf("guard row: %w", err)
+		}
+		return handover.Refused, fmt.Errorf("the member has seen the fence %s", seen)
+	}
+	statement := map[string]string{handover.Yield: a.Yield, handover.Take: a.Take}[step]
+	if statement != "" {
+		if _, err := tx.Exec(ctx, statement); err != nil {
+			return handover.Failed, fmt.Errorf("%s: %w", step, err)
+		}
+	}
+	if err := tx.Commit(ctx); err != nil {
+		return handover.Unknown, err
+	}
+	return handover.Took, nil
+}
+
+// handing is the duty of handover, held for a group.
+type handing struct {
+	group  int
+	fence  lease.Fence
+	number uint64
+	owner  *handover.Owner
+	ctx    context.Context
+	cancel context.CancelFunc
+	closed uint64 // the order that was ended last
+}
+
+// hand goes on with a handover, if one is ordered.
+func (l *Link) hand(duty string, now float64) {
+	h := l.hands[duty]
+	if h.owner == nil {
+		d, known := l.agent.Duty(duty)
+		if !known || d.Open.Number == 0 || d.Open.Number == h.closed || d.Holder != l.set.Name || d.Fence != h.fence {
+			return
+		}
+		owner, err := handover.NewOwner(l.set.Hold, d.Open.Text, d.Steps, now)
+		if err != nil {
+			logrus.WithError(err).WithField("duty", duty).Error("an order that can't be carried out")
+			h.closed = d.Open.Number
+			l.note(duty, h, register.Entry{Kind: register.Did, Number: d.Open.Number, Text: clip(err.Error())}, func(bool) {})
+			return
+		}
+		h.owner, h.number = owner, d.Open.Number
+		h.ctx, h.cancel = context.WithCancel(l.ctx)
+		l.set.Record.Add("order", record.Fields{"duty": duty, "fence": h.fence.String(), "number": h.number, "text": d.Open.Text, "steps": len(d.Steps)})
+	}
+	var names []string
+	for _, s := range l.agent.Sessions("router") {
+		names = append(names, s.Name)
+	}
+	h.owner.At(now)
+	h.owner.Routers(names)
+	for d, more := h.owner.Next(); more; d, more = h.owner.Next() {
+		l.carry(duty, h, d)
+	}
+	if h.owner.Over() {
+		h.cancel()
+		h.owner, h.closed = nil, h.number
+	}
+}
+
+// clip keeps a text within what the register takes.
+func clip(s string) string {
+	if len(s) > 250 {
+		s = s[:250]
+	}
+	return s
+}
+
+// again has the loop hear of something that a handover waits for, if it is still ours.
+func (l *Link) again(duty string, h *handing, f func()) {
+	l.post(func() {
+		if l.hands[duty] == h && h.owner != nil {
+			f()
+		}
+	})
+}
+
+// note has the register note a step, or the end.
+func (l *Link) note(duty string, h *handing, e register.Entry, done func(ok bool)) {
+	e.Duty, e.Fence = duty, h.fence
+	e = l.agent.Entry(e)
+	go func() {
+		var a register.Answer
+		var err error
+		for tries := 0; ; tries++ { // asking again does no harm: a note that stands twice says the same
+			ctx, cancel := context.WithTimeout(l.ctx, time.Duration(l.set.Length*float64(time.Millisecond)))
+			a, err = l.client.Do(ctx, e)
+			cancel()
+			if err == nil || l.ctx.Err() != nil || tries > 5 {
+				break
+			}
+		}
+		done(err == nil && a.Held)
+	}()
+}
+
+func (l *Link) carry(duty string, h *handing, d handover.Decision) {
+	fence, may := l.agent.May(duty) // the last look before an act goes out
+	if !may || fence != h.fence {
+		return
+	}
+	switch d.Verb {
+	case handover.Find:
+		members := l.groups[h.group]
+		go func() {
+			found, err := l.find(h.ctx, members)
+			l.again(duty, h, func() { h.owner.Found(found, err) })
+		}()
+	case handover.Note:
+		l.set.Record.Add("step", record.Fields{"duty": duty, "fence": fence.String(), "number": h.number, "text": d.Text})
+		logrus.WithFields(logrus.Fields{"duty": duty, "fence": fence, "order": h.number}).Info(d.Text)
+		l.note(duty, h, register.Entry{Kind: register.Note, Text: d.Text}, func(ok bool) {
+			l.again(duty, h, func() {
+				l.set.Record.Add("noted", record.Fields{"duty": duty, "fence": fence.String(), "number": h.number, "text": d.Text, "ok": ok})
+				h.owner.At(l.now())
+				h.owner.Noted(ok)
+			})
+		})
+	case handover.Tell:
+		l.tell(duty, h, d)
+	case handover.Do:
+		var addr string
+		for _, m := range l.groups[h.group] {
+			if m.ID == d.To {
+				addr = m.Addr
+			}
+		}
+		go func() {
+			how, err := handover.Failed, fmt.Errorf("%s is not in the list", d.To)
+			if addr != "" {
+				ctx, cancel := context.WithTimeout(h.ctx, time.Duration(l.set.Adapter.Within*float64(time.Millisecond)))
+				how, err = l.set.Adapter.step(ctx, addr, d.Step, fence)
+				cancel()
+			}
+			why := ""
+			if err != nil {
+				why = d.To + ": " + err.Error()
+			}
+			l.again(duty, h, func() {
+				l.set.Record.Add("done", record.Fields{"duty": duty, "fence": fence.String(), "member": d.To, "step": d.Step, "how": int(how), "why": why})
+				if how == handover.Refused {
+					l.agent.Refused++ // by the member, which has nobody else to tell of it
+				}
+				if how != handover.Took {
+					logrus.WithFields(logrus.Fields{"duty": duty, "fence": fence, "member": d.To, "step": d.Step, "why": why}).Warn("step not taken")
+				}
+				h.owner.At(l.now())
+				h.owner.Done(how, why)
+			})
+		}()
+	case handover.End:
+		logrus.WithFields(logrus.Fields{"duty": duty, "fence": fence, "order": h.number}).Info(d.Text)
+		l.set.Record.Add("end", record.Fields{"duty": duty, "fence": fence.String(), "number": h.number, "text": d.Text})
+		l.note(duty, h, register.Entry{Kind: register.Did, Number: h.number, Text: clip(d.Text)}, func(bool) {})
+	}
+}
+
+// tell gives a router a word of a handover.
+func (l *Link) tell(duty string, h *handing, d handover.Decision) {
+	for _, s := range l.agent.Sessions("router") {
+		if s.Name != d.To {
+			continue
+		}
+		o := &fleetpb.Order{Duty: duty, About: duty, Holder: l.set.Name, Fence: wire.Fence(h.fence), Hold: &fleetpb.Hold{Group: int64(h.group),
+			Number: h.number, MostMs: d.Most, Ends: d.Word == handover.Release, Looks: d.Word == handover.Look}}
+		l.order(s, o, func(v *fleetpb.Verdict, err error) {
+			if l.hands[duty] != h || h.owner == nil {
+				return
+			}
+			ok := err == nil && v.Kind == fleetpb.Verdict_TAKEN
+			running := 0
+			if ok {
+				running = int(min(v.Running, math.MaxInt32))
+			}
+			h.owner.At(l.now())
+			h.owner.Told(d.To, d.Word, ok, running)
+		})
+		return
+	}
+	h.owner.Told(d.To, d.Word, false, 0)
+}
+
+// find asks the members of a group which one takes writes.
+func (l *Link) find(ctx context.Context, members []Member) (string, error) {
+	if len(members) == 0 {
+		return "", errors.New("the group has no members")
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(l.set.Adapter.Within*float64(time.Millisecond)))
+	defer cancel()
+	found := ""
+	var why error
+	for _, m := range members {
+		yes, err := l.set.Adapter.primary(ctx, m.Addr)
+		if err != nil {
+			why = errors.Join(why, fmt.Errorf("%s: %w", m.ID, err))
+		} else if yes && found != "" {
+			return "", fmt.Errorf("%s and %s both take writes", found, m.ID)
+		} else if yes {
+			found = m.ID
+		}
+	}
+	if found == "" {
+		return "", errors.Join(errors.New("no member takes writes"), why)
+	}
+	return found, nil
+}
--- /dev/null
+++ b/internal/fleet/link.go
@@ -0,0 +1,558 @@
+// Package fleet is a process's way to its fleet: its session with the council, the duties it holds, the orders it takes of
+// others'. It carries out what decide/agent, decide/sight and decide/handover decide. It owns a goroutine, a listener and
+// connections of its own; it must never have a txn wait, and whatever becomes of it the router serves on.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"net"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/net/netutil"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	"wayloft/internal/decide/agent"
+	"wayloft/internal/decide/handover"
+	"wayloft/internal/decide/lease"
+	"wayloft/internal/decide/register"
+	"wayloft/internal/decide/sight"
+	"wayloft/internal/fleetpb"
+	"wayloft/internal/must"
+	"wayloft/internal/record"
+	"wayloft/internal/wire"
+)
+
+const (
+	inbox       = 1024
+	longest     = 1 << 20         // bytes of one order
+	connections = 1024            // of those who give orders
+	handshake   = 5 * time.Second // for one of them to begin to speak the protocol
+	groupsEvery = 500.0           // ms between two looks at which groups there are
+	settled     = 1000.0          // ms over which processes come to ask for a duty, so that not one gets all
+	farewell    = time.Second     // to tell the council that this process leaves
+)
+
+// Router is what the fleet's part asks of a router. All but Post are called on the router's own loop.
+type Router interface {
+	Post(f func())
+	Now() float64                            // Unix ms
+	Groups() map[int][]Member                // as the list has them
+	Look(member string)                      // check it
+	Sighted(r sight.Report)                  // what another's check told
+	Hold(group int, until float64)           // writes wait until then, Unix ms; 0: they don't
+	Writes(group int) (running, waiting int) // of a group
+}
+
+// Member is one of a group's.
+type Member struct {
+	ID, Addr string
+	Started  float64 // Unix ms; 0: long ago
+}
+
+// Settings are given once. Times are ms.
+type Settings struct {
+	Fleet, Name, Kind string
+	Council           []string
+	Via               map[string]string // other ways to processes, by name
+	Listen            string            // for orders; Address is what others are told, Listen where it is empty
+	Address           string
+	Length, Margin    float64
+	Sight             float64 // between two looks at a member, for who owns sight; 0: this process would not
+	Handover          bool    // this process would carry handovers out
+	Hold              handover.Settings
+	Adapter           *Adapter
+	Bound             float64 // the most that writes wait here for one handover
+	Ahead             float64 // ms that this process's clock is ahead, for tests
+	Record            *record.Record
+}
+
+// Link is one process's way to its fleet.
+type Link struct {
+	fleetpb.UnimplementedReceiverServer
+	set     Settings
+	router  Router
+	client  *Client
+	agent   *agent.Agent
+	inbox   chan func()
+	ctx     context.Context
+	ended   chan struct{}
+	groups  map[int][]Member
+	lookAt  float64
+	wantAt  map[string]float64
+	looks   map[string]*looker  // by duty, while it is held
+	hands   map[string]*handing // by duty, while it is held
+	guests  *handover.Guests
+	ways    map[string]*grpc.ClientConn // to other processes, by address
+	hosted  chan func()                 // what the router's loop is to do, in order
+	dropped atomic.Int64                // reports for which there was no room
+	seen    atomic.Int64                // positions heard of from others
+}
+
+// looker is sight, held for a group.
+type looker struct {
+	group int
+	fence lease.Fence
+	owner *sight.Owner
+	busy  map[string]bool // routers that have yet to answer the word before
+}
+
+// New makes one; nothing happens until Run.
+func New(set Settings, router Router) *Link {
+	h := fnv.New64a()
+	h.Write([]byte(set.Name))
+	l := &Link{set: set, router: router, client: NewClient(set.Fleet, set.Council, set.Via), inbox: make(chan func(), inbox),
+		ended: make(chan struct{}), groups: map[int][]Member{}, wantAt: map[string]float64{}, looks: map[string]*looker{},
+		hands: map[string]*handing{}, guests: handover.NewGuests(set.Bound), ways: map[string]*grpc.ClientConn{}, hosted: make(chan func(), inbox)}
+	l.agent = agent.New(agent.Settings{Name: set.Name, Kind: set.Kind, Address: set.Address, Length: set.Length, Margin: set.Margin,
+		Incarnation: uint64(time.Now().UnixMilli()), Seed: h.Sum64() ^ wire.Draw()})
+	return l
+}
+
+// Run is the process's part in the fleet until ctx ends; then it gives back what it holds.
+func (l *Link) Run(ctx context.Context, listener net.Listener) {
+	defer close(l.ended)
+	on, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	l.ctx = on
+	checks := wire.Server(l.set.Fleet)
+	server := grpc.NewServer(grpc.MaxRecvMsgSize(longest), grpc.MaxConcurrentStreams(64), grpc.ConnectionTimeout(handshake),
+		grpc.ChainUnaryInterceptor(checks.Unary), grpc.ChainStreamInterceptor(checks.Stream),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second, PermitWithoutStream: true}))
+	fleetpb.RegisterReceiverServer(server, l)
+	go server.Serve(netutil.LimitListener(listener, connections))
+	defer server.Stop()
+	defer l.client.Close()
+	defer func() {
+		for _, w := range l.ways {
+			w.Close()
+		}
+	}()
+	go l.watch()
+	go func() {
+		for {
+			select {
+			case f := <-l.hosted:
+				l.router.Post(f)
+			case <-on.Done():
+				return
+			}
+		}
+	}()
+	logrus.WithFields(logrus.Fields{"name": l.set.Name, "orders": listener.Addr().String(), "fleet": l.set.Fleet}).Info("fleet")
+	l.set.Record.Add("up", record.Fields{"kind": l.set.Kind})
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	left := ctx.Done()
+	var late <-chan time.Time
+	for !l.agent.Left() {
+		select {
+		case f := <-l.inbox:
+			f()
+			for n := len(l.inbox); n > 0; n-- {
+				(<-l.inbox)()
+			}
+		case <-timer.C:
+		case <-left:
+			left = nil
+			late = time.After(farewell)
+			l.agent.At(l.now())
+			l.agent.Leave()
+		case <-late:
+			return
+		}
+		l.turn()
+		timer.Reset(time.Duration(max(1, min(l.due()-l.now(), 1000)) * float64(time.Millisecond)))
+	}
+}
+
+// Ended is closed once Run has returned.
+func (l *Link) Ended() <-chan struct{} { return l.ended }
+
+func (l *Link) now() float64 { return wire.Boottime() + l.set.Ahead }
+
+// post has the loop do something; it reports false where the loop has ended.
+func (l *Link) post(f func()) bool {
+	select {
+	case l.inbox <- f:
+		return true
+	case <-l.ended:
+		return false
+	}
+}
+
+// host has the router's loop do something, in the order of these calls; false: too much waits there already.
+func (l *Link) host(f func()) bool {
+	select {
+	case l.hosted <- f:
+		return true
+	default:
+		l.dropped.Add(1)
+		return false
+	}
+}
+
+// due is when something may have to be done next if nothing comes in.
+func (l *Link) due() float64 {
+	due := min(l.agent.Due(), l.lookAt)
+	for _, k := range l.looks {
+		due = min(due, k.owner.Due())
+	}
+	if len(l.hands) > 0 {
+		due = min(due, l.now()+20)
+	}
+	return due
+}
+
+// turn carries out what is decided.
+func (l *Link) turn() {
+	now := l.now()
+	l.agent.At(now)
+	if l.lookAt <= now {
+		l.lookAt = now + groupsEvery
+		l.host(func() {
+			g := l.router.Groups()
+			go l.post(func() { l.listed(g) })
+		})
+		for _, duty := range slices.Sorted(maps.Keys(l.wantAt)) {
+			if l.wantAt[duty] <= now {
+				l.agent.Want(duty)
+			}
+		}
+	}
+	for d, more := l.agent.Next(); more; d, more = l.agent.Next() {
+		l.do(d)
+	}
+	for _, duty := range slices.Sorted(maps.Keys(l.looks)) {
+		l.look(duty, now)
+	}
+	for _, duty := range slices.Sorted(maps.Keys(l.hands)) {
+		l.hand(duty, now)
+	}
+}
+
+// listed takes in which groups there are. A process comes to ask for each duty at a time of its own, so that not the first
+// that starts gets all of them.
+func (l *Link) listed(groups map[int][]Member) {
+	l.groups = groups
+	wanted := map[string]bool{}
+	there := map[int]bool{}
+	for group := range groups {
+		there[group] = true
+		if l.set.Sight > 0 {
+			wanted[sight.Duty(group)] = true
+		}
+		if l.set.Handover {
+			wanted[handover.Duty(group)] = true
+		}
+		for _, duty := range []string{sight.Duty(group), handover.Duty(group)} {
+			l.agent.Learn(duty)
+		}
+	}
+	l.guests.Forget(there)
+	for duty := range wanted {
+		if _, known := l.wantAt[duty]; !known {
+			h := fnv.New32a()
+			h.Write([]byte(l.set.Name + " " + duty))
+			l.wantAt[duty] = l.now() + float64(h.Sum32()%1000)/1000*settled
+		}
+	}
+	for duty := range l.wantAt {
+		if !wanted[duty] {
+			delete(l.wantAt, duty)
+			l.agent.Unwant(duty)
+		}
+	}
+	for _, k := range l.looks {
+		l.members(k)
+	}
+}
+
+func (l *Link) members(k *looker) {
+	var ids []string
+	for _, m := range l.groups[k.group] {
+		ids = append(ids, m.ID)
+	}
+	k.owner.Members(ids)
+}
+
+func (l *Link) do(d agent.Decision) {
+	switch d.Verb {
+	case agent.Call, agent.Stand:
+		go l.ask(d)
+	case agent.Start:
+		l.set.Record.Add("start", record.Fields{"duty": d.Duty, "fence": d.Fence.String()})
+		logrus.WithFields(logrus.Fields{"duty": d.Duty, "fence": d.Fence}).Info("owns")
+		var group int
+		if _, err := fmt.Sscanf(d.Duty, "sight/%d", &group); err == nil {
+			k := &looker{group: group, fence: d.Fence, owner: sight.NewOwner(l.set.Sight), busy: map[string]bool{}}
+			k.owner.At(l.now())
+			l.members(k)
+			l.looks[d.Duty] = k
+		} else if _, err := fmt.Sscanf(d.Duty, "handover/%d", &group); err == nil {
+			l.hands[d.Duty] = &handing{group: group, fence: d.Fence}
+		}
+	case agent.Stop:
+		l.set.Record.Add("stop", record.Fields{"duty": d.Duty, "fence": d.Fence.String()})
+		logrus.WithFields(logrus.Fields{"duty": d.Duty, "fence": d.Fence}).Info("owns no more")
+		delete(l.looks, d.Duty)
+		if h := l.hands[d.Duty]; h != nil && h.cancel != nil {
+			h.cancel()
+		}
+		delete(l.hands, d.Duty)
+	}
+}
+
+// ask carries a request to the council. A quarter of the session's length is enough for an answer, or for another try.
+func (l *Link) ask(d agent.Decision) {
+	ctx, cancel := context.WithTimeout(l.ctx, time.Duration(l.set.Length/4*float64(time.Millisecond)))
+	defer cancel()
+	var a register.Answer
+	var err error
+	if d.Verb == agent.Stand {
+		a.Fence, err = l.client.Stands(ctx, d.Duty)
+	} else {
+		a, err = l.client.Do(ctx, d.Entry)
+	}
+	l.post(func() {
+		l.agent.At(l.now())
+		if err != nil {
+			logrus.WithError(err).Debug("no answer of the council")
+			l.agent.Failed(d.Number)
+			return
+		}
+		if d.Verb == agent.Call && d.Entry.Kind == register.Told && a.Why != "" {
+			logrus.WithFields(logrus.Fields{"duty": d.Entry.Duty, "seen": d.Entry.Fence, "council": a.Fence}).Error(a.Why)
+			l.set.Record.Add("behind", record.Fields{"duty": d.Entry.Duty, "seen": d.Entry.Fence.String(), "council": a.Fence.String()})
+		}
+		if d.Verb == agent.Call && d.Entry.Kind == register.Open {
+			l.set.Record.Add("session", record.Fields{"held": a.Held, "why": a.Why, "incarnation": d.Entry.Incarnation})
+		}
+		l.agent.Answered(d.Number, a)
+	})
+}
+
+// watch hears of changes, and begins again whenever that ends.
+func (l *Link) watch() {
+	told := ""
+	for l.ctx.Err() == nil {
+		err := l.client.Watch(l.ctx, func(u *fleetpb.Update) {
+			told = ""
+			l.post(func() {
+				l.agent.At(l.now())
+				l.agent.Watched(wire.FromUpdate(u))
+			})
+		})
+		if text := err.Error(); l.ctx.Err() == nil && text != told {
+			told = text
+			logrus.WithError(err).Warn("the council is out of reach; the router serves on, the fleet's duties may rest")
+		}
+		select {
+		case <-l.ctx.Done():
+		case <-time.After(wire.Spread(300 * time.Millisecond)):
+		}
+	}
+}
+
+// Reported says what a check of this process told, on the router's loop. It never waits.
+func (l *Link) Reported(r sight.Report) {
+	select {
+	case l.inbox <- func() {
+		for _, k := range l.looks {
+			k.owner.Told(r) // of another group's it takes none
+		}
+	}:
+	default:
+		l.dropped.Add(1)
+	}
+}
+
+// look does what sight of a group decides.
+func (l *Link) look(duty string, now float64) {
+	k := l.looks[duty]
+	k.owner.At(now)
+	for d, more := k.owner.Next(); more; d, more = k.owner.Next() {
+		switch d.Verb {
+		case sight.Look:
+			l.host(func() { l.router.Look(d.Member) })
+		case sight.Send:
+			l.spread(duty, k, d.Reports)
+		}
+	}
+}
+
+// spread sends reports to all other routers; one that has yet to answer the word before is passed over: the next will do.
+func (l *Link) spread(duty string, k *looker, reports []sight.Report) {
+	order := &fleetpb.Order{Duty: duty, About: duty, Holder: l.set.Name, Fence: wire.Fence(k.fence)}
+	for _, r := range reports {
+		order.Sightings = append(order.Sightings, &fleetpb.Sighting{Member: r.Member, Started: r.Started, Position: r.Position,
+			Primary: r.Primary, Replica: r.Replica, At: r.At})
+	}
+	for _, s := range l.agent.Sessions("router") {
+		if s.Name == l.set.Name || k.busy[s.Name] {
+			continue
+		}
+		if fence, may := l.agent.May(duty); !may || fence != k.fence { // the last look before it goes out
+			return
+		}
+		k.busy[s.Name] = true
+		l.order(s, order, func(v *fleetpb.Verdict, err error) { delete(k.busy, s.Name) })
+	}
+}
+
+// order sends an act to another process; done hears of it on the loop, as does the agent where it was refused.
+func (l *Link) order(to agent.Session, o *fleetpb.Order, done func(*fleetpb.Verdict, error)) {
+	if to.Name == l.set.Name { // this very process
+		go func() {
+			v, err := l.Act(l.ctx, o)
+			l.post(func() { done(v, err) })
+		}()
+		return
+	}
+	addr := to.Address
+	if via := l.set.Via[to.Name]; via != "" {
+		addr = via
+	}
+	conn := l.ways[addr]
+	if conn == nil {
+		var err error
+		if conn, err = wire.Dial(addr, l.set.Fleet); err != nil {
+			done(nil, err)
+			return
+		}
+		l.clean()
+		l.ways[addr] = conn
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(l.ctx, time.Duration(l.set.Length/2*float64(time.Millisecond)))
+		defer cancel()
+		v, err := fleetpb.NewReceiverClient(conn).Act(ctx, o)
+		l.post(func() {
+			if err == nil && v.Kind == fleetpb.Verdict_OLD {
+				higher := wire.FromFence(v.Highest)
+				logrus.WithFields(logrus.Fields{"duty": o.Duty, "fence": wire.FromFence(o.Fence), "higher": higher, "by": to.Name}).
+					Warn("an act of ours was refused: the duty is another's")
+				l.set.Record.Add("refused", record.Fields{"duty": o.Duty, "fence": wire.FromFence(o.Fence).String(), "higher": higher.String(), "by": to.Name})
+				l.agent.At(l.now())
+				l.agent.Refusal(o.Duty, higher)
+			}
+			done(v, err)
+		})
+	}()
+}
+
+// clean ends the ways to processes that have no session any more.
+func (l *Link) clean() {
+	there := map[string]bool{}
+	for _, s := range l.agent.Sessions("router") {
+		there[s.Address] = true
+		there[l.set.Via[s.Name]] = true
+	}
+	for addr, conn := range l.ways {
+		if !there[addr] {
+			conn.Close()
+			delete(l.ways, addr)
+		}
+	}
+}
+
+// Act is the service's: an order of a duty's owner. Its fence is judged and what it says is handed to the router in one go, so
+// that nothing under a lower fence can come in between.
+func (l *Link) Act(ctx context.Context, o *fleetpb.Order) (*fleetpb.Verdict, error) {
+	if l.ctx == nil || ctx.Err() != nil {
+		return nil, status.Error(codes.Unavailable, "not up")
+	}
+	if len(o.Duty) > 256 || len(o.About) > 256 || len(o.Holder) > 256 || len(o.Sightings) > sight.Most() {
+		return nil, status.Error(codes.InvalidArgument, "an order of unsound size")
+	}
+	if !strings.HasPrefix(o.Duty, "sight/") && !strings.HasPrefix(o.Duty, "handover/") {
+		return nil, status.Errorf(codes.InvalidArgument, "the duty %.64q is none that this build knows", o.Duty)
+	}
+	result := make(chan *fleetpb.Verdict, 1)
+	if !l.post(func() { l.judge(o, func(v *fleetpb.Verdict) { result <- v }) }) {
+		return nil, status.Error(codes.Unavailable, "this process is ending")
+	}
+	select {
+	case v := <-result:
+		return v, nil
+	case <-ctx.Done():
+		return nil, status.FromContextError(ctx.Err()).Err()
+	case <-l.ended:
+		return nil, status.Error(codes.Unavailable, "this process is ending")
+	}
+}
+
+var verdicts = map[lease.Verdict]fleetpb.Verdict_Kind{lease.Taken: fleetpb.Verdict_TAKEN, lease.Old: fleetpb.Verdict_OLD,
+	lease.Unknown: fleetpb.Verdict_UNKNOWN, lease.Broken: fleetpb.Verdict_BROKEN}
+
+func (l *Link) judge(o *fleetpb.Order, done func(*fleetpb.Verdict)) {
+	l.agent.At(l.now())
+	fence := wire.FromFence(o.Fence)
+	verdict, highest := l.agent.Take(lease.Scope{Duty: o.Duty, About: o.About}, o.Holder, fence)
+	v := &fleetpb.Verdict{Kind: verdicts[verdict], Highest: wire.Fence(highest)}
+	f := record.Fields{"duty": o.Duty, "about": o.About, "holder": o.Holder, "fence": fence.String()}
+	switch verdict {
+	case lease.Taken:
+		l.set.Record.Add("taken", f)
+		l.obey(o, fence, v, done)
+		return
+	case lease.Old:
+		f["higher"] = highest.String()
+		l.set.Record.Add("late", f)
+		logrus.WithFields(logrus.Fields{"duty": o.Duty, "holder": o.Holder, "fence": fence, "higher": highest}).Warn("refused an act of a former owner")
+	case lease.Broken:
+		must.Hold(false, "one fence, one holder")
+	}
+	done(v)
+}
+
+// obey has the router do what an order says; what is unsound of it is passed over, with words.
+func (l *Link) obey(o *fleetpb.Order, fence lease.Fence, v *fleetpb.Verdict, done func(*fleetpb.Verdict)) {
+	h := o.Hold
+	took := l.host(func() {
+		now := l.router.Now()
+		for _, s := range o.Sightings {
+			r := sight.Report{Member: s.Member, Started: s.Started, Position: s.Position, Primary: s.Primary, Replica: s.Replica, At: s.At}
+			if err := sight.Sound(r, now); err != nil {
+				v.Kind, v.Why = fleetpb.Verdict_UNSOUND, err.Error()
+				continue
+			}
+			l.seen.Add(1)
+			l.router.Sighted(r)
+		}
+		if h == nil {
+			done(v)
+			return
+		}
+		group := int(h.Group)
+		if o.Duty != handover.Duty(group) {
+			v.Kind, v.Why = fleetpb.Verdict_UNSOUND, "an order about another group"
+			done(v)
+			return
+		}
+		switch {
+		case h.Looks:
+		case h.Ends:
+			l.guests.Release(group, fence, h.Number)
+			l.router.Hold(group, 0)
+		default:
+			l.router.Hold(group, l.guests.Hold(group, fence, h.Number, h.MostMs, now))
+		}
+		running, waiting := l.router.Writes(group)
+		v.Running, v.Held = int64(running), int64(waiting)
+		done(v)
+	})
+	if !took {
+		v.Kind, v.Why = fleetpb.Verdict_UNKNOWN, "too busy"
+		done(v)
+	}
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -26,6 +26,7 @@
 	members Members
 	kinds   map[string]*router.TxnType
 	watch   func()
+	reports func(member string, role router.Role, gtid float64)
 	open    map[string]*entry
 	fresh   bool // the module has heard something
 	alarm   *time.Timer
@@ -139,6 +140,39 @@
 // Reported conveys a member's report.
 func (h *Host) Reported(member string, role router.Role, gtid float64) {
 	h.hear().Reported(member, role, gtid)
+	if h.reports != nil {
+		h.reports(member, role, gtid)
+	}
+}
+
+// Reports names who hears of members' reports, too; it must not wait.
+func (h *Host) Reports(f func(member string, role router.Role, gtid float64)) { h.reports = f }
+
+// Look checks a member on behalf of others; what it tells, the module hears as well.
+func (h *Host) Look(member string) { h.members.Check(member) }
+
+// Sighted conveys what another router's check told.
+func (h *Host) Sighted(member string, started float64, role router.Role, gtid float64) {
+	h.hear().Sighted(member, started, role, gtid)
+}
+
+// Hold has writes of a group wait until then; an earlier time lets them go.
+func (h *Host) Hold(group int, until float64) { h.hear().Hold(group, until) }
+
+// Writes counts the txns of a group that need its primary: those that are out there, and those that wait.
+func (h *Host) Writes(group int) (out, waiting int) {
+	for _, e := range h.open {
+		kind := h.kinds[e.txn.TxnType]
+		if e.txn.Group != group || kind.Level != router.Write && kind.Level != router.Fresh {
+			continue
+		}
+		if e.out > 0 {
+			out++
+		} else {
+			waiting++
+		}
+	}
+	return out, waiting
 }
 
 // List gives the module to be told of the list.
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,284 @@
+// Package ledger keeps what a process stores in a folder: a log of numbered records, named values, and a head that says whose
+// folder it is. It owns the file, its lock and its sums; it must never know what a record means, or answer before it is on
+// disk. It is bbolt beneath (copy on write, two roots), so that a process killed at any moment finds all or nothing of what
+// it was writing; each record has a sum of its own, so that a disk that changes a bit is noticed.
+package ledger
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"go.etcd.io/bbolt"
+	bolterr "go.etcd.io/bbolt/errors"
+)
+
+const (
+	file    = "state.db"
+	version = 1
+	patient = 200 * time.Millisecond // with a lock that somebody else holds
+	most    = 64                     // starts that are remembered
+)
+
+var buckets = struct{ head, log, values []byte }{[]byte("head"), []byte("log"), []byte("values")}
+
+// Head says whose folder it is. Folder is drawn when it is made, Starts at each start from it, the latest last: others who
+// have heard them can tell an older copy that was put back.
+type Head struct {
+	Version int      `cbor:"1,keyasint"`
+	Fleet   string   `cbor:"2,keyasint"`
+	Name    string   `cbor:"3,keyasint"`
+	Folder  uint64   `cbor:"4,keyasint"`
+	Starts  []uint64 `cbor:"5,keyasint"`
+}
+
+// Ledger is an open folder.
+type Ledger struct {
+	db   *bbolt.DB
+	path string
+	Head Head
+}
+
+// ErrInUse is of a folder that another process has open.
+var ErrInUse = errors.New("another process has this folder open")
+
+// Open opens a folder, or makes one that belongs to this name of this fleet. draw gives a number that no other folder or
+// start has. A folder of another's, or of a later build, is refused and left as it is.
+func Open(dir, fleet, name string, draw func() uint64) (l *Ledger, err error) {
+	path := filepath.Join(dir, file)
+	defer func() {
+		if err != nil {
+			l, err = nil, fmt.Errorf("%s: %w", path, err)
+		}
+	}()
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, err
+	}
+	l = &Ledger{path: path}
+	// Guards against a file that was cut short: reading beyond its end is a fault of memory.
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer func() {
+		if p := recover(); p != nil {
+			l.close()
+			err = fmt.Errorf("cut short or overwritten: %v", p)
+		}
+	}()
+	l.db, err = bbolt.Open(path, 0o600, &bbolt.Options{Timeout: patient, FreelistType: bbolt.FreelistMapType})
+	if errors.Is(err, bolterr.ErrTimeout) {
+		return nil, ErrInUse
+	} else if err != nil {
+		return nil, err
+	}
+	if err := l.whole(); err != nil {
+		l.close()
+		return nil, err
+	}
+	if err := l.begin(fleet, name, draw); err != nil {
+		l.close()
+		return nil, err
+	}
+	return l, nil
+}
+
+func (l *Ledger) close() {
+	if l.db != nil {
+		l.db.Close()
+	}
+}
+
+// Close gives the folder back.
+func (l *Ledger) Close() error { return l.db.Close() }
+
+// whole looks at every page and every sum before anything is believed.
+func (l *Ledger) whole() error {
+	return l.db.View(func(tx *bbolt.Tx) error {
+		if s, err := os.Stat(l.path); err != nil {
+			return err
+		} else if s.Size() < tx.Size() {
+			return fmt.Errorf("cut short: %d bytes of %d", s.Size(), tx.Size())
+		}
+		for err := range tx.Check() {
+			return err
+		}
+		return tx.ForEach(func(bucket []byte, b *bbolt.Bucket) error {
+			return b.ForEach(func(k, v []byte) error {
+				if _, err := sound(v); err != nil {
+					return fmt.Errorf("%s %x: %w", bucket, k, err)
+				}
+				return nil
+			})
+		})
+	})
+}
+
+func seal(b []byte) []byte { return append(binary.BigEndian.AppendUint64(nil, xxhash.Sum64(b)), b...) }
+
+func sound(v []byte) ([]byte, error) {
+	if len(v) < 8 || binary.BigEndian.Uint64(v) != xxhash.Sum64(v[8:]) {
+		return nil, errors.New("its sum is wrong")
+	}
+	return v[8:], nil
+}
+
+func key(n uint64) []byte { return binary.BigEndian.AppendUint64(nil, n) }
+
+// begin reads the head, or writes a new one, and adds this start to it.
+func (l *Ledger) begin(fleet, name string, draw func() uint64) error {
+	return l.db.Update(func(tx *bbolt.Tx) error {
+		var made [3]*bbolt.Bucket
+		for n, bucket := range [][]byte{buckets.head, buckets.log, buckets.values} {
+			b, err := tx.CreateBucketIfNotExists(bucket)
+			if err != nil {
+				return err
+			}
+			made[n] = b
+		}
+		h := Head{Version: version, Fleet: fleet, Name: name}
+		if v := made[0].Get(buckets.head); v != nil {
+			b, err := sound(v)
+			if err != nil {
+				return fmt.Errorf("head: %w", err)
+			}
+			if err := cbor.Unmarshal(b, &h); err != nil {
+				return fmt.Errorf("head: %w", err)
+			}
+			switch {
+			case h.Version > version:
+				return fmt.Errorf("version %d, this build knows %d", h.Version, version)
+			case h.Fleet != fleet:
+				return fmt.Errorf("of fleet %q, not of %q", h.Fleet, fleet)
+			case h.Name != name:
+				return fmt.Errorf("of %q, not of %q", h.Name, name)
+			}
+		} else {
+			h.Folder = draw()
+		}
+		if h.Starts = append(h.Starts, draw()); len(h.Starts) > most {
+			h.Starts = h.Starts[len(h.Starts)-most:]
+		}
+		l.Head = h
+		b, err := cbor.Marshal(h)
+		if err != nil {
+			return err
+		}
+		return made[0].Put(buckets.head, seal(b))
+	})
+}
+
+// Record is one of the log.
+type Record struct {
+	Number uint64
+	Bytes  []byte
+}
+
+// Batch is what is stored at once, or not at all.
+type Batch struct {
+	Records []Record          // in place of all from the first of them on
+	Values  map[string][]byte // by name
+	Below   uint64            // what lies before it is dropped
+	Anew    bool              // the whole log is dropped before
+}
+
+// Store writes a batch and returns once it is on disk.
+func (l *Ledger) Store(b Batch) error {
+	err := l.db.Update(func(tx *bbolt.Tx) error {
+		log, values := tx.Bucket(buckets.log), tx.Bucket(buckets.values)
+		if b.Anew {
+			if err := tx.DeleteBucket(buckets.log); err != nil {
+				return err
+			}
+			var err error
+			if log, err = tx.CreateBucket(buckets.log); err != nil {
+				return err
+			}
+		}
+		if len(b.Records) > 0 {
+			c := log.Cursor()
+			for k, _ := c.Seek(key(b.Records[0].Number)); k != nil; k, _ = c.Seek(key(b.Records[0].Number)) {
+				if err := c.Delete(); err != nil {
+					return err
+				}
+			}
+			for _, r := range b.Records {
+				if err := log.Put(key(r.Number), seal(r.Bytes)); err != nil {
+					return err
+				}
+			}
+		}
+		if b.Below > 0 {
+			c := log.Cursor()
+			for k, _ := c.First(); k != nil && binary.BigEndian.Uint64(k) < b.Below; k, _ = c.First() {
+				if err := c.Delete(); err != nil {
+					return err
+				}
+			}
+		}
+		for name, v := range b.Values {
+			if err := values.Put([]byte(name), seal(v)); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return fmt.Errorf("%s: %w", l.path, err)
+	}
+	return nil
+}
+
+// Read gives the log and the values.
+func (l *Ledger) Read() (records []Record, values map[string][]byte, err error) {
+	values = map[string][]byte{}
+	err = l.db.View(func(tx *bbolt.Tx) error {
+		err := tx.Bucket(buckets.log).ForEach(func(k, v []byte) error {
+			b, err := sound(v)
+			if len(k) != 8 {
+				err = errors.New("its number is no number")
+			}
+			if err != nil {
+				return fmt.Errorf("log %x: %w", k, err)
+			}
+			records = append(records, Record{binary.BigEndian.Uint64(k), append([]byte(nil), b...)})
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+		return tx.Bucket(buckets.values).ForEach(func(k, v []byte) error {
+			b, err := sound(v)
+			if err != nil {
+				return fmt.Errorf("%s: %w", k, err)
+			}
+			values[string(k)] = append([]byte(nil), b...)
+			return nil
+		})
+	})
+	if err != nil {
+		return nil, nil, fmt.Errorf("%s: %w", l.path, err)
+	}
+	return records, values, nil
+}
+
+// Copy writes the whole file as it is at one moment, for a copy to keep.
+func (l *Ledger) Copy(w io.Writer) error {
+	return l.db.View(func(tx *bbolt.Tx) error {
+		_, err := tx.WriteTo(w)
+		return err
+	})
+}
+
+// Size tells how many bytes the file has.
+func (l *Ledger) Size() int64 {
+	s, err := os.Stat(l.path)
+	if err != nil {
+		return 0
+	}
+	return s.Size()
+}
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,165 @@
+package ledger
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+var drawn uint64
+
+func draw() uint64 { drawn++; return drawn }
+
+func open(t *testing.T, dir string) *Ledger {
+	t.Helper()
+	l, err := Open(dir, "f", "c1", draw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func store(t *testing.T, l *Ledger, b Batch) {
+	t.Helper()
+	if err := l.Store(b); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func records(from, to uint64, text string) (all []Record) {
+	for n := from; n <= to; n++ {
+		all = append(all, Record{n, []byte(fmt.Sprint(text, n))})
+	}
+	return all
+}
+
+func TestStoresAndCuts(t *testing.T) {
+	dir := t.TempDir()
+	l := open(t, dir)
+	store(t, l, Batch{Records: records(2, 9, "a"), Values: map[string][]byte{"state": []byte("x")}})
+	store(t, l, Batch{Records: records(7, 8, "b")}) // in place of 7 to 9
+	store(t, l, Batch{Below: 4, Values: map[string][]byte{"state": []byte("y")}})
+	folder := l.Head.Folder
+	if _, err := Open(dir, "f", "c1", draw); !errors.Is(err, ErrInUse) {
+		t.Errorf("opened twice: %v", err)
+	}
+	l.Close()
+	l = open(t, dir)
+	defer l.Close()
+	got, values, err := l.Read()
+	text := string(values["state"])
+	for _, r := range got {
+		text += fmt.Sprintf(" %d:%s", r.Number, r.Bytes)
+	}
+	if err != nil || text != "y 4:a4 5:a5 6:a6 7:b7 8:b8" {
+		t.Errorf("%s, %v", text, err)
+	}
+	if len(l.Head.Starts) != 2 || l.Head.Folder != folder {
+		t.Errorf("head %+v, folder was %d", l.Head, folder)
+	}
+	store(t, l, Batch{Anew: true, Records: records(20, 20, "c")})
+	if got, _, _ = l.Read(); len(got) != 1 || got[0].Number != 20 {
+		t.Errorf("begun anew: %v", got)
+	}
+}
+
+// A folder of another's, of a later build, cut short anywhere, or changed in its bits is refused with words, never half read.
+func TestRefuses(t *testing.T) {
+	dir := t.TempDir()
+	l := open(t, dir)
+	for n := range uint64(40) {
+		store(t, l, Batch{Records: records(1+n*10, 10+n*10, "some text of a record "), Values: map[string][]byte{"v": bytes.Repeat([]byte{7}, 3000)}})
+	}
+	l.Close()
+	for want, as := range map[string][2]string{`of fleet "f", not of "g"`: {"g", "c1"}, `of "c1", not of "c2"`: {"f", "c2"}} {
+		if _, err := Open(dir, as[0], as[1], draw); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v: %v", as, err)
+		}
+	}
+	path := filepath.Join(dir, file)
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	damage := func(what string, b []byte) {
+		t.Helper()
+		other := t.TempDir()
+		os.WriteFile(filepath.Join(other, file), b, 0o600)
+		l, err := Open(other, "f", "c1", draw)
+		if err == nil { // what was hit may have been a page that nothing uses
+			got, values, err := l.Read()
+			if l.Close(); err != nil || len(got) != 400 || len(values["v"]) != 3000 || string(got[399].Bytes) != "some text of a record 400" {
+				t.Errorf("%s: read as %d records, %v", what, len(got), err)
+			}
+		} else if !strings.HasPrefix(err.Error(), other) {
+			t.Errorf("%s: the error doesn't name the place: %v", what, err)
+		}
+	}
+	for n := 1; n < 16; n++ {
+		damage(fmt.Sprint("cut to sixteenths: ", n), whole[:len(whole)*n/16])
+	}
+	for at := 0; at < len(whole); at += len(whole)/97 + 1 {
+		b := bytes.Clone(whole)
+		b[at] ^= 0x40
+		damage(fmt.Sprint("a bit at ", at), b)
+	}
+	if l, err = Open(dir, "f", "c1", draw); err != nil {
+		t.Fatal("the folder that was refused is changed:", err)
+	}
+	l.Close()
+}
+
+// What is read is what a plain list would hold, whatever was stored in which order and however often it was opened anew.
+func TestAnyBatches(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		dir, err := os.MkdirTemp(t.TempDir(), "")
+		if err != nil {
+			rt.Fatal(err)
+		}
+		l := open(t, dir)
+		defer func() { l.Close() }()
+		want := map[uint64]string{}
+		last := uint64(0)
+		for range rapid.IntRange(1, 8).Draw(rt, "batches") {
+			from := uint64(rapid.IntRange(1, int(last)+1).Draw(rt, "from"))
+			b := Batch{Records: records(from, from+uint64(rapid.IntRange(0, 5).Draw(rt, "more")), rapid.StringN(0, 3, 9).Draw(rt, "text"))}
+			if rapid.Bool().Draw(rt, "cuts") {
+				b.Below = uint64(rapid.IntRange(1, int(last)+1).Draw(rt, "below"))
+			}
+			store(t, l, b)
+			for n := range want {
+				if n >= from {
+					delete(want, n)
+				}
+			}
+			for _, r := range b.Records {
+				want[r.Number] = string(r.Bytes)
+				last = r.Number
+			}
+			for n := range want {
+				if n < b.Below {
+					delete(want, n)
+				}
+			}
+			if rapid.Bool().Draw(rt, "reopen") {
+				l.Close()
+				l = open(t, dir)
+			}
+		}
+		got, _, err := l.Read()
+		if err != nil || len(got) != len(want) {
+			rt.Fatalf("%d records, %d wanted, %v", len(got), len(want), err)
+		}
+		for _, r := range got {
+			if want[r.Number] != string(r.Bytes) {
+				rt.Fatalf("%d is %q, not %q", r.Number, r.Bytes, want[r.Number])
+			}
+		}
+	})
+}
--- a/internal/settings/file.go
+++ b/internal/settings/file.go
@@ -54,6 +54,34 @@
 	IdleClose   Duration `toml:"idle_close"`
 	User        string   `toml:"check_user"`
 	Database    string   `toml:"check_database"`
+
+	// The fleet's part is off unless council is given.
+	Name       string            `toml:"name"`
+	Council    []string          `toml:"council"` // addresses
+	Orders     string            `toml:"orders"`  // where this process hears duties' owners
+	Known      string            `toml:"orders_address"`
+	Session    Duration          `toml:"session"`
+	Margin     Duration          `toml:"margin"`
+	Sight      Duration          `toml:"sight"` // between two looks at a member, for who owns sight; 0: this process would not
+	Handover   *Handover         `toml:"handover"`
+	MostHeld   Duration          `toml:"most_held"` // that writes wait here for a planned change
+	Via        map[string]string `toml:"via"`
+	Record     string            `toml:"record"`
+	ClockAhead Duration          `toml:"clock_ahead"`
+}
+
+// Handover is how a planned change of a group's primary is done, for a process that would do it.
+type Handover struct {
+	Hold     Duration `toml:"hold"` // that routers are asked to have writes wait
+	Wait     Duration `toml:"wait"` // of it, for what runs
+	Step     Duration `toml:"step"` // for one statement
+	User     string   `toml:"user"`
+	Database string   `toml:"database"`
+	Primary  string   `toml:"primary"`
+	Guard    string   `toml:"guard"`
+	Seen     string   `toml:"seen"`
+	Yield    string   `toml:"yield"`
+	Take     string   `toml:"take"`
 }
 
 type Member struct {
@@ -191,7 +219,58 @@
 	forms      = map[string]bool{"transaction": false, "session": true, "platform": false}
 )
 
+// fleet fills in what is not given of the fleet's part, and says what is wrong with it.
+func (f *Fleet) check() error {
+	if len(f.Council) == 0 {
+		if f.Orders != "" || f.Sight > 0 || f.Handover != nil || f.Name != "" {
+			return errors.New("fleet.council: must be given where any of name, orders, sight and handover is")
+		}
+		return nil
+	}
+	for n, a := range f.Council {
+		if err := address(fmt.Sprintf("fleet.council[%d]", n), a); err != nil {
+			return err
+		}
+	}
+	for name, a := range f.Via {
+		if err := address("fleet.via."+name, a); err != nil {
+			return err
+		}
+	}
+	if err := address("fleet.orders", f.Orders); err != nil {
+		return err
+	}
+	or := func(d *Duration, otherwise float64) { *d = Duration(cmp.Or(float64(*d), otherwise)) }
+	f.Name = cmp.Or(f.Name, "fleet")
+	or(&f.Session, 2000)
+	or(&f.Margin, float64(f.Session)/10)
+	or(&f.MostHeld, 5000)
+	if f.Session < 200 || f.Session > 60000 || f.Margin >= f.Session/2 {
+		return errors.New("fleet: session must be from 200ms to 1m, margin less than half of it")
+	}
+	h := f.Handover
+	if h == nil {
+		return nil
+	}
+	or(&h.Hold, 3000)
+	or(&h.Wait, float64(h.Hold)/3)
+	or(&h.Step, 1000)
+	h.User, h.Database = cmp.Or(h.User, f.User), cmp.Or(h.Database, f.Database)
+	for key, text := range map[string]string{"primary": h.Primary, "guard": h.Guard, "seen": h.Seen, "yield": h.Yield, "take": h.Take} {
+		if text == "" {
+			return fmt.Errorf("fleet.handover.%s: the statement must be given", key)
+		}
+	}
+	if !strings.Contains(h.Guard, "$1") {
+		return errors.New("fleet.handover.guard: must name $1, the fence: without it nothing keeps a former owner's step from running late")
+	}
+	return nil
+}
+
 func (f *File) check() error {
+	if err := f.Fleet.check(); err != nil {
+		return err
+	}
 	if f.Limits.Descriptors <= 0 || f.Limits.Memory <= 0 {
 		return errors.New("limits: memory and descriptors must be given")
 	}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,166 @@
+// Package wire is how processes of a fleet reach each other: gRPC without TLS, the fleet's name with each call, a clock that
+// also runs while the machine sleeps, and the forms of decisions' values. It owns nothing that lasts; it must never decide.
+package wire
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	mrand "math/rand/v2"
+	"strconv"
+	"time"
+
+	"golang.org/x/sys/unix"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"wayloft/internal/decide/agent"
+	"wayloft/internal/decide/lease"
+	"wayloft/internal/decide/register"
+	"wayloft/internal/fleetpb"
+)
+
+// form is the version of what is said; it goes up when an older process can't understand a newer one any more.
+const form = 1
+
+const (
+	nameKey = "wayloft-fleet"
+	formKey = "wayloft-form"
+	longest = 4 << 20 // bytes of one message
+)
+
+// Boottime is a clock in ms that never goes back and also runs while the machine sleeps.
+func Boottime() float64 {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic(err) // there since Linux 2.6.39
+	}
+	return float64(t.Sec)*1000 + float64(t.Nsec)/1e6
+}
+
+// Draw gives a number that nobody else has: of a folder, or of a start.
+func Draw() uint64 {
+	var b [8]byte
+	rand.Read(b[:])
+	return binary.BigEndian.Uint64(b[:])
+}
+
+// Spread draws a wait from half of d to one and a half: what failed together must not come again together.
+func Spread(d time.Duration) time.Duration {
+	return time.Duration((0.5 + mrand.Float64()) * float64(d))
+}
+
+// Dial makes the way to a process of the fleet; it connects when it is first used, and again after it has failed.
+func Dial(addr, fleet string) (*grpc.ClientConn, error) {
+	with := func(ctx context.Context) context.Context {
+		return metadata.AppendToOutgoingContext(ctx, nameKey, fleet, formKey, strconv.Itoa(form))
+	}
+	return grpc.NewClient("passthrough:///"+addr, grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithNoProxy(),
+		grpc.WithDisableServiceConfig(), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(longest)),
+		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: time.Second,
+			Backoff: backoff.Config{BaseDelay: 30 * time.Millisecond, Multiplier: 1.6, Jitter: 0.4, MaxDelay: time.Second}}),
+		// A peer that vanished says nothing: the transport must notice.
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: 2 * time.Second, PermitWithoutStream: false}),
+		grpc.WithChainUnaryInterceptor(func(ctx context.Context, method string, q, a any, c *grpc.ClientConn, call grpc.UnaryInvoker, o ...grpc.CallOption) error {
+			return call(with(ctx), method, q, a, c, o...)
+		}),
+		grpc.WithChainStreamInterceptor(func(ctx context.Context, d *grpc.StreamDesc, c *grpc.ClientConn, method string, call grpc.Streamer, o ...grpc.CallOption) (grpc.ClientStream, error) {
+			return call(with(ctx), d, c, method, o...)
+		}))
+}
+
+// Checks refuse calls of another fleet, or of a form that this build doesn't speak.
+type Checks struct {
+	Unary  grpc.UnaryServerInterceptor
+	Stream grpc.StreamServerInterceptor
+}
+
+// Server gives the checks of one fleet's process.
+func Server(fleet string) Checks {
+	check := func(ctx context.Context) error {
+		md, _ := metadata.FromIncomingContext(ctx)
+		name, spoken := "", ""
+		if v := md.Get(nameKey); len(v) == 1 {
+			name = v[0]
+		}
+		if v := md.Get(formKey); len(v) == 1 {
+			spoken = v[0]
+		}
+		switch {
+		case name != fleet:
+			return status.Errorf(codes.FailedPrecondition, "this is fleet %q, not %q", fleet, name)
+		case spoken != strconv.Itoa(form):
+			return status.Errorf(codes.FailedPrecondition, "this process speaks form %d, not %q", form, spoken)
+		}
+		return nil
+	}
+	return Checks{
+		Unary: func(ctx context.Context, q any, _ *grpc.UnaryServerInfo, h grpc.UnaryHandler) (any, error) {
+			if err := check(ctx); err != nil {
+				return nil, err
+			}
+			return h(ctx, q)
+		},
+		Stream: func(srv any, s grpc.ServerStream, _ *grpc.StreamServerInfo, h grpc.StreamHandler) error {
+			if err := check(s.Context()); err != nil {
+				return err
+			}
+			return h(srv, s)
+		},
+	}
+}
+
+// Fence, Update and what follows turn decisions' values into the form, and back.
+func Fence(f lease.Fence) *fleetpb.Fence { return &fleetpb.Fence{Epoch: f.Epoch, Count: f.Count} }
+
+func FromFence(f *fleetpb.Fence) lease.Fence {
+	return lease.Fence{Epoch: f.GetEpoch(), Count: f.GetCount()}
+}
+
+func Update(u agent.Update) *fleetpb.Update {
+	out := &fleetpb.Update{Whole: u.Whole}
+	for _, s := range u.Sessions {
+		out.Sessions = append(out.Sessions, &fleetpb.Session{Name: s.Name, Kind: s.Kind, Address: s.Address, Incarnation: s.Incarnation,
+			Policy: s.Policy, Ended: s.Ended})
+	}
+	for _, d := range u.Duties {
+		one := &fleetpb.Duty{Name: d.Name, Holder: d.Holder, Fence: Fence(d.Fence), Open: wish(d.Open), Ended: wish(d.Ended)}
+		for _, s := range d.Steps {
+			one.Steps = append(one.Steps, &fleetpb.Step{Fence: Fence(s.Fence), Text: s.Text})
+		}
+		out.Duties = append(out.Duties, one)
+	}
+	return out
+}
+
+func FromUpdate(in *fleetpb.Update) agent.Update {
+	u := agent.Update{Whole: in.Whole}
+	for _, s := range in.Sessions {
+		u.Sessions = append(u.Sessions, agent.Session{Name: s.Name, Kind: s.Kind, Address: s.Address, Incarnation: s.Incarnation,
+			Policy: s.Policy, Ended: s.Ended})
+	}
+	for _, d := range in.Duties {
+		one := agent.Duty{Name: d.Name, Holder: d.Holder, Fence: FromFence(d.Fence), Open: fromWish(d.Open), Ended: fromWish(d.Ended)}
+		for _, s := range d.Steps {
+			one.Steps = append(one.Steps, register.Step{Fence: FromFence(s.Fence), Text: s.Text})
+		}
+		u.Duties = append(u.Duties, one)
+	}
+	return u
+}
+
+func wish(w register.Wish) *fleetpb.Wish { return &fleetpb.Wish{Number: w.Number, Text: w.Text} }
+
+func fromWish(w *fleetpb.Wish) register.Wish {
+	return register.Wish{Number: w.GetNumber(), Text: w.GetText()}
+}
+
+// Answer reads an answer of the council.
+func Answer(a *fleetpb.Answer) register.Answer {
+	return register.Answer{Held: a.Held, Fence: FromFence(a.Fence), Why: a.Why, Number: a.Number}
+}
