--- a/cmd/wayloft/council.go
+++ b/cmd/wayloft/council.go
@@ -68,10 +68,14 @@
 	}
 	defer rec.Close()
 	var peers []decide.Peer
+	addr := set.Listen
 	for _, p := range set.Peers {
+		if p.Name == set.Name {
+			addr = p.Address
+		}
 		peers = append(peers, decide.Peer{Name: p.Name, Addr: p.Address})
 	}
-	process, err := council.Open(council.Settings{Fleet: set.Fleet, Name: set.Name, Dir: set.Folder, Peers: peers, Via: set.Via,
+	process, err := council.Open(council.Settings{Fleet: set.Fleet, Name: set.Name, Dir: set.Folder, Address: addr, Peers: peers, Via: set.Via,
 		Tick: float64(set.Tick), Keep: uint64(set.Keep), Connections: set.Connections, Ahead: float64(set.ClockAhead), Record: rec})
 	if err != nil {
 		return err
--- a/cmd/wayloft/fleet.go
+++ b/cmd/wayloft/fleet.go
@@ -55,7 +55,7 @@
 func statusJSON(s *fleetpb.State) map[string]any {
 	duties, sessions, refused := []map[string]any{}, []map[string]any{}, uint64(0)
 	for _, d := range s.State.Duties {
-		duties = append(duties, map[string]any{"duty": d.Name, "holder": d.Holder, "fence": fence(d.Fence), "since_ms": d.SinceMs,
+		duties = append(duties, map[string]any{"duty": d.Name, "holder": d.Holder, "fence": wire.FromFence(d.Fence).Number(), "since_ms": d.SinceMs,
 			"queue": append([]string{}, d.Queue...), "order": d.Open.GetText(), "ended": d.Ended.GetText(), "barred": barred(s, d)})
 	}
 	for _, one := range s.State.Sessions {
--- a/cmd/wayloft/lab.go
+++ b/cmd/wayloft/lab.go
@@ -11,9 +11,11 @@
 )
 
 type labCmd struct {
-	Up   labUpCmd   `cmd:"" help:"Start a stand-in cluster and a router before it, until interrupted."`
-	Idle labIdleCmd `cmd:"" help:"Print what a resting session costs in memory."`
-	Fast labFastCmd `cmd:"" help:"Print what a router costs where members answer fast: direct and through it, in one run."`
+	Up     labUpCmd     `cmd:"" help:"Start a stand-in cluster and a router before it, until interrupted."`
+	Fleet  labFleetCmd  `cmd:"" help:"Start a fleet of processes, council, routers and stand-in members, until interrupted."`
+	Member labMemberCmd `cmd:"" hidden:"" help:"One stand-in member, as a process."`
+	Idle   labIdleCmd   `cmd:"" help:"Print what a resting session costs in memory."`
+	Fast   labFastCmd   `cmd:"" help:"Print what a router costs where members answer fast: direct and through it, in one run."`
 }
 
 type labUpCmd struct {
--- /dev/null
+++ b/cmd/wayloft/labfleet.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"wayloft/internal/lab/fleet"
+	"wayloft/internal/standin/pgserver"
+)
+
+type labFleetCmd struct {
+	Council int    `help:"Processes of the council: three or five." default:"3"`
+	Routers int    `help:"Routers." default:"4"`
+	Members int    `help:"Stand-in members of the one group; the first is the primary." default:"3"`
+	Dir     string `help:"Folder for settings, logs, records and what the processes store; a temporary one if not given." type:"path"`
+}
+
+func (c *labFleetCmd) Run() error {
+	if c.Council < 1 || c.Routers < 1 || c.Members < 1 {
+		return errors.New("one process of each kind at least")
+	}
+	dir := c.Dir
+	if dir == "" {
+		var err error
+		if dir, err = os.MkdirTemp("", "wayloft-fleet-"); err != nil {
+			return err
+		}
+		defer os.RemoveAll(dir)
+	} else if names, err := filepath.Glob(filepath.Join(dir, "*")); err != nil || len(names) > 0 {
+		return fmt.Errorf("%s: must be empty, or not be there yet", dir)
+	}
+	binary, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	f, err := fleet.New(fleet.Options{Binary: binary, Dir: dir, Council: c.Council, Routers: c.Routers, Members: c.Members, Fleet: "fleet",
+		Sight: 250 * time.Millisecond, Handover: true})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := f.Start(); err != nil {
+		return err
+	}
+	for _, p := range f.Processes() {
+		fmt.Printf("%s %s %s pid %d\n", p.Kind, p.Name[1:], p.Addr, p.Pid())
+	}
+	fmt.Println("ready")
+	// Members that fail are replaced, as a cluster's own manager would.
+	f.Manage(ctx)
+	return nil
+}
+
+type labMemberCmd struct {
+	Folder  string        `help:"The cluster's folder." required:"" type:"path"`
+	Name    string        `help:"The member's name." required:""`
+	Listen  string        `help:"Address." required:""`
+	Primary bool          `help:"It begins as the primary."`
+	NoGuard bool          `help:"It has no guard row."`
+	Lag     time.Duration `help:"Of a replica." default:"5ms"`
+	Takes   time.Duration `help:"What a statement takes." default:"0s"`
+}
+
+func (c *labMemberCmd) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	cluster, err := pgserver.Shared(c.Folder, c.Name)
+	if err != nil {
+		return err
+	}
+	if err := cluster.Begin(c.Primary, !c.NoGuard); err != nil {
+		return err
+	}
+	s, err := pgserver.NewServer(cluster, func(s *pgserver.Server) {
+		s.Lag, s.Listen = c.Lag, c.Listen
+		if c.Takes > 0 {
+			s.Delay = func() time.Duration { return c.Takes }
+		}
+	})
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	logrus.WithFields(logrus.Fields{"name": c.Name, "listen": s.Addr}).Info("member")
+	<-ctx.Done()
+	return nil
+}
--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -24,6 +24,7 @@
 	"wayloft/internal/decide/agent"
 	"wayloft/internal/decide/council"
 	"wayloft/internal/decide/register"
+	"wayloft/internal/faults"
 	"wayloft/internal/fleetpb"
 	"wayloft/internal/ledger"
 	"wayloft/internal/record"
@@ -44,6 +45,7 @@
 type Settings struct {
 	Fleet, Name string
 	Dir         string
+	Address     string            // where others reach it
 	Peers       []council.Peer    // who begins the council; empty: it joins one that has begun
 	Via         map[string]string // ways to others by name, in place of the addresses that the council knows
 	Tick        float64           // ms
@@ -56,20 +58,21 @@
 // Council is one process.
 type Council struct {
 	fleetpb.UnimplementedCouncilServer
-	set    Settings
-	node   *council.Node
-	disk   *ledger.Ledger
-	met    *council.Met
-	self   council.Identity
-	inbox  chan func()
-	ctx    context.Context
-	number uint64
-	asked  map[uint64]func(council.Decision)
-	ways   map[uint64]*way
-	mu     sync.Mutex
-	moved  chan struct{} // closed when the register has changed
-	index  uint64
-	ended  error
+	set     Settings
+	node    *council.Node
+	disk    *ledger.Ledger
+	met     *council.Met
+	self    council.Identity
+	inbox   chan func()
+	ctx     context.Context
+	number  uint64
+	asked   map[uint64]func(council.Decision)
+	ways    map[uint64]*way
+	callers map[uint64]council.Peer // who talked to this process while it knew of nobody
+	mu      sync.Mutex
+	moved   chan struct{} // closed when the register has changed
+	index   uint64
+	ended   error
 }
 
 var stored = struct{ hard, snapshot, met string }{"hard", "snapshot", "met"}
@@ -153,7 +156,7 @@
 	log.SetOutput(logrus.StandardLogger().Out)
 	log.SetFormatter(logrus.StandardLogger().Formatter)
 	log.SetLevel(logrus.ErrorLevel)
-	node, fresh, err := council.New(council.Settings{Fleet: set.Fleet, Name: set.Name, Peers: set.Peers, Epoch: uint64(time.Now().Unix()),
+	node, fresh, err := council.New(council.Settings{Fleet: set.Fleet, Name: set.Name, Peers: set.Peers, Epoch: wire.Epoch(time.Now()),
 		Tick: set.Tick, Keep: set.Keep, Log: log}, had)
 	if err == nil && fresh != nil {
 		err = Store(l, *fresh)
@@ -163,7 +166,7 @@
 		return nil, fmt.Errorf("%s: %w", set.Dir, err)
 	}
 	c := &Council{set: set, node: node, disk: l, met: met, inbox: make(chan func(), inbox), asked: map[uint64]func(council.Decision){},
-		ways: map[uint64]*way{}, moved: make(chan struct{}), number: uint64(time.Now().UnixNano())}
+		ways: map[uint64]*way{}, callers: map[uint64]council.Peer{}, moved: make(chan struct{}), number: uint64(time.Now().UnixNano())}
 	c.self = council.Identity{Name: set.Name, Folder: l.Head.Folder, Starts: l.Head.Starts, Term: had.Hard.GetTerm(),
 		Last: had.Snapshot.GetMetadata().GetIndex()}
 	if n := len(had.Entries); n > 0 {
@@ -216,6 +219,7 @@
 	for d, more := c.node.Next(); more; d, more = c.node.Next() {
 		switch d.Verb {
 		case council.Save:
+			faults.Point("council.save")
 			if err := Store(c.disk, d); err != nil { // what it would say next rests on this: it must say nothing more
 				c.ended = err
 				return
@@ -238,6 +242,9 @@
 			logrus.WithFields(logrus.Fields{"leader": d.Leader.Name, "term": term}).Info("leads")
 			c.set.Record.Add("leads", record.Fields{"leader": d.Leader.Name, "term": term})
 		case council.Past:
+			if leads, _ := c.node.Leads(); leads && d.Event.Duty != "" && !d.Event.Ended {
+				faults.Point("council.granted") // agreed, and not yet answered
+			}
 			c.past(d.Event)
 		}
 	}
@@ -343,6 +350,9 @@
 		if !asks[e.Kind] || e.Passed != 0 {
 			return nil, status.Errorf(codes.InvalidArgument, "entry: %q is not for others to bring", e.Kind)
 		}
+		if e.Kind == register.Take {
+			faults.Point("council.asked") // not yet proposed
+		}
 		d, err = c.ask(ctx, func(number uint64) { c.node.Do(number, e) })
 	}
 	if err != nil {
@@ -356,7 +366,7 @@
 
 // Watch is the service's.
 func (c *Council) Watch(from *fleetpb.WatchFrom, stream grpc.ServerStreamingServer[fleetpb.Update]) error {
-	since, first := from.Index, true
+	since, first, said := from.Index, true, time.Now()
 	for {
 		c.mu.Lock()
 		moved := c.moved
@@ -376,12 +386,13 @@
 				if err := stream.Send(u); err != nil {
 					return err
 				}
+				said = time.Now()
 			}
 			since, first = u.Index, false
 		case <-c.ctx.Done():
 			return status.Error(codes.Unavailable, "this process is ending")
 		}
-		quiet := time.NewTimer(alive)
+		quiet := time.NewTimer(time.Until(said.Add(alive))) // beats move the register all the time, and change nothing to tell
 		select {
 		case <-moved:
 			time.Sleep(coalesce)
@@ -389,6 +400,7 @@
 			if err := stream.Send(&fleetpb.Update{Index: since}); err != nil {
 				return err
 			}
+			said = time.Now()
 		case <-stream.Context().Done():
 			return nil
 		case <-c.ctx.Done():
@@ -505,6 +517,11 @@
 			result <- status.Error(codes.FailedPrecondition, err.Error())
 			return
 		}
+		if id := council.ID(p.Name); len(c.node.Council()) == 0 && len(c.callers) < 16 {
+			c.callers[id] = council.Peer{ID: id, Name: p.Name, Addr: p.Address}
+		} else if len(c.node.Council()) > 0 {
+			clear(c.callers)
+		}
 		if news {
 			in := map[string]bool{p.Name: true}
 			for _, o := range c.node.Council() {
@@ -544,8 +561,10 @@
 // send hands a message to the way to its process; one that is full drops it, as a network would.
 func (c *Council) send(m *raftpb.Message) {
 	peer, known := c.node.Peer(m.GetTo())
-	if !known {
-		return
+	if !known { // one that joins is talked to before it knows who there is
+		if peer, known = c.callers[m.GetTo()]; !known {
+			return
+		}
 	}
 	addr := peer.Addr
 	if via := c.set.Via[peer.Name]; via != "" {
@@ -562,7 +581,8 @@
 		c.ways[peer.ID] = w
 		go c.carry(ctx, w, peer)
 		for id, other := range c.ways { // of those that left
-			if _, still := c.node.Peer(id); !still {
+			_, still := c.node.Peer(id)
+			if _, calls := c.callers[id]; !still && !calls {
 				other.stop()
 				delete(c.ways, id)
 			}
@@ -624,7 +644,8 @@
 		c.drain(w)
 		return err
 	}
-	id := &fleetpb.Identity{Name: c.self.Name, Folder: c.self.Folder, Starts: c.self.Starts, Term: c.self.Term, Last: c.self.Last}
+	id := &fleetpb.Identity{Name: c.self.Name, Folder: c.self.Folder, Starts: c.self.Starts, Term: c.self.Term, Last: c.self.Last,
+		Address: c.set.Address}
 	for first := true; ; first = false {
 		var m *raftpb.Message
 		select {
--- a/internal/decide/agent/agent.go
+++ b/internal/decide/agent/agent.go
@@ -182,6 +182,9 @@
 		case lease.PassOn:
 			a.call(asked{kind: register.Pass}, register.Entry{Kind: register.Pass, Duty: duty, Fence: d.Fence, To: d.To})
 		case lease.Start, lease.Stop:
+			if d.Verb == lease.Start { // what a former owner sends here is old from now on
+				a.receiver.Learned(duty, d.Fence)
+			}
 			a.out = append(a.out, Decision{Verb: map[lease.Verb]Verb{lease.Start: Start, lease.Stop: Stop}[d.Verb], Duty: duty, Fence: d.Fence})
 		}
 	}
@@ -235,6 +238,9 @@
 }
 
 func (a *Agent) beaten() {
+	for _, name := range slices.Sorted(maps.Keys(a.duties)) {
+		a.behind(a.duties[name])
+	}
 	a.beating = retry{at: a.now + a.set.Length*beatPart*(1-spread*a.chance.Next())}
 }
 
@@ -296,7 +302,9 @@
 			}
 			a.pull(d.Name)
 		}
-		a.behind(d)
+		if a.behind(d); a.receiver.Knows(d.Name) && d.Holder != "" {
+			a.receiver.Learned(d.Name, d.Fence) // before its holder's first act gets here
+		}
 	}
 }
 
--- a/internal/decide/council/council.go
+++ b/internal/decide/council/council.go
@@ -311,6 +311,9 @@
 
 // Step takes in a message of another process. One that no sound process sends is an error and changes nothing.
 func (n *Node) Step(m *raftpb.Message) error {
+	if n.failed != nil {
+		return n.failed
+	}
 	if m.GetTo() != n.id {
 		return fmt.Errorf("a message for %d, this is %d", m.GetTo(), n.id)
 	}
--- a/internal/decide/handover/handover.go
+++ b/internal/decide/handover/handover.go
@@ -168,7 +168,7 @@
 	case err != nil:
 		o.end("nothing was changed: " + err.Error())
 	case member == o.to:
-		o.end("nothing was changed: " + o.to + " is the primary already")
+		o.end("done: " + o.to + " is the primary already")
 	default:
 		o.from = member
 		o.begin(hold)
--- a/internal/decide/lease/fence.go
+++ b/internal/decide/lease/fence.go
@@ -23,4 +23,14 @@
 	return cmp.Or(cmp.Compare(f.Epoch, g.Epoch), cmp.Compare(f.Count, g.Count))
 }
 
+// CountBits are those of a fence's number that count grants; the epoch is above them.
+const CountBits = 24
+
+// Most is the most grants of one duty in an epoch; the next grant begins another.
+const Most = 1<<CountBits - 1
+
+// Number is the fence as one number that grows with it, for guard rows and reports. It fits what others hold exactly (53 bits)
+// for epochs under 2^29: those that begin by the clock do so until 2040.
+func (f Fence) Number() uint64 { return f.Epoch<<CountBits | f.Count }
+
 func (f Fence) String() string { return fmt.Sprintf("%d.%d", f.Epoch, f.Count) }
--- a/internal/decide/register/register.go
+++ b/internal/decide/register/register.go
@@ -466,6 +466,10 @@
 	if d.Fence.Epoch == r.s.Epoch {
 		next.Count = d.Fence.Count + 1
 	}
+	if next.Count > lease.Most {
+		r.s.Epoch++
+		next = lease.Fence{Epoch: r.s.Epoch, Count: 1}
+	}
 	if next.Epoch <= d.Barred.Epoch {
 		return
 	}
--- a/internal/decide/register/register_test.go
+++ b/internal/decide/register/register_test.go
@@ -112,6 +112,18 @@
 	}
 }
 
+// A duty that was granted as often as one number can hold goes on in the next epoch, above.
+func TestManyGrants(t *testing.T) {
+	f := begin("a")
+	f.do(take("a"))
+	f.s.Duties["d"].Fence.Count = lease.Most
+	before := f.s.Duties["d"].Fence.Number()
+	f.do(Entry{Kind: Free, Session: "a", Incarnation: 1, Duty: "d", Fence: fence(1, lease.Most)})
+	a := f.do(take("a"))
+	want(t, "fence", a.Fence, fence(2, 1))
+	want(t, "grows", a.Fence.Number() > before, true)
+}
+
 func TestSteps(t *testing.T) {
 	f := begin("a", "b")
 	f.do(take("a"))
--- /dev/null
+++ b/internal/faults/points_debug.go
@@ -0,0 +1,38 @@
+//go:build debug
+
+// Package faults has the points at which a test stops or kills a process from inside, where no signal from outside could be timed.
+// It owns the folder that names them; in a release build there is none of it.
+package faults
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// Point stops or kills this process if the folder that WAYLOFT_FAULTS names holds a file of this name, saying "stop" or "kill",
+// once: the file is gone before it happens.
+func Point(name string) {
+	dir := os.Getenv("WAYLOFT_FAULTS")
+	if dir == "" {
+		return
+	}
+	path := filepath.Join(dir, name)
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return
+	}
+	if os.Remove(path) != nil {
+		return // another thread was first
+	}
+	switch strings.TrimSpace(string(b)) {
+	case "stop":
+		syscall.Kill(os.Getpid(), syscall.SIGSTOP)
+		time.Sleep(100 * time.Millisecond) // the signal takes effect meanwhile: what follows is after the wake
+	case "kill":
+		syscall.Kill(os.Getpid(), syscall.SIGKILL)
+		select {}
+	}
+}
--- a/internal/fleet/handover.go
+++ b/internal/fleet/handover.go
@@ -7,6 +7,7 @@
 	"math"
 	"net"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/jackc/pgx/v5"
@@ -15,6 +16,7 @@
 	"wayloft/internal/decide/handover"
 	"wayloft/internal/decide/lease"
 	"wayloft/internal/decide/register"
+	"wayloft/internal/faults"
 	"wayloft/internal/fleetpb"
 	"wayloft/internal/record"
 	"wayloft/internal/wire"
@@ -30,14 +32,6 @@
 	Within         float64 // ms, for one step
 }
 
-// Number is a fence as one number, for a guard row.
-func Number(f lease.Fence) (int64, error) {
-	if f.Epoch >= 1<<34 || f.Count >= 1<<29 {
-		return 0, fmt.Errorf("the fence %v is beyond what a guard row holds", f)
-	}
-	return int64(f.Epoch<<29 | f.Count), nil
-}
-
 func (a *Adapter) connect(ctx context.Context, addr string) (*pgx.Conn, error) {
 	conf, err := pgx.ParseConfig("")
 	if err != nil {
@@ -73,10 +67,7 @@
 
 // step does one step at a member, under a fence.
 func (a *Adapter) step(ctx context.Context, addr, step string, fence lease.Fence) (handover.Outcome, error) {
-	number, err := Number(fence)
-	if err != nil {
-		return handover.Failed, err
-	}
+	number := int64(fence.Number())
 	c, err := a.connect(ctx, addr)
 	if err != nil {
 		return handover.Unknown, err // an earlier try may be on its way, so it is not said that nothing has happened
@@ -209,6 +200,7 @@
 		l.set.Record.Add("step", record.Fields{"duty": duty, "fence": fence.String(), "number": h.number, "text": d.Text})
 		logrus.WithFields(logrus.Fields{"duty": duty, "fence": fence, "order": h.number}).Info(d.Text)
 		l.note(duty, h, register.Entry{Kind: register.Note, Text: d.Text}, func(ok bool) {
+			faults.Point("noted." + strings.Fields(d.Text)[0])
 			l.again(duty, h, func() {
 				l.set.Record.Add("noted", record.Fields{"duty": duty, "fence": fence.String(), "number": h.number, "text": d.Text, "ok": ok})
 				h.owner.At(l.now())
@@ -225,17 +217,19 @@
 			}
 		}
 		go func() {
+			faults.Point("step." + d.Step) // between the look and the act
 			how, err := handover.Failed, fmt.Errorf("%s is not in the list", d.To)
-			if addr != "" {
-				ctx, cancel := context.WithTimeout(h.ctx, time.Duration(l.set.Adapter.Within*float64(time.Millisecond)))
+			if addr != "" { // one that is begun goes on, whatever becomes of the lease: the member's guard row decides
+				ctx, cancel := context.WithTimeout(l.ctx, time.Duration(l.set.Adapter.Within*float64(time.Millisecond)))
 				how, err = l.set.Adapter.step(ctx, addr, d.Step, fence)
 				cancel()
+				faults.Point("stepped." + d.Step)
 			}
 			why := ""
 			if err != nil {
 				why = d.To + ": " + err.Error()
 			}
-			l.again(duty, h, func() {
+			l.post(func() {
 				l.set.Record.Add("done", record.Fields{"duty": duty, "fence": fence.String(), "member": d.To, "step": d.Step, "how": int(how), "why": why})
 				if how == handover.Refused {
 					l.agent.Refused++ // by the member, which has nobody else to tell of it
@@ -243,8 +237,10 @@
 				if how != handover.Took {
 					logrus.WithFields(logrus.Fields{"duty": duty, "fence": fence, "member": d.To, "step": d.Step, "why": why}).Warn("step not taken")
 				}
-				h.owner.At(l.now())
-				h.owner.Done(how, why)
+				if l.hands[duty] == h && h.owner != nil {
+					h.owner.At(l.now())
+					h.owner.Done(how, why)
+				}
 			})
 		}()
 	case handover.End:
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -26,6 +26,7 @@
 	"wayloft/internal/decide/lease"
 	"wayloft/internal/decide/register"
 	"wayloft/internal/decide/sight"
+	"wayloft/internal/faults"
 	"wayloft/internal/fleetpb"
 	"wayloft/internal/must"
 	"wayloft/internal/record"
@@ -404,6 +405,7 @@
 		if fence, may := l.agent.May(duty); !may || fence != k.fence { // the last look before it goes out
 			return
 		}
+		faults.Point("sight.looked") // between the look and the act
 		k.busy[s.Name] = true
 		l.order(s, order, func(v *fleetpb.Verdict, err error) { delete(k.busy, s.Name) })
 	}
--- /dev/null
+++ b/internal/lab/fleet/probe.go
@@ -0,0 +1,98 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"wayloft/internal/decide/register"
+	client "wayloft/internal/fleet"
+	"wayloft/internal/lab/fleet/twin"
+)
+
+// Probe is clients of the council that take and give back a duty and ask where it stands, whatever befalls the council; what they
+// heard is checked against what one process would have answered.
+type Probe struct {
+	mu   sync.Mutex
+	ops  []twin.Op
+	stop context.CancelFunc
+	all  sync.WaitGroup
+}
+
+const probed = "probe"
+
+// NewProbe starts three.
+func NewProbe(fleet string, addrs []string) *Probe {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &Probe{stop: cancel}
+	begun := time.Now()
+	for n := range 3 {
+		p.all.Go(func() { p.run(ctx, begun, client.NewClient(fleet, addrs, nil), n) })
+	}
+	return p
+}
+
+func (p *Probe) run(ctx context.Context, begun time.Time, c *client.Client, n int) {
+	defer c.Close()
+	name := fmt.Sprint("probe", n)
+	now := func() float64 { return float64(time.Since(begun).Microseconds()) / 1000 }
+	for turn := 0; ctx.Err() == nil; turn++ {
+		e := register.Entry{Session: name, Incarnation: 1, Duty: probed}
+		op := twin.Op{Client: n, Duty: probed, Session: name, Begun: now(), Ended: -1}
+		one, cancel := context.WithTimeout(ctx, 3*time.Second)
+		var a register.Answer
+		var err error
+		switch turn % 4 {
+		case 0:
+			e.Kind, e.Is, e.Length = register.Open, "probe", 60000
+			a, err = c.Do(one, e)
+		case 1:
+			op.Kind, e.Kind = "take", register.Take
+			a, err = c.Do(one, e)
+		case 2:
+			op.Kind = "stand"
+			a.Fence, err = c.Stands(one, probed)
+		case 3:
+			if last := p.held(name); last.Held {
+				e.Kind, e.Fence = register.Free, last.Fence
+				c.Do(one, e)
+			}
+		}
+		cancel()
+		if op.Kind != "" && err == nil && a.Why != register.NoSession {
+			op.Ended, op.Held, op.Fence = now(), a.Held, a.Fence
+			p.mu.Lock()
+			p.ops = append(p.ops, op)
+			p.mu.Unlock()
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (p *Probe) held(name string) (last twin.Op) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, op := range p.ops {
+		if op.Session == name && op.Kind == "take" {
+			last = op
+		}
+	}
+	return last
+}
+
+// Stop ends them.
+func (p *Probe) Stop() {
+	p.stop()
+	p.all.Wait()
+}
+
+// Check says what is wrong with what they heard.
+func (p *Probe) Check() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.ops) < 20 {
+		return []string{fmt.Sprintf("only %d answers were heard of the council", len(p.ops))}
+	}
+	return twin.Linear(p.ops)
+}
--- /dev/null
+++ b/internal/lab/fleet/script.go
@@ -0,0 +1,517 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"wayloft/internal/decide/handover"
+	"wayloft/internal/decide/register"
+	client "wayloft/internal/fleet"
+	"wayloft/internal/fleetpb"
+)
+
+// Script is what befalls a fleet, step by step. Each step does something or waits for something that processes report, never
+// for a time, so that a script means the same whenever it is played.
+//
+//	stop X | wake X | term X | kill X | start X | small X BLOCKS     processes; start waits until it serves
+//	dead X [WORDS]              until it has ended by itself, with these words in its log
+//	shut X                      until one of the council whose folder has forgotten something is refused by the others, or has
+//	                            noticed and ended; which comes first is chance
+//	hole A B [there|back] | cut A B | heal A B                       links; A or B may be council, routers, members, all
+//	held A B                    until something waits on each of these links
+//	late N                      until N acts were refused for their fence
+//	fault X POINT stop|kill     at a point inside, the next time; struck X POINT: until that has come to pass
+//	lose X | keep X | restore X                                      the folder of one that is not running
+//	owner DUTY as V [not W]     until a process acts for it by its record, and another than W
+//	holder DUTY as V [not W]    until the council has a holder, another than W
+//	leader as V [not W]         until a process leads by its own record
+//	line X WHAT [k=v ...]       until its record has such a line; "lines N X WHAT ...": N of them
+//	none X WHAT [k=v ...]       it has none by now
+//	heard V [but W]             until all routers but V itself and W have taken two acts of V's
+//	sessions N | council N      until the council has so many
+//	order MEMBER                a planned change of group 0; ended WORDS: until it has ended, as the words say
+//	primary M                   until this member, and no other, takes writes
+//	barred DUTY                 until the council says that it grants it no more
+//	do ARGS                     the program with --council and --fleet, which must succeed; fails WORDS: it failed so
+//	writes                      until clients have had 40 more writes committed
+//
+// A name that begins with $ was set by "as"; other words stand for themselves.
+type Script struct {
+	Name      string            `toml:"name"`
+	Why       string            `toml:"why"`
+	Council   int               `toml:"council"`
+	Routers   int               `toml:"routers"`
+	Members   int               `toml:"members"`
+	Sight     bool              `toml:"sight"`
+	Handover  bool              `toml:"handover"`
+	Writers   int               `toml:"writers"`
+	Probe     bool              `toml:"probe"` // a client whose history at the council is checked
+	Session   string            `toml:"session"`
+	Unguarded string            `toml:"unguarded"`
+	Clocks    map[string]string `toml:"clocks"` // by process: how far ahead
+	Late      int               `toml:"late"`   // acts that must have been refused for their fence, at least
+	Steps     []string          `toml:"steps"`
+}
+
+// ReadScript decodes one.
+func ReadScript(text []byte) (*Script, error) {
+	s := &Script{Council: 3, Routers: 3, Members: 3, Session: "1s"}
+	d := toml.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(s); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Outcome is what a script came to.
+type Outcome struct {
+	Late, Taken int
+	Committed   int
+	Doubtful    int
+	Took        time.Duration
+}
+
+type run struct {
+	s      *Script
+	f      *Fleet
+	vars   map[string]string
+	client *client.Client
+	load   *Load
+	probe  *Probe
+	kept   string
+	last   struct {
+		out string
+		err error
+	}
+	order uint64
+}
+
+// Play plays a script in a folder and checks what the processes wrote.
+func Play(s *Script, binary, dir string) (o Outcome, err error) {
+	begun := time.Now()
+	session, err := time.ParseDuration(s.Session)
+	if err != nil {
+		return o, err
+	}
+	opt := Options{Binary: binary, Dir: dir, Council: s.Council, Routers: s.Routers, Members: s.Members, Switches: true, Session: session,
+		Handover: s.Handover, Unguarded: s.Unguarded, Council_: "tick = \"20ms\"\n", Router: func(name string) (string, string) {
+			if a := s.Clocks[name]; a != "" {
+				return fmt.Sprintf("clock_ahead = %q\n", a), ""
+			}
+			return "", ""
+		}}
+	if s.Sight {
+		opt.Sight = 100 * time.Millisecond
+	}
+	f, err := New(opt)
+	if err != nil {
+		return o, err
+	}
+	defer f.Close()
+	if err := f.Start(); err != nil {
+		return o, err
+	}
+	r := &run{s: s, f: f, vars: map[string]string{}, client: client.NewClient(f.Fleet, f.CouncilAddrs(), nil)}
+	defer r.client.Close()
+	if s.Writers > 0 {
+		var addrs []string
+		for _, p := range f.kind("router") {
+			addrs = append(addrs, p.Addr)
+		}
+		r.load = NewLoad(addrs, s.Writers)
+		defer r.load.Stop()
+	}
+	if s.Probe {
+		r.probe = NewProbe(f.Fleet, f.CouncilAddrs())
+		defer r.probe.Stop()
+	}
+	for n, step := range s.Steps {
+		if err := r.step(strings.Fields(step)); err != nil {
+			return o, fmt.Errorf("step %d, %s: %w", n+1, step, err)
+		}
+	}
+	if r.load != nil {
+		r.load.Stop()
+		o.Committed, o.Doubtful = len(r.load.Committed), len(r.load.Doubtful)
+	}
+	for _, p := range f.Processes() { // all that is still on its way comes to an end
+		p.Wake()
+	}
+	f.healAll()
+	wrong := Check(f)
+	if r.load != nil {
+		wrong = append(wrong, CheckWrites(filepath.Join(dir, "members"), r.load)...)
+	}
+	if r.probe != nil {
+		r.probe.Stop()
+		wrong = append(wrong, r.probe.Check()...)
+	}
+	o.Late, o.Taken, o.Took = f.count("late"), f.count("taken"), time.Since(begun)
+	if o.Late < s.Late {
+		wrong = append(wrong, fmt.Sprintf("%d late acts were refused, %d wanted at least", o.Late, s.Late))
+	}
+	if len(wrong) > 0 {
+		return o, fmt.Errorf("%s", strings.Join(wrong, "\n"))
+	}
+	return o, nil
+}
+
+func (f *Fleet) count(what string) (n int) {
+	for _, p := range f.kind("router") {
+		k, _, _ := f.Has(p.Name, what, nil)
+		n += k
+	}
+	return n
+}
+
+func (f *Fleet) healAll() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.switches {
+		s.Heal()
+	}
+}
+
+// names gives the processes that a word stands for.
+func (r *run) names(word string) (all []string) {
+	kinds := map[string]string{"council": "council", "routers": "router", "members": "member"}
+	for _, p := range r.f.Processes() {
+		if p.Kind == kinds[word] || word == "all" {
+			all = append(all, p.Name)
+		}
+	}
+	if len(all) == 0 {
+		all = append(all, word)
+	}
+	return all
+}
+
+func (r *run) links(a, b string, f func(*Switch)) error {
+	any := false
+	for _, from := range r.names(a) {
+		for _, to := range r.names(b) {
+			if s := r.f.Switch(from, to); s != nil {
+				any = true
+				f(s)
+			}
+		}
+	}
+	if !any {
+		return fmt.Errorf("no link from %s to %s", a, b)
+	}
+	return nil
+}
+
+func fields(words []string) map[string]string {
+	m := map[string]string{}
+	for _, w := range words {
+		k, v, _ := strings.Cut(w, "=")
+		m[k] = v
+	}
+	return m
+}
+
+// as sets the variable of "... as V [not W]" once f gives a value other than W's.
+func (r *run) as(words []string, what string, f func() (string, error)) error {
+	if len(words) < 2 || words[0] != "as" {
+		return fmt.Errorf("as V is missing")
+	}
+	not := ""
+	if len(words) == 4 && words[2] == "not" {
+		not = words[3]
+	}
+	return Until(what, func() (bool, error) {
+		name, err := f()
+		if err != nil || name == "" || name == not {
+			return false, err
+		}
+		r.vars["$"+words[1]] = name
+		return true, nil
+	})
+}
+
+func (r *run) look() (*fleetpb.State, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	return r.client.Look(ctx)
+}
+
+// sees waits until the council's state is so.
+func (r *run) sees(what string, f func(*fleetpb.State) bool) error {
+	return Until(what, func() (bool, error) {
+		s, err := r.look()
+		return err == nil && f(s), nil // a council without a leader has one later
+	})
+}
+
+func (r *run) step(w []string) error {
+	for n := range w {
+		if v, set := r.vars[w[n]]; set {
+			w[n] = v
+		} else if strings.HasPrefix(w[n], "$") {
+			return fmt.Errorf("%s is not set", w[n])
+		}
+	}
+	for n := range w { // {c1} is its settings, {c1.addr} its address; a space within a word is written ~
+		if inner, ok := strings.CutPrefix(strings.TrimSuffix(w[n], "}"), "{"); ok {
+			name, addr := strings.CutSuffix(inner, ".addr")
+			if p := r.f.Process(name); p != nil && addr {
+				w[n] = p.Addr
+			} else if p != nil {
+				w[n] = p.Config
+			}
+		}
+		w[n] = strings.ReplaceAll(w[n], "~", " ")
+	}
+	verb, w := w[0], w[1:]
+	var p *Process
+	if len(w) > 0 {
+		p = r.f.Process(w[0])
+	}
+	needs := map[string]bool{"stop": true, "wake": true, "term": true, "kill": true, "start": true, "small": true, "dead": true, "lose": true,
+		"keep": true, "restore": true, "shut": true, "line": true, "none": true, "fault": true, "struck": true}
+	if needs[verb] && p == nil {
+		return fmt.Errorf("no process %v", w)
+	}
+	switch verb {
+	case "stop":
+		p.Stop()
+	case "wake":
+		p.Wake()
+	case "term":
+		p.Term()
+		if !p.End(Limit) {
+			return fmt.Errorf("it does not end")
+		}
+	case "kill":
+		p.Kill()
+	case "start":
+		if err := p.Start(); err != nil {
+			return err
+		}
+		return p.Serves()
+	case "small":
+		n, err := strconv.Atoi(w[1])
+		if err != nil {
+			return err
+		}
+		return p.StartSmall(n)
+	case "dead":
+		if !p.End(Limit) {
+			return fmt.Errorf("it runs on")
+		}
+		b, err := os.ReadFile(p.Log())
+		if words := strings.Join(w[1:], " "); err == nil && !strings.Contains(string(b), words) {
+			return fmt.Errorf("its log has no %q: %s", words, lastLines(b))
+		}
+		return err
+	case "shut":
+		return Until("it is shut out", func() (bool, error) {
+			n, _, err := r.f.Has(w[0], "refused", nil)
+			if n > 0 || err != nil {
+				return n > 0, err
+			}
+			b, err := os.ReadFile(p.Log())
+			return p.Pid() == 0 && strings.Contains(string(b), "lost what was acknowledged"), err
+		})
+	case "hole":
+		there, back := true, true
+		if len(w) > 2 {
+			there, back = w[2] == "there", w[2] == "back"
+		}
+		return r.links(w[0], w[1], func(s *Switch) { s.Hole(there, back) })
+	case "cut":
+		return r.links(w[0], w[1], func(s *Switch) { s.Cut() })
+	case "heal":
+		return r.links(w[0], w[1], func(s *Switch) { s.Heal() })
+	case "held":
+		return Until("something is held back", func() (bool, error) {
+			all := true
+			err := r.links(w[0], w[1], func(s *Switch) { all = all && s.Held()[0] > 0 })
+			return all, err
+		})
+	case "late":
+		n, err := strconv.Atoi(w[0])
+		if err != nil {
+			return err
+		}
+		return Until("late acts", func() (bool, error) { return r.f.count("late") >= n, nil })
+	case "fault":
+		return r.f.Fault(w[0], w[1], w[2])
+	case "struck":
+		return Until("fault", func() (bool, error) { return r.f.Struck(w[0], w[1]), nil })
+	case "lose":
+		return os.RemoveAll(p.Folder)
+	case "keep":
+		return os.CopyFS(p.Folder+".kept", os.DirFS(p.Folder))
+	case "restore":
+		if err := os.RemoveAll(p.Folder); err != nil {
+			return err
+		}
+		return os.CopyFS(p.Folder, os.DirFS(p.Folder+".kept"))
+	case "owner":
+		return r.as(w[1:], "an owner of "+w[0], func() (string, error) {
+			name, _, err := r.f.Owner(w[0])
+			return name, err
+		})
+	case "holder":
+		return r.as(w[1:], "a holder of "+w[0], func() (string, error) {
+			s, err := r.look()
+			if err != nil {
+				return "", nil
+			}
+			for _, d := range s.State.Duties {
+				if d.Name == w[0] {
+					return d.Holder, nil
+				}
+			}
+			return "", nil
+		})
+	case "leader":
+		return r.as(w, "a leader", r.leader)
+	case "line", "lines":
+		least := 1
+		if verb == "lines" {
+			n, err := strconv.Atoi(w[0])
+			if err != nil {
+				return err
+			}
+			least, w = n, w[1:]
+		}
+		return Until("a line of its record", func() (bool, error) {
+			n, _, err := r.f.Has(w[0], w[1], fields(w[2:]))
+			return n >= least, err
+		})
+	case "heard":
+		for _, o := range r.f.kind("router") {
+			if o.Name == w[0] || len(w) > 2 && o.Name == w[2] {
+				continue
+			}
+			if err := Until(o.Name+" takes its acts", func() (bool, error) {
+				n, _, err := r.f.Has(o.Name, "taken", map[string]string{"holder": w[0]})
+				return n >= 2, err
+			}); err != nil {
+				return err
+			}
+		}
+	case "none":
+		n, last, err := r.f.Has(w[0], w[1], fields(w[2:]))
+		if err == nil && n > 0 {
+			err = fmt.Errorf("there are %d, the last %v", n, last)
+		}
+		return err
+	case "sessions", "council":
+		n, err := strconv.Atoi(w[0])
+		if err != nil {
+			return err
+		}
+		return r.sees(fmt.Sprint(n, " ", verb), func(s *fleetpb.State) bool {
+			if verb == "council" {
+				return len(s.Council) == n
+			}
+			return len(slices.DeleteFunc(s.State.Sessions, func(s *fleetpb.Session) bool { return s.Kind != "router" })) == n
+		})
+	case "order":
+		ctx, cancel := context.WithTimeout(context.Background(), Limit)
+		defer cancel()
+		a, err := r.client.Do(ctx, register.Entry{Kind: register.Order, Duty: handover.Duty(0), Text: handover.Order(w[0])})
+		if err == nil && !a.Held {
+			err = fmt.Errorf("%s", a.Why)
+		}
+		r.order = a.Number
+		return err
+	case "ended":
+		text := ""
+		if err := r.sees("the order ends", func(s *fleetpb.State) bool {
+			for _, d := range s.State.Duties {
+				if d.Name == handover.Duty(0) && d.Ended.GetNumber() == r.order {
+					text = d.Ended.Text
+					return true
+				}
+			}
+			return false
+		}); err != nil {
+			return err
+		}
+		if want := strings.Join(w, " "); !strings.Contains(text, want) {
+			return fmt.Errorf("it ended %q", text)
+		}
+	case "primary":
+		return Until("the primary", func() (bool, error) { return slices.Equal(r.f.Primaries(), w), nil })
+	case "barred":
+		return r.sees("the duty is barred", func(s *fleetpb.State) bool {
+			return slices.ContainsFunc(s.State.Duties, func(d *fleetpb.Duty) bool {
+				return d.Name == w[0] && d.Holder == "" && d.Barred.GetEpoch() >= s.Epoch
+			})
+		})
+	case "do":
+		if r.last.out, r.last.err = r.f.Command(w...); r.last.err != nil {
+			return fmt.Errorf("%w: %s", r.last.err, r.last.out)
+		}
+	case "fails":
+		for n, word := range w {
+			if word == "--" {
+				out, err := r.f.Command(slices.Clone(w[:n])...)
+				if words := strings.Join(w[n+1:], " "); err == nil || !strings.Contains(out, words) {
+					return fmt.Errorf("%v: %s", err, out)
+				}
+				return nil
+			}
+		}
+		return fmt.Errorf("-- WORDS is missing")
+	case "join":
+		p, err := r.f.Join(w[0])
+		if err != nil {
+			return err
+		}
+		if err := p.Start(); err != nil {
+			return err
+		}
+		if err := p.Serves(); err != nil {
+			return err
+		}
+		return r.change("add", w[0]+"="+p.Addr)
+	case "remove":
+		return r.change("remove", w[0])
+	case "writes":
+		return r.load.More(40)
+	default:
+		return fmt.Errorf("unknown step")
+	}
+	return nil
+}
+
+// change is the operator's command, again while the council elects or another change is on.
+func (r *run) change(args ...string) error {
+	return Until(strings.Join(args, " "), func() (bool, error) {
+		_, err := r.f.Command(append([]string{"council"}, args...)...)
+		return err == nil, nil
+	})
+}
+
+// leader gives who leads by the records of those that run: the latest term counts.
+func (r *run) leader() (string, error) {
+	name, top := "", 0.0
+	for _, p := range r.f.kind("council") {
+		lines, err := r.f.Record(p.Name)
+		if err != nil {
+			return "", err
+		}
+		for _, l := range lines {
+			if term, _ := l["term"].(float64); l.Text("what") == "leads" && l.Text("leader") != "" && term > top {
+				name, top = l.Text("leader"), term
+			}
+		}
+	}
+	return name, nil
+}
--- a/internal/lab/fleet/twin/history.go
+++ b/internal/lab/fleet/twin/history.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/anishathalye/porcupine"
@@ -40,18 +42,17 @@
 	Equal: func(a, b any) bool { return a == b },
 }
 
-// history checks that what the council answered could have been answered by one process, one request after the other.
-func (w *World) history() (wrong []string) {
+// Linear checks that what the council answered could have been answered by one process, one request after the other.
+func Linear(ops []Op) (wrong []string) {
 	by := map[string][]porcupine.Operation{}
-	for _, op := range w.Ops {
+	for _, op := range ops {
 		if op.Ended < 0 || !op.Held && op.Fence == (lease.Fence{}) { // unanswered, or refused before the duty was looked at
 			continue
 		}
 		by[op.Duty] = append(by[op.Duty], porcupine.Operation{ClientId: op.Client, Input: op, Call: int64(op.Begun * 1e6),
 			Output: op, Return: int64(math.Max(op.Ended, op.Begun) * 1e6)})
 	}
-	for n := range w.opt.Duties {
-		d := duty(n)
+	for _, d := range slices.Sorted(maps.Keys(by)) {
 		switch porcupine.CheckOperationsTimeout(model, by[d], 10*time.Second) {
 		case porcupine.Illegal:
 			wrong = append(wrong, fmt.Sprintf("history of %s: its %d answers can't be put in an order", d, len(by[d])))
--- a/internal/lab/fleet/twin/twin.go
+++ b/internal/lab/fleet/twin/twin.go
@@ -709,6 +709,6 @@
 		}
 	}
 	if len(w.Wrong) == 0 {
-		w.Wrong = w.history()
+		w.Wrong = Linear(w.Ops)
 	}
 }
--- a/internal/standin/pgserver/server.go
+++ b/internal/standin/pgserver/server.go
@@ -29,6 +29,7 @@
 	Commits int
 	Order   []string // handles as they were committed, once for each effect, where Keep is set
 	Keep    bool
+	shared  *shared // where its members are processes
 }
 
 type version struct {
@@ -71,6 +72,9 @@
 func (c *Cluster) read(handle string, upTo float64) (string, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.shared != nil {
+		c.catchUp()
+	}
 	for _, v := range slices.Backward(c.rows[handle]) {
 		if v.at <= upTo {
 			return v.value, true
@@ -99,7 +103,8 @@
 // Server is a small PostgreSQL server over a cluster's rows: transactions, settings, prepared statements, COPY and
 // cancels as the public protocol describes them. It records what each connection is told.
 type Server struct {
-	Addr    string
+	Listen  string // where it is to listen, on loopback; any port if nothing is said
+	Addr    string // where it does
 	Cluster *Cluster
 	Lag     time.Duration // of a replica
 	Delay   func() time.Duration
@@ -125,14 +130,15 @@
 
 // NewServer starts one on loopback; it stops with Close.
 func NewServer(c *Cluster, set func(*Server)) (*Server, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	s := &Server{Addr: l.Addr().String(), Cluster: c, listen: l, conns: map[int]*served{}}
+	s := &Server{Cluster: c, Listen: "127.0.0.1:0", conns: map[int]*served{}}
 	if set != nil {
 		set(s)
 	}
+	l, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return nil, err
+	}
+	s.Addr, s.listen = l.Addr().String(), l
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -185,6 +191,9 @@
 }
 
 func (s *Server) isPrimary() bool {
+	if own := s.Cluster.shared; own != nil {
+		return own.takes(own.name)
+	}
 	s.Cluster.mu.Lock()
 	defer s.Cluster.mu.Unlock()
 	return s.Cluster.primary == s
@@ -210,6 +219,8 @@
 	undo     []undo // [0]: at the transaction's start
 	status   byte
 	implicit bool
+	mark     int    // where the implicit one's answers begin
+	staged   change // what is done beside rows when it commits
 	skips    bool
 	readOnly bool
 	writes   [][2]string
@@ -419,14 +430,43 @@
 	c.out = pg.AppendParameter(c.out, "as_of", strconv.FormatFloat(at, 'f', 3, 64))
 }
 
+// commits makes what a transaction did last; where it can't, all that its statements said is taken back and an error stands
+// in its place.
+func (c *served) commits() bool {
+	ch := c.staged
+	c.staged = change{}
+	if c.s.Cluster.shared == nil {
+		if len(c.writes) > 0 {
+			c.position(c.s.Cluster.commit(c.writes))
+		}
+		return true
+	}
+	if len(c.writes) == 0 && ch == (change{}) {
+		return true
+	}
+	at, err := c.s.Cluster.apply(c.writes, ch)
+	if err != nil {
+		if c.implicit {
+			c.out = c.out[:min(c.mark, len(c.out))]
+		}
+		c.fail(pg.NoPrimary, err.Error())
+		return false
+	}
+	if at > 0 {
+		c.position(at)
+	}
+	return true
+}
+
 // ready ends an implicit transaction and tells where things stand.
 func (c *served) ready() {
 	if c.implicit {
 		c.implicit = false
 		if c.failing {
 			c.restore(0)
-		} else if len(c.writes) > 0 {
-			c.position(c.s.Cluster.commit(c.writes))
+			c.staged = change{}
+		} else {
+			c.commits()
 		}
 		c.writes, c.undo = nil, nil
 	}
@@ -622,7 +662,7 @@
 		return
 	}
 	if c.status == 'I' && !c.implicit && cmd.Act != pg.Begin {
-		c.implicit = true
+		c.implicit, c.mark = true, len(c.out)
 		c.undo = []undo{{settings: maps.Clone(c.settings)}}
 	}
 	if c.s.Delay != nil && !c.pause(c.s.Delay()) {
@@ -668,14 +708,15 @@
 		if c.status == 'I' { // it ends the implicit one
 			if back {
 				c.restore(0)
-			} else if len(c.writes) > 0 {
-				c.position(c.s.Cluster.commit(c.writes))
+			} else if !c.commits() {
+				back = true
 			}
 			c.writes, c.undo = nil, []undo{{settings: maps.Clone(c.settings)}}
 			c.tag(map[bool]string{true: "ROLLBACK", false: "COMMIT"}[back])
 			return
 		}
 		if c.status, c.readOnly = 'I', false; back {
+			c.staged = change{}
 			c.restore(0)
 			c.tag("ROLLBACK")
 		} else {
@@ -691,10 +732,9 @@
 					delete(c.settings, k)
 				}
 			}
-			if len(c.writes) > 0 {
-				c.position(c.s.Cluster.commit(c.writes))
+			if c.commits() {
+				c.tag("COMMIT")
 			}
-			c.tag("COMMIT")
 		}
 		c.undo, c.writes = nil, nil
 		inside(-1)
@@ -821,6 +861,9 @@
 	}
 	flat = strings.TrimRight(flat, "; ")
 	low := strings.ToLower(flat)
+	if c.control(flat, args, simple) {
+		return
+	}
 	switch {
 	case cmd.Act == pg.Show && cmd.Name == "vitals":
 		at, role := c.s.applied(), 0
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -43,6 +43,9 @@
 	return float64(t.Sec)*1000 + float64(t.Nsec)/1e6
 }
 
+// Epoch is that of a council that begins now: the seconds since November 2023, so that one that begins later is above.
+func Epoch(now time.Time) uint64 { return uint64(max(1, now.Unix()-1700000000)) }
+
 // Draw gives a number that nobody else has: of a folder, or of a start.
 func Draw() uint64 {
 	var b [8]byte
