A handover that is taken back can't leave two primaries: ranks of steps in the guard row

Seen: the property test over lost owners, lost answers and late steps found "two take writes" after [bar m2, yield m1, take m2 (no answer), bar m2, take m1]: a step sent and not answered could still arrive after its own owner had gone back, under the same fence, and what "back" asked of the new primary (bar) did not undo what it may have done. At fault: back and the guard's order in decide/handover. Now each step has a rank under its fence, which is part of the number in the guard row; "back" has the new primary yield before the old one takes writes again, and ends "stuck" where nobody can tell; where no member was asked for anything, "leave" only lets go.

--- a/internal/decide/handover/handover.go
+++ b/internal/decide/handover/handover.go
@@ -28,7 +28,8 @@
 	yield   = "yield"   // FROM TO: the old primary takes no more writes
 	take    = "take"    // FROM TO: the new one does
 	release = "release" // FROM TO: routers let go
-	back    = "back"    // FROM TO: nothing comes of it: the old primary takes writes again, routers let go
+	back    = "back"    // FROM TO: nothing comes of it: the new one takes none, the old one does again, routers let go
+	leave   = "leave"   // FROM TO: nothing comes of it, and nothing was begun at the members: routers let go
 )
 
 // lookAgain is how long, in ms, a router whose writes run is left alone before it is asked again.
@@ -85,6 +86,7 @@
 	To   string
 	Word Word
 	Step string
+	Rank uint64  // Do: of this step among those under one fence; the member refuses a lower one, as it does a lower fence
 	Most float64 // Hold: for so many ms at most
 }
 
@@ -104,6 +106,8 @@
 	out      []Decision
 	over     bool
 	tries    int
+	rank     uint64
+	begunAt  bool // a member may have been asked to yield, by this owner or one before
 }
 
 type guest struct {
@@ -119,12 +123,14 @@
 func Order(to string) string { return "to " + to }
 
 // NewOwner takes an order up where the steps say that it stands.
-func NewOwner(set Settings, order string, steps []register.Step, now float64) (*Owner, error) {
+// rank is that of the last step under this fence: a step that was sent and not answered may still arrive after later ones of the
+// same owner, and must be refused as one of a former owner is.
+func NewOwner(set Settings, order string, steps []register.Step, rank uint64, now float64) (*Owner, error) {
 	to, ok := strings.CutPrefix(order, "to ")
 	if !ok || to == "" {
 		return nil, fmt.Errorf("the order %q is none that this build knows", order)
 	}
-	o := &Owner{set: set, now: now, begun: now, to: to, routers: map[string]*guest{}}
+	o := &Owner{set: set, now: now, begun: now, to: to, rank: rank, routers: map[string]*guest{}}
 	if len(steps) == 0 {
 		o.out = append(o.out, Decision{Verb: Find})
 		o.waits = true
@@ -136,11 +142,12 @@
 	}
 	o.from, o.held = last[1], true
 	switch last[0] {
-	case hold: // nothing has changed at the members, but what the owner before had begun may still be on its way there
+	case hold: // nothing was asked of the members
 		o.why = "its owner was lost while writes were held"
-		o.begin(back)
-	case yield, take, release, back:
-		if last[0] == back {
+		o.begin(leave)
+	case yield, take, release, back, leave:
+		o.begunAt = last[0] != leave
+		if last[0] == back || last[0] == leave {
 			o.why = "taken back"
 		}
 		o.begin(last[0])
@@ -235,12 +242,13 @@
 	case how == Took:
 		o.at, o.tries = o.at+1, 0
 	case how == Failed && (o.phase == yield || o.phase == take):
-		o.why = why
-		o.begin(back)
+		o.undo(why)
 	case o.phase == take && o.now-o.begun > 4*o.set.Hold, o.phase == yield && o.now-o.begun > o.set.Hold:
-		o.why = "not done in time: " + why
-		o.begin(back)
-	case o.phase == back && o.tries >= 3: // all that can be done has been: an operator must look
+		o.undo("not done in time: " + why)
+	case o.phase == back && o.at == 0 && o.now-o.begun > 8*o.set.Hold:
+		// Whether it took over, only it can say: that the old one takes writes again might make two that do.
+		o.end("stuck: nobody can tell whether " + o.to + " takes writes, and " + o.from + " takes none; an operator must look: " + why)
+	case o.phase == back && o.at == 1 && o.tries >= 3: // all that can be done has been
 		o.why += "; " + why
 		o.at, o.tries = o.at+1, 0
 	default:
@@ -250,6 +258,15 @@
 	o.step()
 }
 
+// undo takes back what was begun, if anything was.
+func (o *Owner) undo(why string) {
+	if o.why = why; o.begunAt {
+		o.begin(back)
+	} else {
+		o.begin(leave)
+	}
+}
+
 func (o *Owner) end(how string) {
 	if !o.over {
 		o.over = true
@@ -259,7 +276,7 @@
 
 // step goes on as far as it can.
 func (o *Owner) step() {
-	if o.over || o.waits && o.phase != hold && o.phase != release && o.phase != back || o.at < 0 {
+	if o.over || o.waits && (o.phase == yield || o.phase == take) || o.at < 0 {
 		return
 	}
 	switch o.phase {
@@ -287,10 +304,14 @@
 		if o.letGo() {
 			o.end("done: " + o.to + " is the primary in place of " + o.from)
 		}
+	case leave:
+		if o.letGo() {
+			o.end("taken back, " + o.from + " is the primary: " + o.why)
+		}
 	case back:
 		switch {
-		case o.at == 0: // what an owner of before still has on its way must find the door shut
-			o.do(o.to, Bar)
+		case o.at == 0: // it may have taken over, by this owner's word or one's before that is still on its way
+			o.do(o.to, Yield)
 		case o.at == 1:
 			o.do(o.from, Take)
 		case o.letGo():
@@ -351,12 +372,25 @@
 		return
 	}
 	o.waits = true
-	o.out = append(o.out, Decision{Verb: Do, To: member, Step: step})
+	o.begunAt = o.begunAt || step == Yield
+	if o.tries == 0 {
+		o.rank++
+	}
+	o.out = append(o.out, Decision{Verb: Do, To: member, Step: step, Rank: o.rank})
 }
 
 // Over tells whether nothing is left to do, whether the order has ended or another owns it.
 func (o *Owner) Over() bool { return o.over && len(o.out) == 0 }
 
+// Rank is that of the latest step.
+func (o *Owner) Rank() uint64 { return o.rank }
+
+// RankBits are those below a fence's number in a guard row; an owner that has used most of them gives its duty back.
+const RankBits = 10
+
+// Spent tells whether an owner should get another fence before it takes up another order.
+func Spent(rank uint64) bool { return rank > 1<<RankBits-100 }
+
 // Phase tells where it stands, for people.
 func (o *Owner) Phase() string { return o.phase }
 
--- a/internal/decide/handover/handover_test.go
+++ b/internal/decide/handover/handover_test.go
@@ -28,7 +28,7 @@
 
 func begin(t interface{ Fatal(...any) }, w *world) {
 	w.fence++
-	o, err := NewOwner(Settings{Hold: 3000, Wait: 1000, Step: 300}, Order("m2"), w.steps, w.now)
+	o, err := NewOwner(Settings{Hold: 3000, Wait: 1000, Step: 300}, Order("m2"), w.steps, 0, w.now)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -53,6 +53,9 @@
 	return Took
 }
 
+// guards is what a step shows to a guard row.
+func (w *world) guards(d Decision) int { return w.fence<<RankBits | int(d.Rank) }
+
 // do carries one decision out as it was meant to be.
 func (w *world) do(d Decision) {
 	w.log = append(w.log, fmt.Sprint(d.Verb))
@@ -65,7 +68,7 @@
 	case Tell:
 		w.o.Told(d.To, d.Word, true, 0)
 	case Do:
-		w.o.Done(w.at(d.To, d.Step, w.fence), "")
+		w.o.Done(w.at(d.To, d.Step, w.guards(d)), "")
 	case End:
 		w.ended, w.steps = d.Text, nil
 	}
@@ -106,7 +109,7 @@
 
 // A next owner finds each step noted by one that was lost before or after it took it, and ends with one primary.
 func TestNextOwner(t *testing.T) {
-	for _, step := range []string{hold, yield, take, release, back} {
+	for _, step := range []string{hold, yield, take, release, back, leave} {
 		for _, took := range []bool{false, true} {
 			w := fresh()
 			w.steps = []register.Step{{Text: step + " m1 m2"}}
@@ -123,7 +126,7 @@
 			begin(t, w)
 			w.run(t)
 			want := "m2"
-			if step == hold || step == back {
+			if step == hold || step == back || step == leave {
 				want = "m1"
 			}
 			if !slices.Equal(w.primaries(), []string{want}) || w.ended == "" {
@@ -131,10 +134,10 @@
 			}
 		}
 	}
-	if _, err := NewOwner(Settings{}, Order("m2"), []register.Step{{Text: "leap m1 m2"}}, 0); err == nil {
+	if _, err := NewOwner(Settings{}, Order("m2"), []register.Step{{Text: "leap m1 m2"}}, 0, 0); err == nil {
 		t.Error("a step of a later build was passed over")
 	}
-	if _, err := NewOwner(Settings{}, "away", nil, 0); err == nil {
+	if _, err := NewOwner(Settings{}, "away", nil, 0, 0); err == nil {
 		t.Error("an order of a later build was taken")
 	}
 }
@@ -219,7 +222,7 @@
 			how := rapid.IntRange(0, 9).Draw(t, "how")
 			switch {
 			case d.Verb == Do && owners > 1 && how == 0: // it is sent, and no answer is heard
-				onTheWay = append(onTheWay, late{d.To, d.Step, w.fence})
+				onTheWay = append(onTheWay, late{d.To, d.Step, w.guards(d)})
 				w.o.Done(Unknown, "lost")
 			case d.Verb == Do && how == 1:
 				w.o.Done(Failed, "no")
@@ -227,7 +230,7 @@
 				if rapid.IntRange(0, 3).Draw(t, "late") == 0 {
 					deliver()
 				}
-				w.o.Done(w.at(d.To, d.Step, w.fence), "")
+				w.o.Done(w.at(d.To, d.Step, w.guards(d)), "")
 			case d.Verb == Tell && how < 3:
 				w.o.Told(d.To, d.Word, false, 0)
 			default:
--- a/internal/fleet/handover.go
+++ b/internal/fleet/handover.go
@@ -26,7 +26,7 @@
 type Adapter struct {
 	User, Database string
 	Primary        string  // one row, true at the member that takes writes
-	Guard          string  // $1: the fence; changes one row, none where the member has seen a higher one
+	Guard          string  // $1: the fence, and the step's rank under it; changes one row, none where the member has seen a higher one
 	Seen           string  // the guard row's fence, as one row; none where there is no guard row
 	Yield, Take    string  // in the same transaction as Guard
 	Within         float64 // ms, for one step
@@ -66,8 +66,8 @@
 }
 
 // step does one step at a member, under a fence.
-func (a *Adapter) step(ctx context.Context, addr, step string, fence lease.Fence) (handover.Outcome, error) {
-	number := int64(fence.Number())
+func (a *Adapter) step(ctx context.Context, addr, step string, fence lease.Fence, rank uint64) (handover.Outcome, error) {
+	number := int64(fence.Number()<<handover.RankBits | rank)
 	c, err := a.connect(ctx, addr)
 	if err != nil {
 		return handover.Unknown, err // an earlier try may be on its way, so it is not said that nothing has happened
@@ -112,17 +112,23 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	closed uint64 // the order that was ended last
+	rank   uint64 // of the latest step under this fence
 }
 
 // hand goes on with a handover, if one is ordered.
 func (l *Link) hand(duty string, now float64) {
 	h := l.hands[duty]
 	if h.owner == nil {
+		if handover.Spent(h.rank) { // another fence has ranks of its own
+			l.agent.Unwant(duty)
+			l.wantAt[duty] = now + settled
+			return
+		}
 		d, known := l.agent.Duty(duty)
 		if !known || d.Open.Number == 0 || d.Open.Number == h.closed || d.Holder != l.set.Name || d.Fence != h.fence {
 			return
 		}
-		owner, err := handover.NewOwner(l.set.Hold, d.Open.Text, d.Steps, now)
+		owner, err := handover.NewOwner(l.set.Hold, d.Open.Text, d.Steps, h.rank, now)
 		if err != nil {
 			logrus.WithError(err).WithField("duty", duty).Error("an order that can't be carried out")
 			h.closed = d.Open.Number
@@ -142,6 +148,7 @@
 	for d, more := h.owner.Next(); more; d, more = h.owner.Next() {
 		l.carry(duty, h, d)
 	}
+	h.rank = h.owner.Rank()
 	if h.owner.Over() {
 		h.cancel()
 		h.owner, h.closed = nil, h.number
@@ -221,7 +228,7 @@
 			how, err := handover.Failed, fmt.Errorf("%s is not in the list", d.To)
 			if addr != "" { // one that is begun goes on, whatever becomes of the lease: the member's guard row decides
 				ctx, cancel := context.WithTimeout(l.ctx, time.Duration(l.set.Adapter.Within*float64(time.Millisecond)))
-				how, err = l.set.Adapter.step(ctx, addr, d.Step, fence)
+				how, err = l.set.Adapter.step(ctx, addr, d.Step, fence, d.Rank)
 				cancel()
 				faults.Point("stepped." + d.Step)
 			}
--- a/internal/lab/fleet/twin/handing.go
+++ b/internal/lab/fleet/twin/handing.go
@@ -17,6 +17,7 @@
 type member struct {
 	primary bool
 	guard   lease.Fence
+	rank    uint64
 }
 
 // line is one of the group's log, over all members.
@@ -191,6 +192,7 @@
 	number uint64
 	owner  *handover.Owner
 	closed uint64
+	rank   uint64
 
 	stepping string // at a member, decided and not yet sent
 }
@@ -206,7 +208,7 @@
 		if !known || d.Open.Number == 0 || d.Open.Number == h.closed || d.Holder != p.Name || d.Fence != h.fence {
 			return
 		}
-		owner, err := handover.NewOwner(handover.Settings{Hold: holdFor, Wait: holdFor / 3, Step: 300}, d.Open.Text, d.Steps, p.clock())
+		owner, err := handover.NewOwner(handover.Settings{Hold: holdFor, Wait: holdFor / 3, Step: 300}, d.Open.Text, d.Steps, h.rank, p.clock())
 		if err != nil {
 			p.w.wrong("%s: %v", p.Name, err)
 			h.closed = d.Open.Number
@@ -223,6 +225,7 @@
 	for d, more := h.owner.Next(); more; d, more = h.owner.Next() {
 		p.step(h, d)
 	}
+	h.rank = h.owner.Rank()
 	if h.owner.Over() {
 		h.owner, h.closed = nil, h.number
 	}
@@ -284,11 +287,11 @@
 			w.send(p, to, 80, func() {
 				how := handover.Took
 				switch m := to.member; {
-				case fence.Compare(m.guard) < 0 && !w.opt.Planted.Unguarded:
+				case (fence.Compare(m.guard) < 0 || fence == m.guard && d.Rank < m.rank) && !w.opt.Planted.Unguarded:
 					how = handover.Refused
 					w.planned.lateAt++
 				default:
-					m.guard = fence
+					m.guard, m.rank = fence, d.Rank
 					if d.Step == handover.Take && !m.primary {
 						w.planned.log = append(w.planned.log, line{by: to.Name, takes: true})
 					}
