--- a/internal/lab/fleet/script.go
+++ b/internal/lab/fleet/script.go
@@ -17,6 +17,7 @@
 	"wayloft/internal/decide/register"
 	client "wayloft/internal/fleet"
 	"wayloft/internal/fleetpb"
+	"wayloft/internal/wire"
 )
 
 // Script is what befalls a fleet, step by step. Each step does something or waits for something that processes report, never
@@ -41,6 +42,7 @@
 //	order MEMBER                a planned change of group 0; ended WORDS: until it has ended, as the words say
 //	primary M                   until this member, and no other, takes writes
 //	queue DUTY N                until so many wait for it
+//	second                      until the clock has gone on by a second since the council began: the next to begin is above it
 //	barred DUTY                 until the council says that it grants it no more
 //	do ARGS                     the program with --council and --fleet, which must succeed; fails WORDS: it failed so
 //	writes                      until clients have had 40 more writes committed
@@ -458,6 +460,8 @@
 		return r.sees("the queue", func(s *fleetpb.State) bool {
 			return slices.ContainsFunc(s.State.Duties, func(d *fleetpb.Duty) bool { return d.Name == w[0] && len(d.Queue) == n })
 		})
+	case "second":
+		return r.sees("the clock goes on", func(s *fleetpb.State) bool { return s.Epoch < wire.Epoch(time.Now()) })
 	case "barred":
 		return r.sees("the duty is barred", func(s *fleetpb.State) bool {
 			return slices.ContainsFunc(s.State.Duties, func(d *fleetpb.Duty) bool {
--- a/router/router.go
+++ b/router/router.go
@@ -30,7 +30,6 @@
 	lostAfter  = 5.5    // expected waits; one healthy txn in 250 takes longer (e^-5.5)
 	firstLimit = 1.0    // submissions at once to a member not yet known: all routers may start together
 	reserve    = 1.5    // of the chance to be taken on, so that a few slow answers in a row change nothing
-	slack      = 0.8    // of the time in which a declined txn could come back, so that it is not too late
 	leastLimit = 0.2    // a fifth of the time, so that a member that recovers is still noticed
 )
 
@@ -927,12 +926,8 @@
 	if t.mayRun != Never && !promise {
 		return Decision{Verb: RollBack, Txn: t.id}
 	}
-	// Back while it is worth the most, else late: nothing here tells how long a jam lasts.
-	wait := r.set.RetryAfter
-	if left := t.arrived + t.kind.SLA - r.now - r.usual(t); left > 0 {
-		wait = math.Min(wait, slack*left)
-	}
-	return Decision{Verb: Decline, Txn: t.id, Wait: wait}
+	// A repeat could not be answered in time either; the wait may be longer than needed after a short jam.
+	return Decision{Verb: Decline, Txn: t.id, Wait: r.set.RetryAfter}
 }
 
 // usual is the smoothed time to an answer of a txn type, over all members. Until some are in, a quarter of
