--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"bufio"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"os"
@@ -8,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 )
 
@@ -83,3 +86,81 @@
 		}
 	}
 }
+
+// What a person starts tells each process with its address and pid, then that it is ready; status has the keys that programs read;
+// an interrupt ends all that was started.
+func TestForAPerson(t *testing.T) {
+	binary, err := build()
+	if err != nil {
+		t.Fatal(err)
+	}
+	few <- true
+	defer func() { <-few }()
+	cmd := exec.Command(binary, "lab", "fleet", "--council", "3", "--routers", "2", "--members", "2")
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	lines := bufio.NewScanner(out)
+	kinds, pids, council := map[string]int{}, []int{}, ""
+	for lines.Scan() && lines.Text() != "ready" {
+		var kind, addr string
+		var n, pid int
+		if _, err := fmt.Sscanf(lines.Text(), "%s %d %s pid %d", &kind, &n, &addr, &pid); err != nil || n != kinds[kind]+1 || pid <= 0 {
+			t.Fatalf("%q: %v", lines.Text(), err)
+		}
+		if kinds[kind]++; kind == "council" {
+			council = addr
+		}
+		pids = append(pids, pid)
+	}
+	if fmt.Sprint(kinds) != "map[council:3 member:2 router:2]" {
+		t.Fatal(kinds)
+	}
+	var status struct {
+		Duties []struct {
+			Duty, Holder string
+			Fence        uint64
+			Since        *uint64 `json:"since_ms"`
+		}
+		Sessions []struct {
+			Name, Kind string
+			Policy     *uint64
+		}
+		Council []struct {
+			Name    string
+			Leader  bool
+			Applied uint64
+		}
+		Refused *int
+	}
+	if err := Until("both duties are owned", func() (bool, error) {
+		text, err := exec.Command(binary, "fleet", "status", "--json", "--council", council).Output()
+		if err != nil {
+			return false, nil // no leader yet
+		}
+		if err := json.Unmarshal(text, &status); err != nil {
+			return false, err
+		}
+		return len(status.Duties) == 2 && status.Duties[0].Holder != "" && status.Duties[1].Holder != "" && len(status.Sessions) == 2, nil
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if d := status.Duties[1]; d.Duty != "sight/0" || d.Fence == 0 || d.Fence >= 1<<53 || d.Since == nil || status.Refused == nil || status.Sessions[0].Policy == nil ||
+		status.Sessions[0].Kind != "router" || len(status.Council) != 3 || status.Council[0].Applied == 0 {
+		t.Errorf("%+v", status)
+	}
+	cmd.Process.Signal(os.Interrupt)
+	if err := cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+	for _, pid := range pids {
+		if err := syscall.Kill(pid, 0); err == nil {
+			t.Errorf("process %d runs on", pid)
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/fleet_test.go
@@ -0,0 +1,89 @@
+package settings
+
+import (
+	"os"
+	"strings"
+	"testing"
+)
+
+const minimal = `name = "n1"
+listen = "127.0.0.1:1"
+[limits]
+memory = "64MiB"
+descriptors = 100
+sessions = 10
+connections = 10
+`
+
+// The files that we ship are read as they are, and what is not given has a value.
+func TestShipped(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/council.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := ReadCouncil(text)
+	if err != nil || c.Name != "c1" || len(c.Peers) != 3 || c.Tick != 50 || c.Keep != 10000 || c.Connections != 4096 {
+		t.Errorf("%+v, %v", c, err)
+	}
+	if text, err = os.ReadFile("../../deploy/fleet.toml"); err != nil {
+		t.Fatal(err)
+	}
+	f, err := Read([]byte(minimal + string(text)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f.Fleet.Session != 2000 || f.Fleet.Margin != 200 || f.Fleet.MostHeld != 5000 || f.Fleet.Handover.Wait != 1000 || f.Fleet.Sight != 250 {
+		t.Errorf("%+v, %+v", f.Fleet, f.Fleet.Handover)
+	}
+	if f, err = Read([]byte(minimal)); err != nil || len(f.Fleet.Council) != 0 || f.Fleet.Session != 0 {
+		t.Errorf("without a council the fleet's part is off: %+v, %v", f.Fleet, err)
+	}
+}
+
+// What is wrong is named, with its place.
+func TestFleetMistakes(t *testing.T) {
+	council, err := os.ReadFile("../../deploy/council.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	fleet, err := os.ReadFile("../../deploy/fleet.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ of, old, new, want string }{
+		{"council", `name = "c1"
+listen`, `nam = "c1"
+listen`, "line 6: council.nam: no such key"},
+		{"council", `"/var/lib/wayloft/c1"`, `""`, "folder must be given"},
+		{"council", `listen = "127.0.0.1:7101"`, `listen = "7101"`, "council.listen"},
+		{"council", `address = "127.0.0.1:7103"`, `address = "x"`, "council.peers[2].address"},
+		{"council", `name = "c1"
+listen`, `name = "c9"
+listen`, `"c9", this process, is not among them`},
+		{"council", `# join = true `, `join = true # `, "one that joins begins nothing"},
+		{"council", `# keep = 10000 `, `keep = 3 # `, "are the least"},
+		{"council", `# tick = "50ms" `, `tick = "soon" # `, `must be a time like 250ms or 2s, not "soon"`},
+		{"fleet", `council = [`, `# council = [`, "fleet.council: must be given"},
+		{"fleet", `"127.0.0.1:7102"`, `"7102"`, "fleet.council[1]"},
+		{"fleet", `orders = "127.0.0.1:7201"`, `orders = ""`, "fleet.orders"},
+		{"fleet", `# session = "2s"`, `session = "1ms"`, "session must be from 200ms to 1m"},
+		{"fleet", `fence <= $1"`, `true"`, ""},
+		{"fleet", `fence = $1 WHERE duty = 'handover' AND fence <= $1`, `fence = 1`, "fleet.handover.guard: must name $1"},
+		{"fleet", `take = "SELECT wayloft_take()"`, ``, "fleet.handover.take: the statement must be given"},
+		{"fleet", `step = "1s"`, `stop = "1s"`, "fleet.handover.stop: no such key"},
+	} {
+		text := map[string]string{"council": string(council), "fleet": minimal + string(fleet)}[c.of]
+		if !strings.Contains(text, c.old) {
+			t.Fatalf("%q is not in the file", c.old)
+		}
+		text = strings.Replace(text, c.old, c.new, 1)
+		if c.of == "council" {
+			_, err = ReadCouncil([]byte(text))
+		} else {
+			_, err = Read([]byte(text))
+		}
+		if c.want == "" && err != nil || c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want)) {
+			t.Errorf("%q for %q: %v, want %q", c.new, c.old, err, c.want)
+		}
+	}
+}
