An owner of handover doesn't begin an order of before anew when a lagging council tells of it

A trace of the steps showed r3 end order 3 at 8,710 ms and note "yield m2 m1" of order 2 at 8,737: its watch had gone to a process of the council that was cut off and still had order 2 open with its steps, under the same fence. Ruled out: guard rows and fences, which were right, since it was the owner itself. At fault: hand() in internal/fleet and in the twin asked only whether the order was the very one that it had ended last. Orders are numbered, and those up to the last ended are old now. TestOldOrder fails without it.

--- a/internal/fleet/handover.go
+++ b/internal/fleet/handover.go
@@ -111,7 +111,7 @@
 	owner  *handover.Owner
 	ctx    context.Context
 	cancel context.CancelFunc
-	closed uint64 // the order that was ended last
+	closed uint64 // the order that was ended last: what a lagging council tells of it, or of one before, is old
 	rank   uint64 // of the latest step under this fence
 }
 
@@ -125,7 +125,7 @@
 			return
 		}
 		d, known := l.agent.Duty(duty)
-		if !known || d.Open.Number == 0 || d.Open.Number == h.closed || d.Holder != l.set.Name || d.Fence != h.fence {
+		if !known || d.Open.Number <= h.closed || d.Holder != l.set.Name || d.Fence != h.fence {
 			return
 		}
 		owner, err := handover.NewOwner(l.set.Hold, d.Open.Text, d.Steps, h.rank, now)
--- a/internal/lab/fleet/twin/handing.go
+++ b/internal/lab/fleet/twin/handing.go
@@ -205,7 +205,7 @@
 	}
 	if h.owner == nil {
 		d, known := p.agent.Duty(handover.Duty(0))
-		if !known || d.Open.Number == 0 || d.Open.Number == h.closed || d.Holder != p.Name || d.Fence != h.fence {
+		if !known || d.Open.Number <= h.closed || d.Holder != p.Name || d.Fence != h.fence {
 			return
 		}
 		owner, err := handover.NewOwner(handover.Settings{Hold: holdFor, Wait: holdFor / 3, Step: 300}, d.Open.Text, d.Steps, h.rank, p.clock())
--- a/internal/lab/fleet/twin/twin_test.go
+++ b/internal/lab/fleet/twin/twin_test.go
@@ -69,6 +69,13 @@
 	}
 }
 
+// An owner that hears of an order of before again, from a process of the council that lags, doesn't begin it anew.
+func TestOldOrder(t *testing.T) {
+	if w := Play(changing(125)); len(w.Wrong) > 0 {
+		t.Error(w.Wrong)
+	}
+}
+
 // lateSteps has owners of handover stopped while a step of theirs is about to go out, and the primary changed again, to somebody
 // else, before they wake.
 func lateSteps(w *World) {
