--- a/internal/lab/fleet/check_test.go
+++ b/internal/lab/fleet/check_test.go
@@ -67,13 +67,13 @@
 	good := []pgserver.Line{line("m1", "takes"), line("m1", "", "a"), line("m1", "yields"), line("m2", "takes"), line("m2", "", "b")}
 	for want, c := range map[string]struct {
 		more []pgserver.Line
-		load Load
+		load *Load
 	}{
-		"":                                       {nil, Load{Committed: []string{"a", "b"}, Declined: []string{"c"}, Doubtful: []string{"d"}}},
-		"a is there 2 times":                     {[]pgserver.Line{line("m2", "", "a")}, Load{}},
-		"z was told to be committed and is lost": {nil, Load{Committed: []string{"z"}}},
-		"a was told to be declined":              {nil, Load{Declined: []string{"a"}}},
-		"m1 committed [c x] while m2 had":        {[]pgserver.Line{line("m1", "", "c")}, Load{}},
+		"":                                       {nil, &Load{Committed: []string{"a", "b"}, Declined: []string{"c"}, Doubtful: []string{"d"}}},
+		"a is there 2 times":                     {[]pgserver.Line{line("m2", "", "a")}, &Load{}},
+		"z was told to be committed and is lost": {nil, &Load{Committed: []string{"z"}}},
+		"a was told to be declined":              {nil, &Load{Declined: []string{"a"}}},
+		"m1 committed [c x] while m2 had":        {[]pgserver.Line{line("m1", "", "c")}, &Load{}},
 	} {
 		dir := t.TempDir()
 		var text []byte
@@ -84,7 +84,7 @@
 		if err := os.WriteFile(filepath.Join(dir, "log"), text, 0o600); err != nil {
 			t.Fatal(err)
 		}
-		if wrong := strings.Join(CheckWrites(dir, &c.load), "; "); want == "" && wrong != "" || !strings.Contains(wrong, want) {
+		if wrong := strings.Join(CheckWrites(dir, c.load), "; "); want == "" && wrong != "" || !strings.Contains(wrong, want) {
 			t.Errorf("%q, want %q", wrong, want)
 		}
 	}
