A holder takes up its own next grant though a receiver was first to name its fence

At fault: lease/holder.go. What a receiver names forbids lower fences only; that a fence is another's is for the council to say (Lost).

--- a/internal/decide/agent/agent.go
+++ b/internal/decide/agent/agent.go
@@ -296,7 +296,7 @@
 		}
 		if h := a.holders[d.Name]; h != nil {
 			if d.Holder != a.set.Name {
-				h.Refused(d.Fence)
+				h.Lost(d.Fence)
 			} else if fence, may := h.May(); !may || fence != d.Fence {
 				h.Turn()
 			}
--- a/internal/decide/lease/holder.go
+++ b/internal/decide/lease/holder.go
@@ -54,7 +54,8 @@
 	askAt  float64
 	chance chance.Source
 	out    []Decision
-	others Fence // the highest that is known to be somebody else's
+	others Fence // the highest that is known to be not this process's
+	higher Fence // the highest that a receiver knew: its own next one, maybe
 }
 
 // NewHolder makes one that wants nothing yet.
@@ -100,7 +101,8 @@
 // request went out: when the council counted it, nobody here can know.
 func (h *Holder) Granted(number uint64, fence Fence) {
 	at, known := h.asked[number]
-	if !known || !h.wanted || fence.Compare(h.fence) < 0 || fence.Compare(h.others) <= 0 && h.others != (Fence{}) {
+	if !known || !h.wanted || fence.Compare(h.fence) < 0 || fence.Compare(h.higher) < 0 ||
+		fence.Compare(h.others) <= 0 && h.others != (Fence{}) {
 		return
 	}
 	delete(h.asked, number)
@@ -130,13 +132,26 @@
 	}
 }
 
-// Refused says that a receiver, or the council, knows a higher fence: the duty is somebody else's, whatever the clock says.
+// Refused says that a receiver knows a higher fence: this one is over, whatever the clock says. Whose the higher one is, it doesn't
+// say: a grant under it may be on its way here.
 func (h *Holder) Refused(higher Fence) {
-	if higher.Compare(h.fence) <= 0 {
+	if higher.Compare(h.fence) > 0 {
+		if higher.Compare(h.higher) > 0 {
+			h.higher = higher
+		}
+		if h.acting {
+			h.stop()
+		}
+	}
+}
+
+// Lost says that the council has this fence, or none that is higher, as somebody else's or nobody's.
+func (h *Holder) Lost(fence Fence) {
+	if fence.Compare(h.fence) < 0 { // told before this process's own grant
 		return
 	}
-	if higher.Compare(h.others) > 0 {
-		h.others = higher
+	if fence.Compare(h.others) > 0 {
+		h.others = fence
 	}
 	if h.acting {
 		h.stop()
--- a/internal/decide/lease/lease_test.go
+++ b/internal/decide/lease/lease_test.go
@@ -12,7 +12,7 @@
 // A scenario plays one holder with a lease of 1,000 ms and a margin of 100, and one receiver.
 //
 //	at 120 | wants | leaves [SUCCESSOR] | turn
-//	granted REQUEST 1.2 | denied REQUEST | refused 1.3
+//	granted REQUEST 1.2 | denied REQUEST | refused 1.3 (by a receiver) | lost 1.3 (by the council's word)
 //	want ask | start 1.2 | stop 1.2 | give 1.2 | pass 1.2 SUCCESSOR      decisions, in any order; never VERB: none such
 //	may 1.2 | may not
 //	learned DUTY 1.2 | act DUTY ABOUT HOLDER 1.2 VERDICT [HIGHEST] | restarts | closes DUTY ABOUT
@@ -59,6 +59,8 @@
 		p.h.Granted(number(1), fence(w[2]))
 	case "denied":
 		p.h.Denied(number(1))
+	case "lost":
+		p.h.Lost(fence(w[1]))
 	case "refused":
 		p.h.Refused(fence(w[1]))
 	case "may":
--- a/internal/lab/fleet/twin/twin_test.go
+++ b/internal/lab/fleet/twin/twin_test.go
@@ -69,6 +69,13 @@
 	}
 }
 
+// A holder whose late act is refused with the fence of its own next grant takes that grant up.
+func TestOwnNextFence(t *testing.T) {
+	if w := Play(common(4482)); len(w.Wrong)+len(w.Stuck) > 0 {
+		t.Error(w.Wrong, w.Stuck)
+	}
+}
+
 // An owner that hears of an order of before again, from a process of the council that lags, doesn't begin it anew.
 func TestOldOrder(t *testing.T) {
 	if w := Play(changing(125)); len(w.Wrong) > 0 {
