An owner that finds its lease again under the same fence goes on with its ranks

Seen on rereading, then in the twin (TestSameFenceAgain, council stopped for 3 s between orders): ranks and the last ended order were kept with the spell of owning, so that one that went on under the same fence began at rank 1, was refused by members that had seen more, and left 3 of 4 orders open for good; the end of an order that could not be noted was never told again. At fault: the struct handing in internal/fleet and in the twin. The pure handover.Desk holds both now, for both; an answer counts only for the owner that waits for it. When a process comes to ask for a duty is drawn in decide/agent, not in internal/fleet, and what a given-up duty had asked is forgotten. Duties are given back at SIGTERM, before the drain. Measured figures come from hdrhistogram and procfs in place of own code. Scripts with a probe wait for enough answers.

--- a/cmd/wayloft/join.go
+++ b/cmd/wayloft/join.go
@@ -39,6 +39,7 @@
 	s.link = fleet.New(set, s)
 	s.host.Reports(s.report)
 	ctx, cancel := context.WithCancel(context.Background())
+	s.resign = cancel
 	go s.link.Run(ctx, listener)
 	return func() {
 		cancel()
--- a/cmd/wayloft/labowners.go
+++ b/cmd/wayloft/labowners.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"wayloft/internal/lab/fleet"
 	"wayloft/internal/lab/fleet/twin"
 )
@@ -32,8 +34,8 @@
 	next := func() string { at++; return filepath.Join(dir, strconv.Itoa(at)) }
 
 	fmt.Printf("ms without an owner, a session of %s, %d plays each: median, worst\n", c.Session, c.Plays)
-	if err := fleet.Gaps(binary, next(), c.Plays, c.Session, func(name string, s *fleet.Spread) {
-		fmt.Printf("  %-32s %6.0f %6.0f\n", name, s.Median(), s.Worst())
+	if err := fleet.Gaps(binary, next(), c.Plays, c.Session, func(name string, s *hdrhistogram.Histogram) {
+		fmt.Printf("  %-32s %6d %6d\n", name, s.ValueAtQuantile(50), s.Max())
 	}); err != nil {
 		return err
 	}
--- a/cmd/wayloft/serve.go
+++ b/cmd/wayloft/serve.go
@@ -55,6 +55,7 @@
 	watcher *discovery.Watcher
 	lost    bool // the watch on the list is down
 	link    *fleet.Link
+	resign  func()                     // ends its part in the fleet
 	listed  map[string]discovery.Entry // the list, kept for the fleet's part; nil without one
 }
 
@@ -63,7 +64,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	asked := make(chan struct{}, 1)
-	s := &service{}
+	s := &service{resign: func() {}}
 	var err error
 	s.host = host.New(host.NewLoop(conf.sockets), router.New(conf.set, conf.seed), conf.set.TxnTypes, func() {
 		select {
@@ -135,6 +136,7 @@
 				continue
 			}
 			logrus.WithField("signal", sig).Info("draining")
+			s.resign() // another has its duties at once; clients are served to the end
 			s.host.Post(s.front.Drain)
 		}
 	}()
--- a/internal/decide/agent/agent.go
+++ b/internal/decide/agent/agent.go
@@ -20,6 +20,7 @@
 	beatPart  = 1.0 / 3 // of a session's length between two beats: two more may fail before it ends
 	retryPart = 1.0 / 8 // of it until the first retry of what failed
 	longest   = 2.0     // of it between two retries, after many: a fleet that waits for its council must not bury it
+	settle    = 0.5     // of it, over which processes come to ask for a duty
 	spread    = 0.5     // of each wait, drawn: what came together must not stay together
 	tellAgain = 4.0     // lengths between two words to the council that it is behind
 	mostKnown = 20000   // sessions and duties kept of what the council tells: twice what it keeps itself
@@ -97,6 +98,7 @@
 	leaving  bool
 	left     bool
 	holders  map[string]*lease.Holder
+	wants    map[string]float64 // duties that it will ask for, and from when
 	receiver *lease.Receiver
 	stands   map[string]*retry  // duties whose fences this receiver has yet to learn
 	told     map[string]float64 // by duty: when the council was told that it is behind
@@ -111,20 +113,24 @@
 
 // New makes one that has no session yet.
 func New(set Settings) *Agent {
-	a := &Agent{set: set, chance: chance.Source{Seed: set.Seed}, asked: map[uint64]asked{}, holders: map[string]*lease.Holder{},
+	a := &Agent{set: set, chance: chance.Source{Seed: set.Seed}, asked: map[uint64]asked{}, holders: map[string]*lease.Holder{}, wants: map[string]float64{},
 		receiver: lease.NewReceiver(), stands: map[string]*retry{}, told: map[string]float64{}, sessions: map[string]Session{},
 		duties: map[string]Duty{}, beating: retry{at: math.Inf(1)}}
 	for _, duty := range set.Duties {
-		a.Want(duty)
+		a.want(duty)
 	}
 	return a
 }
 
-// Want says that this process would hold a duty, too.
+// Want says that this process would hold a duty, too. It comes to ask for it at a drawn time, so that not the first process that starts
+// gets all there are.
 func (a *Agent) Want(duty string) {
-	if a.holders[duty] != nil || a.leaving || len(a.holders) >= mostHeld {
-		return
+	if _, soon := a.wants[duty]; !soon && a.holders[duty] == nil && !a.leaving && len(a.holders)+len(a.wants) < mostHeld {
+		a.wants[duty] = a.now + a.set.Length*settle*a.chance.Next()
 	}
+}
+
+func (a *Agent) want(duty string) {
 	h := lease.NewHolder(lease.Settings{Length: a.set.Length, Margin: a.set.Margin, Seed: a.set.Seed + uint64(len(a.holders))})
 	h.At(a.now)
 	h.Want()
@@ -133,6 +139,9 @@
 
 // Unwant gives a duty up, held or not.
 func (a *Agent) Unwant(duty string) {
+	delete(a.wants, duty)
+	// What it asked for must not be taken for an answer to what another holder of this duty will ask.
+	maps.DeleteFunc(a.asked, func(_ uint64, of asked) bool { return of.kind == register.Take && of.duty == duty })
 	if h := a.holders[duty]; h != nil {
 		h.Leave("")
 		a.pull(duty)
@@ -143,6 +152,12 @@
 // At sets the time; all that follows until the next call happens then.
 func (a *Agent) At(now float64) {
 	a.now = math.Max(a.now, now)
+	for _, duty := range slices.Sorted(maps.Keys(a.wants)) {
+		if a.wants[duty] <= a.now {
+			delete(a.wants, duty)
+			a.want(duty)
+		}
+	}
 	for _, duty := range slices.Sorted(maps.Keys(a.holders)) {
 		a.holders[duty].At(a.now)
 		a.pull(duty)
@@ -383,6 +398,7 @@
 		return
 	}
 	a.leaving = true
+	clear(a.wants)
 	for _, duty := range slices.Sorted(maps.Keys(a.holders)) {
 		a.holders[duty].Leave("")
 		for d, more := a.holders[duty].Next(); more; d, more = a.holders[duty].Next() {
@@ -437,6 +453,9 @@
 	for _, h := range a.holders {
 		due = math.Min(due, h.Due())
 	}
+	for _, at := range a.wants {
+		due = math.Min(due, at)
+	}
 	for _, r := range a.stands {
 		due = math.Min(due, r.at)
 	}
--- a/internal/decide/handover/handover.go
+++ b/internal/decide/handover/handover.go
@@ -50,7 +50,7 @@
 	Note             // note Text in the register: Noted
 	Tell             // tell router To: Told
 	Do               // have member To take Step, under the fence: Done
-	End              // the order is over, as Text says
+	End              // the order is over, as Text says: a word for the log, the Desk owes it to the council
 )
 
 // Word is what a router is told.
@@ -105,9 +105,10 @@
 	why      string
 	out      []Decision
 	over     bool
+	how      string // it ended; empty: it is another's
 	tries    int
 	rank     uint64
-	begunAt  bool // a member may have been asked to yield, by this owner or one before
+	yields   bool // a member may have been asked to yield, by this owner or one before
 }
 
 type guest struct {
@@ -146,7 +147,7 @@
 		o.why = "its owner was lost while writes were held"
 		o.begin(leave)
 	case yield, take, release, back, leave:
-		o.begunAt = last[0] != leave
+		o.yields = last[0] != leave
 		if last[0] == back || last[0] == leave {
 			o.why = "taken back"
 		}
@@ -260,7 +261,7 @@
 
 // undo takes back what was begun, if anything was.
 func (o *Owner) undo(why string) {
-	if o.why = why; o.begunAt {
+	if o.why = why; o.yields {
 		o.begin(back)
 	} else {
 		o.begin(leave)
@@ -269,7 +270,7 @@
 
 func (o *Owner) end(how string) {
 	if !o.over {
-		o.over = true
+		o.over, o.how = true, how
 		o.out = append(o.out, Decision{Verb: End, Text: how})
 	}
 }
@@ -372,7 +373,7 @@
 		return
 	}
 	o.waits = true
-	o.begunAt = o.begunAt || step == Yield
+	o.yields = o.yields || step == Yield
 	if o.tries == 0 {
 		o.rank++
 	}
@@ -382,15 +383,9 @@
 // Over tells whether nothing is left to do, whether the order has ended or another owns it.
 func (o *Owner) Over() bool { return o.over && len(o.out) == 0 }
 
-// Rank is that of the latest step.
-func (o *Owner) Rank() uint64 { return o.rank }
-
 // RankBits are those below a fence's number in a guard row; an owner that has used most of them gives its duty back.
 const RankBits = 10
 
-// Spent tells whether an owner should get another fence before it takes up another order.
-func Spent(rank uint64) bool { return rank > 1<<RankBits-100 }
-
 // Phase tells where it stands, for people.
 func (o *Owner) Phase() string { return o.phase }
 
@@ -404,6 +399,51 @@
 	return d, true
 }
 
+// Desk is what a process keeps of a group's duty between orders, and between two spells of owning it under one fence: the rank that
+// its steps have come to, which members remember, and the order that it ended last. Its zero is of one that never owned it.
+type Desk struct {
+	fence lease.Fence
+	rank  uint64
+	ended register.Wish // the order that was ended last, and how
+	owes  bool          // the council has yet to be told of that
+}
+
+// Sit begins a spell under a fence; under the one before, it goes on.
+func (d *Desk) Sit(fence lease.Fence) {
+	if fence != d.fence {
+		*d = Desk{fence: fence}
+	}
+}
+
+// Take gives an owner to the open order, where there is one to be carried out here; else nil. What the council tells may come from a
+// process of it that lags: orders up to the last that was ended are old.
+func (d *Desk) Take(set Settings, open register.Wish, steps []register.Step, now float64) (*Owner, error) {
+	if open.Number <= d.ended.Number {
+		return nil, nil
+	}
+	o, err := NewOwner(set, open.Text, steps, d.rank, now)
+	if err != nil {
+		d.ended, d.owes = register.Wish{Number: open.Number, Text: err.Error()}, true
+	}
+	return o, err
+}
+
+// Keep notes how far an owner's steps have come, and whether its order is over here: ended, or another's.
+func (d *Desk) Keep(o *Owner, number uint64) {
+	if d.rank = max(d.rank, o.rank); o.Over() {
+		d.ended, d.owes = register.Wish{Number: number, Text: o.how}, o.how != ""
+	}
+}
+
+// Owes gives the order whose end the council has yet to be told of: until it has been, nobody can give another.
+func (d *Desk) Owes() (register.Wish, bool) { return d.ended, d.owes }
+
+// Told says that the council has taken it.
+func (d *Desk) Told(number uint64) { d.owes = d.owes && d.ended.Number != number }
+
+// Spent tells that another fence is needed before another order is taken up: few ranks are left under this one.
+func (d *Desk) Spent() bool { return d.rank > 1<<RankBits-100 }
+
 // Guests is a router's part: which groups' writes wait, and until when. A handover is named by its fence's epoch and its order's
 // number; the same one never holds for longer than its bound, however often it asks.
 type Guests struct {
--- a/internal/decide/handover/handover_test.go
+++ b/internal/decide/handover/handover_test.go
@@ -268,3 +268,49 @@
 		t.Error("a group that is gone is kept")
 	}
 }
+
+// What a process knows of a duty outlives a gap under the same fence, not another's grant; an end is owed until it has been told.
+func TestDesk(t *testing.T) {
+	var d Desk
+	f := lease.Fence{Epoch: 1, Count: 4}
+	set := Settings{Hold: 3000, Wait: 1000, Step: 300}
+	d.Sit(f)
+	order := register.Wish{Number: 2, Text: Order("m2")}
+	o, err := d.Take(set, order, []register.Step{{Text: "yield m1 m2"}}, 0)
+	if err != nil || o == nil {
+		t.Fatal(o, err)
+	}
+	w := fresh()
+	w.o, w.fence = o, 1
+	w.o.Routers(routers)
+	w.run(t)
+	d.Keep(o, 2)
+	if ended, owes := d.Owes(); !owes || ended.Number != 2 || !strings.HasPrefix(ended.Text, "done") {
+		t.Errorf("%+v, %v", ended, owes)
+	}
+	rank := d.rank
+	d.Sit(f)
+	if o, _ := d.Take(set, order, nil, 0); o != nil || d.rank != rank || rank == 0 {
+		t.Error("the same fence again: the order is begun anew, or ranks are", d.rank, rank)
+	}
+	if o, _ := d.Take(set, register.Wish{Number: 1, Text: Order("m3")}, nil, 0); o != nil {
+		t.Error("an order of before was begun")
+	}
+	d.Told(1)
+	if _, owes := d.Owes(); !owes {
+		t.Error("another order's end was told")
+	}
+	if d.Told(2); d.owes {
+		t.Error("told, and still owed")
+	}
+	if _, err := d.Take(set, register.Wish{Number: 3, Text: "away"}, nil, 0); err == nil || !d.owes {
+		t.Error("an order that nobody knows must end, too:", err)
+	}
+	d.rank = 1<<RankBits - 1
+	if !d.Spent() {
+		t.Error("no ranks are left")
+	}
+	if d.Sit(lease.Fence{Epoch: 1, Count: 5}); d != (Desk{fence: lease.Fence{Epoch: 1, Count: 5}}) {
+		t.Errorf("another fence: %+v", d)
+	}
+}
--- a/internal/fleet/handover.go
+++ b/internal/fleet/handover.go
@@ -107,32 +107,47 @@
 type handing struct {
 	group  int
 	fence  lease.Fence
+	desk   *handover.Desk
 	number uint64
-	owner  *handover.Owner
+	owner  *handover.Owner // of the order that is carried out; else nil
+	noteAt float64         // when the council may be told again how the last one ended
 	ctx    context.Context
 	cancel context.CancelFunc
-	closed uint64 // the order that was ended last: what a lagging council tells of it, or of one before, is old
-	rank   uint64 // of the latest step under this fence
 }
 
 // hand goes on with a handover, if one is ordered.
 func (l *Link) hand(duty string, now float64) {
 	h := l.hands[duty]
 	if h.owner == nil {
-		if handover.Spent(h.rank) { // another fence has ranks of its own
+		if ended, owes := h.desk.Owes(); owes {
+			if h.noteAt <= now {
+				h.noteAt = math.Inf(1)
+				l.note(duty, h, register.Entry{Kind: register.Did, Number: ended.Number, Text: clip(ended.Text)}, func(ok bool) {
+					l.post(func() {
+						if h.noteAt = l.now() + l.set.Length/4; ok {
+							h.desk.Told(ended.Number)
+							h.noteAt = 0
+						}
+					})
+				})
+			}
+			return
+		}
+		if h.desk.Spent() {
 			l.agent.Unwant(duty)
-			l.wantAt[duty] = now + settled
+			l.agent.Want(duty)
 			return
 		}
 		d, known := l.agent.Duty(duty)
-		if !known || d.Open.Number <= h.closed || d.Holder != l.set.Name || d.Fence != h.fence {
+		if !known || d.Holder != l.set.Name || d.Fence != h.fence {
+			return
+		}
+		owner, err := h.desk.Take(l.set.Hold, d.Open, d.Steps, now)
+		if owner == nil && err == nil {
 			return
 		}
-		owner, err := handover.NewOwner(l.set.Hold, d.Open.Text, d.Steps, h.rank, now)
 		if err != nil {
 			logrus.WithError(err).WithField("duty", duty).Error("an order that can't be carried out")
-			h.closed = d.Open.Number
-			l.note(duty, h, register.Entry{Kind: register.Did, Number: d.Open.Number, Text: clip(err.Error())}, func(bool) {})
 			return
 		}
 		h.owner, h.number = owner, d.Open.Number
@@ -148,10 +163,9 @@
 	for d, more := h.owner.Next(); more; d, more = h.owner.Next() {
 		l.carry(duty, h, d)
 	}
-	h.rank = h.owner.Rank()
-	if h.owner.Over() {
+	if h.desk.Keep(h.owner, h.number); h.owner.Over() {
 		h.cancel()
-		h.owner, h.closed = nil, h.number
+		h.owner = nil
 	}
 }
 
@@ -163,13 +177,13 @@
 	return s
 }
 
-// again has the loop hear of something that a handover waits for, if it is still ours.
-func (l *Link) again(duty string, h *handing, f func()) {
-	l.post(func() {
-		if l.hands[duty] == h && h.owner != nil {
-			f()
-		}
-	})
+// still has a handover's owner hear of something, if it is the one that waits for it: the duty may be another's by now, or the
+// order the next.
+func (l *Link) still(duty string, h *handing, o *handover.Owner, f func()) {
+	if l.hands[duty] == h && h.owner == o {
+		o.At(l.now())
+		f()
+	}
 }
 
 // note has the register note a step, or the end.
@@ -196,26 +210,28 @@
 	if !may || fence != h.fence {
 		return
 	}
+	o := h.owner
 	switch d.Verb {
 	case handover.Find:
 		members := l.groups[h.group]
 		go func() {
 			found, err := l.find(h.ctx, members)
-			l.again(duty, h, func() { h.owner.Found(found, err) })
+			l.post(func() { l.still(duty, h, o, func() { o.Found(found, err) }) })
 		}()
 	case handover.Note:
 		l.set.Record.Add("step", record.Fields{"duty": duty, "fence": fence.String(), "number": h.number, "text": d.Text})
 		logrus.WithFields(logrus.Fields{"duty": duty, "fence": fence, "order": h.number}).Info(d.Text)
 		l.note(duty, h, register.Entry{Kind: register.Note, Text: d.Text}, func(ok bool) {
 			faults.Point("noted." + strings.Fields(d.Text)[0])
-			l.again(duty, h, func() {
-				l.set.Record.Add("noted", record.Fields{"duty": duty, "fence": fence.String(), "number": h.number, "text": d.Text, "ok": ok})
-				h.owner.At(l.now())
-				h.owner.Noted(ok)
+			l.post(func() {
+				l.still(duty, h, o, func() {
+					l.set.Record.Add("noted", record.Fields{"duty": duty, "fence": fence.String(), "number": h.number, "text": d.Text, "ok": ok})
+					o.Noted(ok)
+				})
 			})
 		})
 	case handover.Tell:
-		l.tell(duty, h, d)
+		l.tell(duty, h, o, d)
 	case handover.Do:
 		var addr string
 		for _, m := range l.groups[h.group] {
@@ -244,21 +260,17 @@
 				if how != handover.Took {
 					logrus.WithFields(logrus.Fields{"duty": duty, "fence": fence, "member": d.To, "step": d.Step, "why": why}).Warn("step not taken")
 				}
-				if l.hands[duty] == h && h.owner != nil {
-					h.owner.At(l.now())
-					h.owner.Done(how, why)
-				}
+				l.still(duty, h, o, func() { o.Done(how, why) })
 			})
 		}()
 	case handover.End:
 		logrus.WithFields(logrus.Fields{"duty": duty, "fence": fence, "order": h.number}).Info(d.Text)
 		l.set.Record.Add("end", record.Fields{"duty": duty, "fence": fence.String(), "number": h.number, "text": d.Text})
-		l.note(duty, h, register.Entry{Kind: register.Did, Number: h.number, Text: clip(d.Text)}, func(bool) {})
 	}
 }
 
 // tell gives a router a word of a handover.
-func (l *Link) tell(duty string, h *handing, d handover.Decision) {
+func (l *Link) tell(duty string, h *handing, owner *handover.Owner, d handover.Decision) {
 	for _, s := range l.agent.Sessions("router") {
 		if s.Name != d.To {
 			continue
@@ -266,20 +278,16 @@
 		o := &fleetpb.Order{Duty: duty, About: duty, Holder: l.set.Name, Fence: wire.Fence(h.fence), Hold: &fleetpb.Hold{Group: int64(h.group),
 			Number: h.number, MostMs: d.Most, Ends: d.Word == handover.Release, Looks: d.Word == handover.Look}}
 		l.order(s, o, func(v *fleetpb.Verdict, err error) {
-			if l.hands[duty] != h || h.owner == nil {
-				return
-			}
 			ok := err == nil && v.Kind == fleetpb.Verdict_TAKEN
 			running := 0
 			if ok {
 				running = int(min(v.Running, math.MaxInt32))
 			}
-			h.owner.At(l.now())
-			h.owner.Told(d.To, d.Word, ok, running)
+			l.still(duty, h, owner, func() { owner.Told(d.To, d.Word, ok, running) })
 		})
 		return
 	}
-	h.owner.Told(d.To, d.Word, false, 0)
+	owner.Told(d.To, d.Word, false, 0)
 }
 
 // find asks the members of a group which one takes writes.
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -39,7 +39,6 @@
 	connections = 1024            // of those who give orders
 	handshake   = 5 * time.Second // for one of them to begin to speak the protocol
 	groupsEvery = 500.0           // ms between two looks at which groups there are
-	settled     = 1000.0          // ms over which processes come to ask for a duty, so that not one gets all
 	farewell    = time.Second     // to tell the council that this process leaves
 )
 
@@ -89,9 +88,10 @@
 	ended   chan struct{}
 	groups  map[int][]Member
 	lookAt  float64
-	wantAt  map[string]float64
-	looks   map[string]*looker  // by duty, while it is held
-	hands   map[string]*handing // by duty, while it is held
+	wanted  map[string]bool           // duties that it would own, of groups that are listed
+	desks   map[string]*handover.Desk // by duty, while it is wanted
+	looks   map[string]*looker        // by duty, while it is held
+	hands   map[string]*handing       // by duty, while it is held
 	guests  *handover.Guests
 	ways    map[string]*grpc.ClientConn // to other processes, by address
 	hosted  chan func()                 // what the router's loop is to do, in order
@@ -112,7 +112,7 @@
 	h := fnv.New64a()
 	h.Write([]byte(set.Name))
 	l := &Link{set: set, router: router, client: NewClient(set.Fleet, set.Council, set.Via), inbox: make(chan func(), inbox),
-		ended: make(chan struct{}), groups: map[int][]Member{}, wantAt: map[string]float64{}, looks: map[string]*looker{},
+		ended: make(chan struct{}), groups: map[int][]Member{}, wanted: map[string]bool{}, desks: map[string]*handover.Desk{}, looks: map[string]*looker{},
 		hands: map[string]*handing{}, guests: handover.NewGuests(set.Bound), ways: map[string]*grpc.ClientConn{}, hosted: make(chan func(), inbox)}
 	l.agent = agent.New(agent.Settings{Name: set.Name, Kind: set.Kind, Address: set.Address, Length: set.Length, Margin: set.Margin,
 		Incarnation: uint64(time.Now().UnixMilli()), Seed: h.Sum64() ^ wire.Draw()})
@@ -224,11 +224,6 @@
 			g := l.router.Groups()
 			go l.post(func() { l.listed(g) })
 		})
-		for _, duty := range slices.Sorted(maps.Keys(l.wantAt)) {
-			if l.wantAt[duty] <= now {
-				l.agent.Want(duty)
-			}
-		}
 	}
 	for d, more := l.agent.Next(); more; d, more = l.agent.Next() {
 		l.do(d)
@@ -241,8 +236,7 @@
 	}
 }
 
-// listed takes in which groups there are. A process comes to ask for each duty at a time of its own, so that not the first
-// that starts gets all of them.
+// listed takes in which groups there are.
 func (l *Link) listed(groups map[int][]Member) {
 	l.groups = groups
 	wanted := map[string]bool{}
@@ -260,19 +254,16 @@
 		}
 	}
 	l.guests.Forget(there)
-	for duty := range wanted {
-		if _, known := l.wantAt[duty]; !known {
-			h := fnv.New32a()
-			h.Write([]byte(l.set.Name + " " + duty))
-			l.wantAt[duty] = l.now() + float64(h.Sum32()%1000)/1000*settled
-		}
-	}
-	for duty := range l.wantAt {
+	for duty := range l.wanted {
 		if !wanted[duty] {
-			delete(l.wantAt, duty)
+			delete(l.desks, duty)
 			l.agent.Unwant(duty)
 		}
 	}
+	l.wanted = wanted
+	for _, duty := range slices.Sorted(maps.Keys(wanted)) {
+		l.agent.Want(duty)
+	}
 	for _, k := range l.looks {
 		l.members(k)
 	}
@@ -300,7 +291,11 @@
 			l.members(k)
 			l.looks[d.Duty] = k
 		} else if _, err := fmt.Sscanf(d.Duty, "handover/%d", &group); err == nil {
-			l.hands[d.Duty] = &handing{group: group, fence: d.Fence}
+			if l.desks[d.Duty] == nil {
+				l.desks[d.Duty] = &handover.Desk{}
+			}
+			l.desks[d.Duty].Sit(d.Fence)
+			l.hands[d.Duty] = &handing{group: group, fence: d.Fence, desk: l.desks[d.Duty]}
 		}
 	case agent.Stop:
 		l.set.Record.Add("stop", record.Fields{"duty": d.Duty, "fence": d.Fence.String()})
--- a/internal/lab/fleet/measure.go
+++ b/internal/lab/fleet/measure.go
@@ -4,45 +4,24 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"path/filepath"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/prometheus/procfs"
+
 	"wayloft/internal/decide/agent"
 	"wayloft/internal/decide/register"
 	client "wayloft/internal/fleet"
 	"wayloft/internal/wire"
 )
 
-// Spread is what a figure came to over several plays.
-type Spread struct{ Plays []float64 }
-
-func (s *Spread) add(x float64) { s.Plays = append(s.Plays, x) }
-
-// Median and Worst are of the plays.
-func (s *Spread) Median() float64 {
-	if len(s.Plays) == 0 {
-		return 0
-	}
-	sorted := slices.Sorted(slices.Values(s.Plays))
-	return sorted[len(sorted)/2]
-}
-
-func (s *Spread) Worst() float64 {
-	if len(s.Plays) == 0 {
-		return 0
-	}
-	return slices.Max(s.Plays)
-}
-
 // Gaps plays what takes an owner away, so often each, on one fleet, and tells for how long nobody acted: from the event to the
 // next owner's start, by the records.
-func Gaps(binary, dir string, plays int, session time.Duration, say func(string, *Spread)) error {
+func Gaps(binary, dir string, plays int, session time.Duration, say func(string, *hdrhistogram.Histogram)) error {
 	f, err := New(Options{Binary: binary, Dir: dir, Council: 3, Routers: 3, Members: 3, Switches: true, Session: session, Sight: 100 * time.Millisecond})
 	if err != nil {
 		return err
@@ -66,7 +45,7 @@
 		{"owner told to end", func(p *Process) { p.Term() }, func(p *Process) error { p.End(Limit); return startServes(p) }},
 	}
 	for _, e := range events {
-		s := &Spread{}
+		s := hdrhistogram.New(1, 60e6, 3)
 		for range plays {
 			if err := r.step([]string{"sessions", "3"}); err != nil {
 				return err
@@ -99,14 +78,14 @@
 			}); err != nil {
 				return err
 			}
-			s.add(next - at)
+			s.RecordValue(int64(next - at))
 			if err := e.back(p); err != nil {
 				return err
 			}
 		}
 		say(e.name, s)
 	}
-	s := &Spread{}
+	s := hdrhistogram.New(1, 60e6, 3)
 	for range plays {
 		lead, err := r.leader()
 		if err != nil {
@@ -133,7 +112,7 @@
 		}); err != nil {
 			return err
 		}
-		s.add(next - at)
+		s.RecordValue(int64(next - at))
 		if err := startServes(p); err != nil {
 			return err
 		}
@@ -226,15 +205,15 @@
 
 // used is the processor time that a process has had, in seconds.
 func used(pid int) float64 {
-	b, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(pid), "stat"))
+	p, err := procfs.NewProc(pid)
+	if err != nil {
+		return 0
+	}
+	stat, err := p.Stat()
 	if err != nil {
 		return 0
 	}
-	_, rest, _ := strings.Cut(string(b), ") ")
-	w := strings.Fields(rest)
-	user, _ := strconv.ParseFloat(w[11], 64)
-	system, _ := strconv.ParseFloat(w[12], 64)
-	return (user + system) / 100
+	return stat.CPUTime()
 }
 
 // hold is one session, as a router holds it: the same agent, the same calls and the watch.
--- a/internal/lab/fleet/probe.go
+++ b/internal/lab/fleet/probe.go
@@ -81,6 +81,18 @@
 	return last
 }
 
+// least is how many answers a history needs to be one.
+const least = 20
+
+// Enough waits until there are some more than that.
+func (p *Probe) Enough() error {
+	return Until("answers of the council", func() (bool, error) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return len(p.ops) >= 2*least, nil
+	})
+}
+
 // Stop ends them.
 func (p *Probe) Stop() {
 	p.stop()
@@ -91,7 +103,7 @@
 func (p *Probe) Check() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.ops) < 20 {
+	if len(p.ops) < least {
 		return []string{fmt.Sprintf("only %d answers were heard of the council", len(p.ops))}
 	}
 	return twin.Linear(p.ops)
--- a/internal/lab/fleet/script.go
+++ b/internal/lab/fleet/script.go
@@ -144,6 +144,11 @@
 			return o, fmt.Errorf("step %d, %s: %w", n+1, step, err)
 		}
 	}
+	if r.probe != nil {
+		if err := r.probe.Enough(); err != nil {
+			return o, err
+		}
+	}
 	if r.load != nil {
 		r.load.Stop()
 		o.Committed, o.Doubtful = len(r.load.Committed), len(r.load.Doubtful)
--- a/internal/lab/fleet/twin/handing.go
+++ b/internal/lab/fleet/twin/handing.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"strings"
 
 	"wayloft/internal/decide/agent"
@@ -191,8 +192,7 @@
 	fence  lease.Fence
 	number uint64
 	owner  *handover.Owner
-	closed uint64
-	rank   uint64
+	noteAt float64
 
 	stepping string // at a member, decided and not yet sent
 }
@@ -204,14 +204,28 @@
 		return
 	}
 	if h.owner == nil {
+		if ended, owes := p.desk.Owes(); owes {
+			if h.noteAt <= p.clock() {
+				h.noteAt = math.Inf(1)
+				p.note(h, register.Entry{Kind: register.Did, Duty: handover.Duty(0), Fence: h.fence, Number: ended.Number,
+					Text: ended.Text[:min(len(ended.Text), 200)]}, 0, func(ok bool) {
+					if h.noteAt = p.clock() + Length/4; ok {
+						p.desk.Told(ended.Number)
+						h.noteAt = 0
+					}
+				})
+			}
+			return
+		}
 		d, known := p.agent.Duty(handover.Duty(0))
-		if !known || d.Open.Number <= h.closed || d.Holder != p.Name || d.Fence != h.fence {
+		if !known || d.Holder != p.Name || d.Fence != h.fence {
 			return
 		}
-		owner, err := handover.NewOwner(handover.Settings{Hold: holdFor, Wait: holdFor / 3, Step: 300}, d.Open.Text, d.Steps, h.rank, p.clock())
+		owner, err := p.desk.Take(handover.Settings{Hold: holdFor, Wait: holdFor / 3, Step: 300}, d.Open, d.Steps, p.clock())
 		if err != nil {
 			p.w.wrong("%s: %v", p.Name, err)
-			h.closed = d.Open.Number
+		}
+		if owner == nil {
 			return
 		}
 		h.owner, h.number = owner, d.Open.Number
@@ -225,17 +239,16 @@
 	for d, more := h.owner.Next(); more; d, more = h.owner.Next() {
 		p.step(h, d)
 	}
-	h.rank = h.owner.Rank()
-	if h.owner.Over() {
-		h.owner, h.closed = nil, h.number
+	if p.desk.Keep(h.owner, h.number); h.owner.Over() {
+		h.owner = nil
 	}
 }
 
 // still has a handover hear of something, if it is this process's yet.
-func (p *Proc) still(h *handing, f func(*handover.Owner)) {
-	if p.handing == h && h.owner != nil {
-		h.owner.At(p.clock())
-		f(h.owner)
+func (p *Proc) still(h *handing, o *handover.Owner, f func(*handover.Owner)) {
+	if p.handing == h && h.owner == o {
+		o.At(p.clock())
+		f(o)
 	}
 }
 
@@ -246,6 +259,7 @@
 	if !may || fence != h.fence {
 		return
 	}
+	o := h.owner
 	switch d.Verb {
 	case handover.Find:
 		p.later(2, func() {
@@ -259,18 +273,17 @@
 			if found == "" {
 				err = errors.New("no member takes writes")
 			}
-			p.still(h, func(o *handover.Owner) { o.Found(found, err) })
+			p.still(h, o, func(o *handover.Owner) { o.Found(found, err) })
 		})
 	case handover.Note:
 		p.note(h, register.Entry{Kind: register.Note, Duty: handover.Duty(0), Fence: fence, Text: d.Text}, 0, func(ok bool) {
-			p.still(h, func(o *handover.Owner) { o.Noted(ok) })
+			p.still(h, o, func(o *handover.Owner) { o.Noted(ok) })
 		})
 	case handover.End:
 		first, _, _ := strings.Cut(d.Text, ":")
 		w.planned.done[strings.Fields(first)[0]]++
-		p.note(h, register.Entry{Kind: register.Did, Duty: handover.Duty(0), Fence: fence, Number: h.number, Text: d.Text[:min(len(d.Text), 200)]}, 0, func(bool) {})
 	case handover.Tell:
-		p.tell(h, d)
+		p.tell(h, o, d)
 	case handover.Do:
 		// Between the look and the act this process may be stopped.
 		to := w.byName[d.To]
@@ -281,7 +294,7 @@
 			end := func(how handover.Outcome, why string) {
 				if !over {
 					over = true
-					p.still(h, func(o *handover.Owner) { o.Done(how, why) })
+					p.still(h, o, func(o *handover.Owner) { o.Done(how, why) })
 				}
 			}
 			w.send(p, to, 80, func() {
@@ -325,12 +338,12 @@
 	p.ask(agent.Decision{Verb: agent.Call, Number: number, Entry: e}, 0)
 }
 
-func (p *Proc) tell(h *handing, d handover.Decision) {
+func (p *Proc) tell(h *handing, o *handover.Owner, d handover.Decision) {
 	w, to, over := p.w, p.w.byName[d.To], false
 	end := func(ok bool, running int) {
 		if !over {
 			over = true
-			p.still(h, func(o *handover.Owner) { o.Told(d.To, d.Word, ok, running) })
+			p.still(h, o, func(o *handover.Owner) { o.Told(d.To, d.Word, ok, running) })
 		}
 	}
 	w.send(p, to, 80, func() {
--- a/internal/lab/fleet/twin/twin.go
+++ b/internal/lab/fleet/twin/twin.go
@@ -133,6 +133,7 @@
 	carrier *carrier
 	guests  *handover.Guests
 	handing *handing
+	desk    handover.Desk
 	member  *member
 }
 
@@ -338,6 +339,7 @@
 // Kill ends a process at once.
 func (p *Proc) Kill() {
 	p.up, p.asleep, p.waits, p.node, p.agent, p.carrier, p.handing = false, false, nil, nil, nil, nil, nil
+	p.desk = handover.Desk{}
 	for _, d := range p.duties {
 		p.w.stopped(p, d)
 	}
@@ -537,6 +539,7 @@
 		case agent.Start:
 			p.acting[d.Duty] = d.Fence
 			if p.w.began(p, d.Duty); d.Duty == handover.Duty(0) {
+				p.desk.Sit(d.Fence)
 				p.handing = &handing{fence: d.Fence}
 			} else {
 				p.act(d.Duty, d.Fence)
--- a/internal/lab/fleet/twin/twin_test.go
+++ b/internal/lab/fleet/twin/twin_test.go
@@ -69,6 +69,27 @@
 	}
 }
 
+// An owner that lost its lease with the council and found it again under the same fence goes on with the ranks of its steps where
+// they were, since members have seen them, and with what it had ended.
+func TestSameFenceAgain(t *testing.T) {
+	o := changing(1)
+	o.Schedule = func(w *World) {
+		w.After(5000, func() {
+			for _, p := range w.Council {
+				w.StopFor(p, 3000)
+			}
+		})
+	}
+	w := Play(o)
+	ended := 0
+	for _, n := range w.planned.done {
+		ended += n
+	}
+	if len(w.Wrong) > 0 || w.planned.orders < 4 || ended != w.planned.orders || w.planned.lateAt > 0 || w.Grants != 2 {
+		t.Errorf("%v, %d orders, ended %v, %d grants, %d steps refused", w.Wrong, w.planned.orders, w.planned.done, w.Grants, w.planned.lateAt)
+	}
+}
+
 // A holder whose late act is refused with the fence of its own next grant takes that grant up.
 func TestOwnNextFence(t *testing.T) {
 	if w := Play(common(4482)); len(w.Wrong)+len(w.Stuck) > 0 {
