What has not been written goes out for nobody who left; ends and lists are one step

Gone: Host.Gone told the module only; a submission that waited for its connection was written whenever that came up (link.take, up to the connect time-out later). Host.Gone now has the members' side abandon what is not written; what may run ends as it does. The last byte: Members.end and link.spoilt asked Sent() and closed afterwards, while the poller may write the rest in between; they close first and ask then (link.unsent). Ends: the poller read and counted in two steps (OnData comes after nbio's read has let its lock go), so Unread could miss a request that was read already; it was then thrown away, which its client can't tell. Reading and counting, and asking and ending, are one step each (Conn.order, FinishQuiet, DropQuiet). makeRoom ended sessions both ways at once; one that has asked now ends in order. The loop ends only when no connection is on its way in (gate). A second SIGTERM is passed over. Lists: silence is 2.5 s, for calls too; longest until told 5.3 s (was over 11). Lower revisions were refused for ever; now the whole list is asked for. Indented lists on a watch are read. A line that crosses a move is not told. A refused list is named again.

--- a/cmd/wayloft/serve.go
+++ b/cmd/wayloft/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -53,7 +54,7 @@
 	front   *clients.Clients
 	side    *members.Members
 	watcher *discovery.Watcher
-	lost    bool // the watch on the list is down
+	lost    string // why the watch on the list is down
 	link    *fleet.Link
 	resign  func()                     // ends its part in the fleet
 	listed  map[string]discovery.Entry // the list, kept for the fleet's part; nil without one
@@ -178,16 +179,17 @@
 }
 
 func (s *service) heard(l *discovery.List) {
-	if s.lost {
-		s.lost = false
+	if s.lost != "" {
+		s.lost = ""
 		logrus.WithField("revision", l.Revision).Info("the list is back")
 	}
 	s.list(l)
 }
 
 func (s *service) failed(err error) {
-	if !s.lost {
-		s.lost = true
+	var unsound discovery.Unsound // is named also where the list was out of reach before
+	if why := err.Error(); s.lost == "" || errors.As(err, &unsound) && s.lost != why {
+		s.lost = why
 		logrus.WithError(err).Warn("the list is out of reach, the last one stays in force")
 	}
 	s.host.List().ListFailed()
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -9,9 +9,14 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"wayloft/internal/exchange"
+	"wayloft/internal/faults"
 	"wayloft/internal/host"
 	"wayloft/internal/pg"
 )
@@ -39,11 +44,14 @@
 	held     int
 	sessions map[*session]bool
 	room     chan struct{} // holds one for each connection accepted
-	ending   int           // sessions that are dropped, but not closed yet
-	pooling  *Pooling      // nil: all have the platform's form
+	gate     *gate
+	ending   int      // sessions whose connection ends, but has not ended yet
+	pooling  *Pooling // nil: all have the platform's form
 	keys     map[pg.Key]*pooled
-	ids      uint64 // txns without an id of their client's
-	leaving  bool   // each session ends once nothing of it is left to answer
+	ids      uint64  // txns without an id of their client's
+	draining bool    // SIGTERM has come
+	leaving  bool    // each session ends once nothing of it is left to answer
+	left     float64 // since when
 
 	// Statements over the budget; sessions and statements that broke the protocol; sessions that took too long to
 	// ask, or found no room.
@@ -63,7 +71,7 @@
 	asked bool    // it has sent a whole query
 	rests bool    // after a mistake
 	deaf  bool    // takes no more input
-	ends  bool    // and its connection ends at once
+	ends  bool    // and its connection is ending
 	spent int     // messages answered since the last look
 	moved float64 // when the client last read something, or had nothing to read
 	skips bool    // an error of the extended protocol: all up to Sync is passed over
@@ -93,23 +101,53 @@
 }
 
 // Gate makes a listener leave connections with the system while there is no room.
-func (a *Clients) Gate(l net.Listener) net.Listener { return gate{l, a.room} }
+func (a *Clients) Gate(l net.Listener) net.Listener {
+	a.gate = &gate{Listener: l, room: a.room}
+	return a.gate
+}
 
 type gate struct {
 	net.Listener
-	room chan struct{}
+	room  chan struct{}
+	let   atomic.Int64 // connections let in
+	taken int64        // of these, how many have become sessions; the loop's
 }
 
-func (g gate) Accept() (net.Conn, error) {
+func (g *gate) Accept() (net.Conn, error) {
 	g.room <- struct{}{}
 	c, err := g.Listener.Accept()
-	if err != nil {
-		<-g.room
-		if !errors.Is(err, net.ErrClosed) {
-			time.Sleep(pause) // the poller asks again at once, and a descriptor may come free
+	if err == nil {
+		g.let.Add(1)
+		faults.Here("clients.accepted")
+		if c, err = host.Adopt(c); err == nil {
+			return c, nil
 		}
+		g.let.Add(-1)
+	}
+	<-g.room
+	if !errors.Is(err, net.ErrClosed) {
+		time.Sleep(pause) // the poller asks again at once, and a descriptor may come free
 	}
-	return c, err
+	return nil, err
+}
+
+// empty tells that no connection is on its way in: with the system, or between it and the loop. Guards against an end of
+// the process that takes a whole request away, which its client has sent and nobody has read.
+func (g *gate) empty() bool {
+	if g == nil {
+		return true
+	}
+	waits := false
+	if sys, ok := g.Listener.(syscall.Conn); ok {
+		if raw, err := sys.SyscallConn(); err == nil {
+			raw.Control(func(fd uintptr) {
+				poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+				n, err := unix.Poll(poll, 0)
+				waits = err != nil || n > 0
+			})
+		}
+	}
+	return !waits && g.let.Load() == g.taken
 }
 
 // Accept takes a connection in.
@@ -118,6 +156,9 @@
 	s := &session{all: a, conn: c, in: pg.NewReader(false, a.longest), since: now, moved: now, until: now + hurry}
 	c.Handle(s)
 	a.sessions[s] = true
+	if a.gate != nil {
+		a.gate.taken++
+	}
 	a.makeRoom()
 	if len(a.sessions)-a.ending > a.most && !s.ends && !c.Unread() {
 		a.Crowded++
@@ -125,33 +166,54 @@
 	}
 }
 
-// makeRoom ends a session if no other could come in: one that has had time to ask and did not, else one that only waits
-// for its client to close, else the one that has been quiet longest, else a newcomer. Guards against crowds that
-// connect and say nothing: they push out each other before anyone else.
+// makeRoom ends a session if no other could come in: one that has had time to ask and did not, else the one that has
+// been quiet longest, else a newcomer. Guards against crowds that connect and say nothing: they push out each other
+// before anyone else.
 func (a *Clients) makeRoom() {
-	if len(a.sessions)-a.ending < a.most {
-		return
-	}
-	var first *session
-	for s := range a.sessions {
-		if s.idle() && (first == nil || s.before(first)) && (s.deaf || !s.conn.Unread()) {
-			first = s
+	for len(a.sessions)-a.ending >= a.most {
+		var first *session
+		for s := range a.sessions {
+			if s.idle() && (first == nil || s.before(first)) && !s.conn.Unread() {
+				first = s
+			}
+		}
+		if first == nil || first.retire() { // others may be waiting
+			return
 		}
-	}
-	if first != nil { // others may be waiting
-		first.drop()
 	}
 }
 
 // idle tells that the session can end without taking an answer away.
 func (s *session) idle() bool {
-	return !s.ends && s.p == nil && s.answered() && (s.deaf || !s.asked || s.in.Pending() == 0)
+	return !s.ends && s.p == nil && s.answered() && s.conn.Sent() && (!s.asked || s.in.Pending() == 0)
+}
+
+// retire ends a session of which nothing is owed, unless something of its client's has come meanwhile. One that may have
+// an answer on its way ends in order: its client sees the end behind the answer, and what crosses it, as not taken.
+func (s *session) retire() bool {
+	ended := false
+	if s.asked {
+		ended = s.conn.FinishQuiet()
+	} else {
+		ended = s.conn.DropQuiet()
+	}
+	if ended {
+		s.end()
+	}
+	return ended
+}
+
+// end counts a session whose connection is ending. Nothing more is taken from it.
+func (s *session) end() {
+	if s.deaf = true; !s.ends {
+		s.ends = true
+		s.all.ending++
+	}
 }
 
 // drop ends the session at once.
 func (s *session) drop() {
-	s.deaf, s.ends = true, true
-	s.all.ending++
+	s.end()
 	s.conn.Drop()
 }
 
@@ -159,8 +221,6 @@
 func (s *session) before(o *session) bool {
 	rank := func(s *session) int {
 		switch {
-		case s.deaf:
-			return 1
 		case s.asked:
 			return 2
 		case s.all.host.Now() < s.since+grace:
@@ -198,30 +258,50 @@
 	}
 	slices.SortFunc(resting, func(s, o *session) int { return cmp.Compare(o.since, s.since) })
 	for n, s := range resting {
-		if (n >= a.most/3 || now > s.until) && !s.conn.Unread() {
-			s.finish()
+		if n >= a.most/3 || now > s.until {
+			s.retire()
 		}
 	}
+	if a.leaving {
+		a.sweep()
+	}
 	a.host.After(looks, a.look)
 }
 
 // Drain serves on while connections may come, then ends each session once it is quiet, and the loop after the last.
-func (a *Clients) Drain() { a.host.After(comers, a.sweep) }
+func (a *Clients) Drain() {
+	if a.draining { // told twice: the first counts
+		return
+	}
+	a.draining = true
+	a.host.After(comers, func() {
+		a.leaving, a.left = true, a.host.Now()
+		a.sweep()
+	})
+}
 
-// sweep ends what is quiet; from the second time on also what has not sent its query to the end, and never will.
+// sweep ends what is quiet; after a while also what has not sent its query to the end, and never will.
 func (a *Clients) sweep() {
 	for s := range a.sessions {
-		if (s.quiet() || a.leaving && s.answered()) && !s.conn.Unread() {
-			s.finish()
+		if !s.ends && (s.quiet() || a.host.Now() > a.left+comers && s.answered()) {
+			s.leave()
 		}
 	}
-	a.leaving = true
-	a.left()
-	a.host.After(comers, a.sweep)
+	a.last()
+}
+
+// leave ends a session at the end of the process, once nothing is owed.
+func (s *session) leave() {
+	if s.p == nil {
+		s.retire()
+	} else if !s.conn.Unread() {
+		s.refuse(&pg.Error{Code: pg.GoingDown, Text: "the router is going down"})
+	}
 }
 
-func (a *Clients) left() {
-	if a.leaving && len(a.sessions) == 0 {
+// last ends the loop after the last session, unless one more is on its way in.
+func (a *Clients) last() {
+	if a.leaving && len(a.sessions) == 0 && a.gate.empty() {
 		a.host.End()
 	}
 }
@@ -243,7 +323,7 @@
 func (s *session) quiet() bool { return s.answered() && s.in.Pending() == 0 }
 
 func (s *session) finish() {
-	s.deaf = true
+	s.end()
 	s.conn.Finish()
 }
 
@@ -269,7 +349,7 @@
 	s.all.held -= s.held
 	delete(s.all.sessions, s)
 	<-s.all.room
-	s.all.left()
+	s.all.last()
 }
 
 // Data takes bytes in.
@@ -360,8 +440,8 @@
 		if s.asked {
 			s.until = now + idling
 		}
-		if s.all.leaving && !s.conn.Unread() {
-			s.finish()
+		if s.all.leaving {
+			s.leave()
 		} else {
 			s.all.makeRoom()
 		}
--- a/internal/clients/pooled.go
+++ b/internal/clients/pooled.go
@@ -217,7 +217,7 @@
 	}
 	if !p.over && p.quiet() {
 		if p.s.since = p.s.all.host.Now(); p.s.all.leaving && !p.s.conn.Unread() {
-			p.s.refuse(&pg.Error{Code: pg.GoingDown, Text: "the router is going down"})
+			p.s.leave()
 			return
 		}
 		p.s.in.Shrink()
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -18,15 +18,20 @@
 
 	"github.com/valyala/fastjson"
 
+	"wayloft/internal/faults"
 	"wayloft/internal/settings"
 	"wayloft/router"
 )
 
+// PROTOCOL: an empty line comes every 2 s at least, and a change counts as told 6 s after discovery had it and could be
+// reached. The longest that a change can take here, from a watch that falls silent, is silence, a pause, a call that is
+// never answered (silence once more) and a pause: 2 x (2.5 + 0.15) s; from the return of discovery, half of it after a
+// call that hangs, or mostWait and a half after one that was refused.
 const (
-	silence   = 5 * time.Second // a line comes every 2 s at least
+	silence   = 2500 * time.Millisecond
 	leastWait = 100 * time.Millisecond
-	mostWait  = time.Second
-	longest   = 4 << 20 // bytes of one line
+	mostWait  = 500 * time.Millisecond
+	longest   = 4 << 20 // bytes of one list
 )
 
 // Entry is one member as the list has it.
@@ -77,8 +82,10 @@
 	return l, f.Err
 }
 
-// errMoved ends a watch whose address has changed.
-var errMoved = errors.New("discovery has moved")
+// errMoved ends a watch whose address has changed, errSilent one on which nothing comes.
+var errMoved, errSilent = errors.New("discovery has moved"), errors.New("silent")
+
+var errTooLong = Unsound{errors.New("line or list too long")}
 
 // Watcher keeps a watch on the list.
 type Watcher struct {
@@ -86,7 +93,7 @@
 	deliver  func(*List)
 	failed   func(error)
 	client   *http.Client
-	silence  time.Duration // after which a watch is given up
+	silence  time.Duration // after which a watch is given up; one list may take twice as long while it keeps coming
 
 	mu    sync.Mutex
 	addr  string
@@ -130,7 +137,7 @@
 		if !errors.Is(err, errMoved) {
 			w.failed(err)
 		}
-		if time.Since(before) > 2*w.silence { // it went well for a while
+		if time.Since(before) >= w.silence { // it went well for a while, or took its time: that paces as well as a pause
 			wait = leastWait
 		}
 		select {
@@ -159,7 +166,8 @@
 }
 
 // Once watches until the connection ends, falls silent or tells something unsound, and says which. An address that
-// is new is asked for the whole list first, which is taken for what it is whatever its revision.
+// is new is asked for the whole list first, which is taken for what it is whatever its revision; so is one whose
+// revisions have gone back.
 func (w *Watcher) Once(ctx context.Context) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -167,14 +175,40 @@
 	url, fresh := "http://"+w.addr+"/api/targets", w.fresh
 	w.stop = cancel
 	w.mu.Unlock()
-	quiet := time.AfterFunc(w.silence, func() { cancel(errors.New("silent")) })
-	defer quiet.Stop()
+	p := &pace{silence: w.silence, whole: time.Now(), quiet: time.AfterFunc(w.silence, func() { cancel(errSilent) })}
+	defer p.quiet.Stop()
 	if fresh {
-		if err := w.whole(ctx, url); err != nil {
+		if err := w.whole(ctx, url, p); err != nil {
 			return orCause(ctx, err)
 		}
 	}
-	return orCause(ctx, w.follow(ctx, url, quiet))
+	return orCause(ctx, w.follow(ctx, url, p))
+}
+
+// pace ends a watch on which nothing comes. A list that is on its way may go on coming, up to a bound. Guards against
+// a connection that stays open and silent, whatever it fell silent in, and against lists that never end.
+type pace struct {
+	silence time.Duration
+	whole   time.Time // when the last line or list was through
+	quiet   *time.Timer
+}
+
+// told says that a line or list is through, came that some bytes are.
+func (p *pace) told() { p.whole = time.Now(); p.quiet.Reset(p.silence) }
+func (p *pace) came() { p.quiet.Reset(min(p.silence, time.Until(p.whole.Add(2*p.silence)))) }
+
+// paced is a body whose bytes keep its pace.
+type paced struct {
+	io.Reader
+	p *pace
+}
+
+func (b paced) Read(into []byte) (int, error) {
+	n, err := b.Reader.Read(into)
+	if n > 0 {
+		b.p.came()
+	}
+	return n, err
 }
 
 func (w *Watcher) get(ctx context.Context, url string) (io.ReadCloser, error) {
@@ -193,71 +227,121 @@
 	return res.Body, nil
 }
 
-// whole asks a new address for its list. Guards against taking its revisions for those of the last address.
-func (w *Watcher) whole(ctx context.Context, url string) error {
+// whole asks for the whole list. Guards against taking revisions for those of another address, or of a discovery that
+// has lost its own.
+func (w *Watcher) whole(ctx context.Context, url string, p *pace) error {
 	body, err := w.get(ctx, url)
 	if err != nil {
 		return err
 	}
 	defer body.Close()
-	text, err := io.ReadAll(io.LimitReader(body, longest+1))
+	text, err := io.ReadAll(io.LimitReader(paced{body, p}, longest+1))
 	if err != nil {
 		return err
 	} else if len(text) > longest {
-		return errors.New("list too long")
+		return errTooLong
 	}
 	l, err := decode(text)
 	if err != nil {
 		return err
 	}
+	p.told()
+	return w.tell(ctx, l, true)
+}
+
+// tell passes a list on, unless discovery has moved meanwhile. Guards against a line of the old address that was read
+// just before the move, and told after it.
+func (w *Watcher) tell(ctx context.Context, l *List, fresh bool) error {
+	faults.Here("discovery.tell")
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if ctx.Err() != nil { // it has moved again
+	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	w.fresh, w.revision = false, l.Revision
+	if fresh {
+		w.fresh = false
+	}
+	w.revision = l.Revision
 	w.deliver(l)
 	return nil
 }
 
+// Unsound is what is wrong with a list that came.
+type Unsound struct{ error }
+
 func decode(text []byte) (*List, error) {
 	v, err := fastjson.ParseBytes(text)
 	if err != nil {
-		return nil, fmt.Errorf("not JSON: %w", err)
+		return nil, Unsound{fmt.Errorf("not JSON: %w", err)}
+	}
+	l, err := Decode(v)
+	if err != nil {
+		return nil, Unsound{err}
 	}
-	return Decode(v)
+	return l, nil
 }
 
-// follow delivers each list that a watch tells, a line each.
-func (w *Watcher) follow(ctx context.Context, url string, quiet *time.Timer) error {
+// follow delivers each list that a watch tells: a line each, or several where it comes indented.
+func (w *Watcher) follow(ctx context.Context, url string, p *pace) error {
 	body, err := w.get(ctx, fmt.Sprintf("%s?stream=1&index=%d", url, w.revision))
 	if err != nil {
 		return err
 	}
 	defer body.Close()
-	lines := bufio.NewReader(body)
-	for told := false; ; told = true {
-		line, err := readLine(lines)
-		if err != nil { // what came of a line that was cut is dropped
+	lines := bufio.NewReader(paced{body, p})
+	var text []byte // of the list that is not whole yet
+	depth := 0
+	for told := false; ; {
+		line, err := readLine(lines, longest-len(text))
+		if err != nil { // what came of a list that was cut is dropped
 			return err
 		}
-		quiet.Reset(w.silence)
-		if line = bytes.TrimSpace(line); len(line) == 0 {
-			if !told { // nothing has changed: that is an answer too
-				w.deliver(&List{Revision: w.revision})
-			}
+		line = bytes.TrimSpace(line)
+		more, cut := nested(line)
+		depth += more
+		// Guards against waiting for the rest of a list that was spoilt: an empty line comes only between lists.
+		if text = append(text, line...); depth > 0 && !cut && len(line) > 0 {
 			continue
 		}
-		l, err := decode(line)
-		if err != nil {
-			return err
+		p.told()
+		l := &List{Revision: w.revision} // an empty line: nothing has changed, which is an answer too
+		if len(text) > 0 {
+			if l, err = decode(text); err != nil {
+				return err
+			}
+			if l.Revision < w.revision {
+				w.mu.Lock()
+				w.fresh = true
+				w.mu.Unlock()
+				return Unsound{fmt.Errorf("revision %d is older than %d", l.Revision, w.revision)}
+			}
+		}
+		if len(text) > 0 || !told {
+			if err := w.tell(ctx, l, false); err != nil {
+				return err
+			}
 		}
-		if l.Revision < w.revision {
-			return fmt.Errorf("revision %d is older than %d", l.Revision, w.revision)
+		text, depth, told = nil, 0, true
+	}
+}
+
+// nested tells how many brackets a line opens more than it closes, outside of texts, and whether it ends in a text, which
+// can't go on in the next line.
+func nested(line []byte) (n int, cut bool) {
+	for i := 0; i < len(line); i++ {
+		switch c := line[i]; {
+		case cut && c == '\\':
+			i++
+		case c == '"':
+			cut = !cut
+		case cut:
+		case c == '{' || c == '[':
+			n++
+		case c == '}' || c == ']':
+			n--
 		}
-		w.revision = l.Revision
-		w.deliver(l)
 	}
+	return n, cut
 }
 
 // orCause prefers the reason for which the watch was given up.
@@ -268,12 +352,12 @@
 	return err
 }
 
-func readLine(r *bufio.Reader) ([]byte, error) {
+func readLine(r *bufio.Reader, most int) ([]byte, error) {
 	var line []byte
 	for {
 		part, err := r.ReadSlice('\n')
-		if len(line)+len(part) > longest {
-			return nil, errors.New("line too long")
+		if len(line)+len(part) > most {
+			return nil, errTooLong
 		}
 		line = append(line, part...)
 		if !errors.Is(err, bufio.ErrBufferFull) {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -1,8 +1,10 @@
 package discovery
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -27,8 +29,17 @@
 		{"no address", strings.Replace(changed, ":5433", "", 1) + "\n", "", "members[0].host_port"},
 		{"no id", strings.Replace(changed, `"id"`, `"ip"`, 1) + "\n", "", "members[0].id"},
 		{"an old revision", strings.Replace(changed, "43", "40", 1) + "\n", "", "revision 40 is older than 41"},
-		{"a line without end", strings.Repeat(" ", longest+1), "", "line too long"},
+		{"a line without end", strings.Repeat(" ", longest+1), "", "line or list too long"},
 		{"silence", "", "", "silent"},
+		{"indented", "{\n \"revision\": 43,\n \"complete\": false,\n \"members\": [\n  " + strings.ReplaceAll(entry, ",", ",\n\t") +
+			"\n ]\n}\n\n" + `{"revision":44,` + "\n" + `"complete":true,"members":[]}` + "\n", "43 false a; 44 true", "EOF"},
+		{"brackets in a text", strings.Replace(changed, `"id":"a"`, `"id":"a}]\\\"{"`, 1) + "\n", `43 false a}]\"{`, "EOF"},
+		{"indented and cut", "{\n \"revision\": 43,\n", "", "EOF"},
+		{"never closed", "{\"revision\": 43,\n\n" + changed + "\n", "", "not JSON"},
+		{"a text that is cut", "{\"revis\n" + changed + "\n", "", "not JSON"},
+		{"missing field", strings.Replace(changed, `"phase":"in_service",`, "", 1) + "\n", "", "members[0].phase: must be text"},
+		{"wrong type", strings.Replace(changed, "43", `"43"`, 1) + "\n", "", "revision: must be a number"},
+		{"lines without end", strings.Repeat("[\n", longest+1), "", "line or list too long"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -151,3 +162,154 @@
 	}
 	cancel()
 }
+
+// peer is a discovery that does what it is told with each call, over a socket of its own.
+type peer struct {
+	net.Listener
+	asked chan string
+	held  []net.Conn
+}
+
+func newPeer(t *testing.T, calls ...func(net.Conn)) *peer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &peer{Listener: l, asked: make(chan string, 100)}
+	ended := make(chan bool)
+	go func() {
+		defer close(ended)
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			p.held = append(p.held, c)
+			req, err := http.ReadRequest(bufio.NewReader(c))
+			if err != nil {
+				c.Close()
+				continue
+			}
+			p.asked <- req.URL.RequestURI()
+			calls[min(n, len(calls)-1)](c)
+		}
+	}()
+	t.Cleanup(func() {
+		l.Close()
+		<-ended
+		for _, c := range p.held {
+			c.Close()
+		}
+	})
+	return p
+}
+
+func says(text string) func(net.Conn) {
+	return func(c net.Conn) { fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\n"+text) }
+}
+
+func resets(text string) func(net.Conn) {
+	return func(c net.Conn) {
+		fmt.Fprint(c, text)
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+}
+
+// Whatever befalls a call, and the next, the list gets through with the third: each of them ends by itself.
+func TestAnyTwoFaultsInARow(t *testing.T) {
+	befalls := map[string]func(net.Conn){
+		"silent":               func(net.Conn) {},
+		"silent after a line":  says("\n"),
+		"silent in a line":     says(changed[:40]),
+		"silent in a list":     says("{\n"),
+		"lines but no end":     func(c net.Conn) { says("{\"x\":[\n")(c); fmt.Fprint(c, "\n\n") },
+		"reset at once":        resets(""),
+		"reset after a line":   resets("HTTP/1.1 200 OK\r\n\r\n\n"),
+		"reset in a line":      resets("HTTP/1.1 200 OK\r\n\r\n" + changed[:40]),
+		"refused":              resets("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"),
+		"no HTTP":              resets("what?\r\n\r\n"),
+		"half a head":          func(c net.Conn) { fmt.Fprint(c, "HTTP/1.1 200") },
+		"spoilt":               says("{,}\n"),
+		"revisions start anew": says(strings.Replace(changed, "43", "2", 1) + "\n"),
+	}
+	for first, f := range befalls {
+		for second, g := range befalls {
+			t.Run(first+", "+second, func(t *testing.T) {
+				t.Parallel()
+				p := newPeer(t, f, g, func(c net.Conn) { says(changed + "\n")(c); c.Close() })
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				told := make(chan *List, 100)
+				w := New(p.Addr().String(), 41, func(l *List) { told <- l }, func(error) {})
+				w.silence = 30 * time.Millisecond
+				go w.Keep(ctx)
+				for l := range told {
+					if len(l.Entries) == 1 && l.Revision == 43 {
+						return
+					}
+				}
+			})
+		}
+	}
+}
+
+// What the page allows between a change that discovery has and can tell, and its being told here.
+func TestTheLongestUntilTold(t *testing.T) {
+	const allowed, beat, most = 6 * time.Second, 2 * time.Second, 1.5
+	pause := time.Duration(most * float64(leastWait))
+	for what, longest := range map[string]time.Duration{
+		"a watch falls silent, the next call hangs": 2 * (silence + pause),
+		"discovery returns while a call hangs":      silence + pause,
+		"calls are refused up to its return":        time.Duration(most * float64(mostWait)),
+		"a list that keeps coming, and never ends":  2*silence + pause,
+	} {
+		if longest >= allowed {
+			t.Errorf("%s: told after %v, %v are allowed", what, longest, allowed)
+		}
+	}
+	if silence <= beat {
+		t.Errorf("a watch is given up after %v, and has a line every %v", silence, beat)
+	}
+}
+
+// Discovery that has started anew has lower revisions. They are not taken for old news for ever: its whole list is asked
+// for, and taken for what it is.
+func TestRevisionsStartAnew(t *testing.T) {
+	for _, first := range []string{strings.Replace(changed, "43", "2", 1), `{"revision":3,"complete":true,"members":[]}`} {
+		p := newPeer(t, says(first+"\n"), func(c net.Conn) {
+			says(`{"revision":3,"complete":true,"members":[` + entry + `]}`)(c)
+			c.Close()
+		}, says("\n"))
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		told := make(chan *List, 10)
+		go New(p.Addr().String(), 41, func(l *List) { told <- l }, func(error) {}).Keep(ctx)
+		if l := <-told; l.Revision != 3 || !l.Whole || len(l.Entries) != 1 {
+			t.Errorf("told %+v", l)
+		}
+		for _, want := range []string{"/api/targets?stream=1&index=41", "/api/targets", "/api/targets?stream=1&index=3"} {
+			if got := <-p.asked; got != want {
+				t.Errorf("asked %s, want %s", got, want)
+			}
+		}
+	}
+}
+
+// Where the router says when to ask, a call that hangs ends by itself, so that the request behind it is heard.
+func TestAnswerAfterAHang(t *testing.T) {
+	p := newPeer(t, func(net.Conn) {}, says(changed+"\n"))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	told, requests := make(chan *List, 10), make(chan struct{}, 1)
+	w := New(p.Addr().String(), 41, func(l *List) { told <- l }, func(error) {})
+	w.silence = 30 * time.Millisecond
+	go w.Answer(ctx, requests)
+	requests <- struct{}{}
+	<-p.asked
+	requests <- struct{}{} // while the first hangs
+	if l := <-told; l.Revision != 43 {
+		t.Errorf("told %+v", l)
+	}
+}
--- a/internal/faults/points_debug.go
+++ b/internal/faults/points_debug.go
@@ -1,17 +1,34 @@
 //go:build debug
 
-// Package faults has the points at which a test stops or kills a process from inside, where no signal from outside could be timed.
-// It owns the folder that names them; in a release build there is none of it.
+// Package faults has the points at which a test stops or kills a process from inside, where no signal from outside could be timed, and
+// those at which it holds a thread of its own process, to force an order of two events. It owns the folder that names the first and the
+// functions set for the second; in a release build there is none of it.
 package faults
 
 import (
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
 
+var here sync.Map // by name: func()
+
+// At has f called at a point of this process until the function that it gives back is called.
+func At(name string, f func()) (clear func()) {
+	here.Store(name, f)
+	return func() { here.Delete(name) }
+}
+
+// Here is such a point.
+func Here(name string) {
+	if f, set := here.Load(name); set {
+		f.(func())()
+	}
+}
+
 // Point stops or kills this process if the folder that WAYLOFT_FAULTS names holds a file of this name, saying "stop" or "kill",
 // once: the file is gone before it happens.
 func Point(name string) {
--- a/internal/faults/points_release.go
+++ b/internal/faults/points_release.go
@@ -5,3 +5,6 @@
 
 // Point does nothing.
 func Point(string) {}
+
+// Here does nothing.
+func Here(string) {}
--- /dev/null
+++ b/internal/host/crossing_test.go
@@ -0,0 +1,137 @@
+//go:build debug
+
+package host
+
+import (
+	"io"
+	"net"
+	"sync"
+	"testing"
+
+	"wayloft/internal/faults"
+)
+
+// ends is a handler that notes what it hears.
+type ends struct {
+	data   chan string
+	closed chan bool
+}
+
+func (e *ends) Data(b []byte) { e.data <- string(b) }
+func (e *ends) Closed()       { close(e.closed) }
+
+// pair runs a loop, and gives a connection of its own and the peer's end.
+func pair(t *testing.T, mostLeft int) (*Loop, *Conn, *net.TCPConn, *ends) {
+	t.Helper()
+	l := NewLoop(256)
+	front, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h, accepted := &ends{make(chan string, 10), make(chan bool)}, make(chan *Conn, 1)
+	if err := l.Listen(front, mostLeft, func(c *Conn) { c.Handle(h); accepted <- c }); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan bool)
+	go func() { l.Run(func() {}); close(ended) }()
+	t.Cleanup(func() { l.Post(l.End); <-ended })
+	peer, err := net.Dial("tcp", front.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { peer.Close() })
+	return l, <-accepted, peer.(*net.TCPConn), h
+}
+
+// A request that the poller has read, and not yet counted, when its connection is about to end: it is heard, and the
+// connection stays. Held at the point between the two, an end can't be decided.
+func TestEndWhileThePollerReads(t *testing.T) {
+	for name, end := range map[string]func(*Conn) bool{"finish": (*Conn).FinishQuiet, "drop": (*Conn).DropQuiet} {
+		t.Run(name, func(t *testing.T) {
+			l, c, peer, h := pair(t, 1<<20)
+			ended := make(chan bool, 1)
+			ask := func() { l.Post(func() { ended <- end(c) }) }
+			apart := false
+			clear := faults.At("host.read", sync.OnceFunc(func() {
+				if apart = c.order.TryLock(); apart { // nothing keeps the end out: let it happen now
+					c.order.Unlock()
+					ask()
+					ended <- <-ended
+					return
+				}
+				ask() // before what was read is heard
+			}))
+			if _, err := peer.Write([]byte("request")); err != nil {
+				t.Fatal(err)
+			}
+			if <-ended {
+				t.Error("ended over a request that was read before")
+			}
+			clear()
+			if apart {
+				t.Error("the poller reads and counts in two steps")
+			}
+			if got := <-h.data; got != "request" {
+				t.Errorf("heard %q", got)
+			}
+		})
+	}
+}
+
+// A request that comes between the question whether any has and the end: the poller does not read it before the end, so
+// that its sender can tell that it was not taken; what was answered before reaches it.
+func TestRequestComesWhileItsConnectionEnds(t *testing.T) {
+	l, c, peer, h := pair(t, 1<<20)
+	var order []string
+	var mu sync.Mutex
+	note := func(what string) { mu.Lock(); order = append(order, what); mu.Unlock() }
+	clear := faults.At("host.read", func() { note("read") })
+	defer clear()
+	free := false
+	defer faults.At("host.quietly", func() {
+		if free = c.order.TryLock(); free {
+			c.order.Unlock()
+		}
+		if _, err := peer.Write([]byte("request")); err != nil { // it is with this side's system when this returns
+			t.Error(err)
+		}
+		note("ending")
+	})()
+	ended := make(chan bool, 1)
+	l.Post(func() { c.Write([]byte("answer")); ended <- c.FinishQuiet() })
+	if !<-ended {
+		t.Fatal("a quiet connection did not end")
+	}
+	if got, err := io.ReadAll(peer); string(got) != "answer" || err != nil {
+		t.Errorf("the peer read %q, %v; want the answer and the end", got, err)
+	}
+	peer.Close()
+	<-h.closed
+	mu.Lock()
+	defer mu.Unlock()
+	if free {
+		t.Error("the poller may read while the end is decided")
+	}
+	if len(order) == 0 || order[0] != "ending" {
+		t.Errorf("in the order %v", order)
+	}
+	select {
+	case got := <-h.data:
+		t.Errorf("heard %q after the end", got)
+	default:
+	}
+}
+
+// What is not written to the end keeps its connection from ending quietly, and the answer gets through.
+func TestUnsentIsNotQuiet(t *testing.T) {
+	l, c, peer, _ := pair(t, 64<<20)
+	long := make([]byte, 32<<20)
+	ended := make(chan bool, 1)
+	l.Post(func() { c.Write(long); ended <- c.FinishQuiet() })
+	if <-ended {
+		t.Error("ended though not all was written")
+	}
+	if n, err := io.ReadFull(peer, long); err != nil {
+		t.Errorf("the peer read %d bytes: %v", n, err)
+	}
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -10,8 +10,10 @@
 	"wayloft/router"
 )
 
-// Members carries submissions and checks to members. How each ended comes back by Returned and Checked.
+// Members carries submissions and checks to members. How each ended comes back by Returned and Checked. Abandon gives
+// up what of a txn may not have run yet.
 type Members interface {
+	Abandon(txn string)
 	Submit(txn *exchange.Txn, seq int, member string, wait float64)
 	Revoke(txn string, seq int)
 	Check(member string)
@@ -95,11 +97,13 @@
 	return nil
 }
 
-// Gone says that the client of a txn has left.
+// Gone says that the client of a txn has left: nothing is owed any more, and what is not written yet isn't written. Guards
+// against a submission that waits for a connection to come up, and goes out long after.
 func (h *Host) Gone(t *exchange.Txn) {
 	if t.Leave() {
 		h.hear().Gone(t.ID)
 		h.forget(t.ID)
+		h.members.Abandon(t.ID)
 	}
 }
 
--- a/internal/host/loop.go
+++ b/internal/host/loop.go
@@ -5,12 +5,16 @@
 import (
 	"errors"
 	"net"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 	"golang.org/x/sys/unix"
+
+	"wayloft/internal/faults"
 )
 
 const (
@@ -30,6 +34,7 @@
 	batch  int64 // counts the batches of events
 	ended  bool
 	engine *nbio.Engine
+	buf    []byte // the poller's, for what it reads
 }
 
 // Handler hears of its connection's bytes and its end, on the loop.
@@ -45,7 +50,8 @@
 	handler Handler
 	asked   int64
 	written atomic.Int64
-	read    atomic.Int64
+	order   sync.Mutex   // held while the poller reads and counts, and while the loop asks what came and ends the connection
+	read    atomic.Int64 // under order
 	handled int64
 	looked  int64        // the batch in which the system was last asked about it
 	was     int16        // and what it said
@@ -57,7 +63,7 @@
 // NewLoop makes a loop that can hold this many descriptors.
 func NewLoop(descriptors int) *Loop {
 	now := time.Now()
-	l := &Loop{mail: make(chan func(), mailbox), start: now, wall: float64(now.UnixMicro()) / 1000}
+	l := &Loop{mail: make(chan func(), mailbox), start: now, wall: float64(now.UnixMicro()) / 1000, buf: make([]byte, readSize)}
 	l.now = l.wall
 	nbio.MaxOpenFiles = 2*descriptors + 1024 // the size of its table; the platform's limit is what binds
 	return l
@@ -134,7 +140,7 @@
 func (l *Loop) Listen(listener net.Listener, mostLeft int, accept func(*Conn)) error {
 	logging.SetLevel(logging.LevelNone)
 	e := nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: []string{listener.Addr().String()}, NPoller: 1,
-		ReadBufferSize: readSize, MaxWriteBufferSize: mostLeft, MaxConnReadTimesPerEventLoop: reads,
+		ReadBufferSize: readSize, MaxWriteBufferSize: mostLeft,
 		// Level-triggered: edge-triggered, nbio reads one connection for as long as its peer goes on sending.
 		EpollMod: nbio.EPOLLLT,
 		Listen:   func(string, string) (net.Listener, error) { return listener, nil }})
@@ -145,16 +151,9 @@
 		c := l.own(nb)
 		l.Post(func() { accept(c) })
 	})
-	e.OnData(func(nb *nbio.Conn, data []byte) {
-		if c := owner(nb); c != nil && !c.deaf.Load() {
-			data = append([]byte(nil), data...)
-			c.read.Add(int64(len(data)))
-			l.Post(func() {
-				c.handled += int64(len(data))
-				if !c.closed && c.handler != nil {
-					c.handler.Data(data)
-				}
-			})
+	e.OnRead(func(nb *nbio.Conn) {
+		if c := owner(nb); c != nil {
+			c.receive()
 		}
 	})
 	e.OnWrittenSize(func(nb *nbio.Conn, _ []byte, n int) {
@@ -214,6 +213,56 @@
 	return c, err
 }
 
+// Adopt makes a connection that came in ready for the poller; where it fails the connection is closed.
+func Adopt(std net.Conn) (net.Conn, error) {
+	nb, err := nbio.NBConn(std)
+	if err != nil {
+		std.Close()
+		return nil, err
+	}
+	return nb, nil
+}
+
+// receive takes in what has come, a bounded part of it at once. On the poller.
+func (c *Conn) receive() {
+	buf := c.loop.buf
+	for range reads {
+		n, heard, err := c.take(buf)
+		if heard {
+			data := append([]byte(nil), buf[:n]...)
+			c.loop.Post(func() {
+				c.handled += int64(len(data))
+				if !c.closed && c.handler != nil {
+					c.handler.Data(data)
+				}
+			})
+		}
+		switch {
+		case errors.Is(err, syscall.EINTR):
+		case errors.Is(err, syscall.EAGAIN):
+			return
+		case err != nil:
+			c.nb.CloseWithError(err)
+			return
+		case n < len(buf):
+			return
+		}
+	}
+}
+
+// take reads and counts in one step, against who asks what is unread. Guards against an end that is decided between the
+// two: bytes that were read before it would be thrown away after it, and their sender can't know.
+func (c *Conn) take(buf []byte) (n int, heard bool, err error) {
+	c.order.Lock()
+	defer c.order.Unlock()
+	n, err = c.nb.Read(buf)
+	faults.Here("host.read")
+	if heard = n > 0 && !c.deaf.Load(); heard {
+		c.read.Add(int64(n))
+	}
+	return n, heard, err
+}
+
 // control does something to the descriptor while it is surely the connection's own.
 func (c *Conn) control(f func(fd int) error) error {
 	c.nb.Lock()
@@ -274,6 +323,12 @@
 
 // Unread tells whether something has come that the handler has not heard of yet: bytes, or the end.
 func (c *Conn) Unread() bool {
+	c.order.Lock()
+	defer c.order.Unlock()
+	return c.unread()
+}
+
+func (c *Conn) unread() bool {
 	c.was, c.looked = c.state(), c.loop.batch
 	return c.read.Load() != c.handled || c.was != 0
 }
@@ -311,6 +366,23 @@
 // end shuts one or both directions down. The poller closes a connection that is shut down both ways.
 func (c *Conn) end(how int) { c.control(func(fd int) error { return unix.Shutdown(fd, how) }) }
 
+// DropQuiet and FinishQuiet do as Drop and Finish, unless something has come that the handler has not heard of yet, or
+// not all is written; they tell whether they did. Asking and ending are one step against the poller: what it reads
+// after that came after the end, as its sender can tell.
+func (c *Conn) DropQuiet() bool   { return c.quietly(c.Drop) }
+func (c *Conn) FinishQuiet() bool { return c.quietly(c.Finish) }
+
+func (c *Conn) quietly(end func()) bool {
+	c.order.Lock()
+	defer c.order.Unlock()
+	if c.closed || !c.Sent() || c.unread() {
+		return false
+	}
+	faults.Here("host.quietly")
+	end()
+	return true
+}
+
 // Finish ends it once the peer has what was written. It then waits a moment for the peer to close, since closing
 // before all of its bytes are read would reset the connection and take the last answer away from it. A peer that does
 // not even read is not waited for much longer.
--- a/internal/members/answer.go
+++ b/internal/members/answer.go
@@ -65,7 +65,7 @@
 func (l *link) spoilt() {
 	l.all.Spoilt++
 	l.stage, l.err = nothing, nil
-	if j := l.job; j != nil && l.sent() {
+	if j := l.job; j != nil && !l.unsent() {
 		l.all.end(j, router.Errored)
 	}
 	l.Closed()
--- /dev/null
+++ b/internal/members/crossing_test.go
@@ -0,0 +1,180 @@
+//go:build debug
+
+package members
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+
+	"wayloft/internal/exchange"
+	"wayloft/internal/faults"
+	"wayloft/internal/pg"
+	"wayloft/internal/standin"
+	"wayloft/router"
+)
+
+// holder is a member that lets a connection in and then reads nothing until it is told to.
+type holder struct {
+	addr string
+	in   chan net.Conn
+}
+
+func newHolder(t *testing.T) *holder {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &holder{l.Addr().String(), make(chan net.Conn, 1)}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		io.ReadFull(c, make([]byte, len(pg.AppendStartup(nil, "api", "ledger"))))
+		c.Write(pg.AppendGreeting(nil, 0))
+		h.in <- c
+	}()
+	return h
+}
+
+// The rest of a query is written just while its submission is given up: whoever judges asks after the connection is
+// closed, so that what has gone out to the end is never called unrun.
+func TestTheLastByteGoesOutWhileItIsGivenUp(t *testing.T) {
+	long := strings.Repeat("x", 16<<20)
+	for _, c := range []struct {
+		name, want string
+		up         func(*Members, *ear)
+	}{
+		{"revoked", "0 revoked 0 0 false", func(a *Members, _ *ear) { a.Revoke("1", 0) }},
+		{"its client leaves", "0 revoked 0 0 false", func(a *Members, _ *ear) { a.Abandon("1") }},
+		{"timed out", "0 timed out 0 0 false", func(a *Members, e *ear) { e.Soon(func() { a.end(a.jobs["1"], router.TimedOut) }) }},
+	} {
+		for _, drained := range []bool{true, false} {
+			t.Run(fmt.Sprint(c.name, ", read meanwhile: ", drained), func(t *testing.T) {
+				e, side := start(t, 10)
+				h := newHolder(t)
+				st, err := pg.ParseStatement("/* id=1,c=x,d=60000 */ SELECT " + long)
+				if err != nil {
+					t.Fatal(err)
+				}
+				e.do(func() {
+					side.List(list(h.addr, router.Up))
+					side.Submit(exchange.New(st, e.Now(), func(exchange.Answer) {}), 0, "a", 0)
+				})
+				peer := <-h.in
+				defer peer.Close()
+				standin.Until(t, "a part of it is out", func() (out bool) {
+					e.do(func() {
+						for _, l := range side.links {
+							out = l.asked && l.conn.Unsent() > 0
+						}
+					})
+					return out
+				})
+				var l *link
+				e.do(func() {
+					for _, one := range side.links {
+						l = one
+					}
+				})
+				if drained {
+					defer faults.At("members.unsent", sync.OnceFunc(func() {
+						go io.Copy(io.Discard, peer)
+						for !l.conn.Sent() {
+							runtime.Gosched()
+						}
+					}))()
+				}
+				want := c.want
+				if !drained {
+					want = "0 moot 0 0 false"
+				}
+				e.do(func() { c.up(side, e) })
+				if got := e.hear(t); got != want {
+					t.Errorf("got %q, want %q", got, want)
+				}
+			})
+		}
+	}
+}
+
+// A client leaves while its submission waits for a connection to come up, in the pool's queue, or behind a list: nothing
+// is sent for it, and the connection serves the next.
+func TestClientLeavesBeforeItsQueryIsWritten(t *testing.T) {
+	e, side := start(t, 1)
+	greet := make(chan bool)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	asked := make(chan string, 10)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		in := pg.NewReader(false, 1<<20)
+		buf := make([]byte, 1<<12)
+		for {
+			n, err := c.Read(buf)
+			if err != nil {
+				return
+			}
+			in.Feed(buf[:n])
+			for m, ok, _ := in.Next(); ok; m, ok, _ = in.Next() {
+				if m.Kind == pg.Startup {
+					<-greet
+					c.Write(pg.AppendGreeting(nil, 0))
+					continue
+				}
+				asked <- m.Text
+				c.Write(standin.Row("v", "source", "1").Bytes)
+			}
+		}
+	}()
+	e.do(func() {
+		side.limits.DialTimeout = 20000
+		side.List(list(l.Addr().String(), router.Up))
+		side.Submit(txn(e, "1", 60000), 0, "a", 0)
+	})
+	e.do(func() { side.Abandon("1") })
+	if got := e.hear(t); got != "0 moot 0 0 false" {
+		t.Errorf("got %q", got)
+	}
+	e.do(func() { side.Abandon("1") }) // told twice
+	close(greet)
+	standin.Until(t, "the connection is kept", func() (idle bool) {
+		e.do(func() { idle = side.pool.Idle("a") == 1 })
+		return idle
+	})
+	e.do(func() { side.Submit(txn(e, "2", 60000), 0, "a", 0) })
+	if got := e.hear(t); got != "0 committed 1 1 true" {
+		t.Errorf("got %q", got)
+	}
+	if got := <-asked; !strings.Contains(got, "id=2") {
+		t.Errorf("asked %q first", got)
+	}
+}
+
+// A client leaves while its query may run: the submission goes on to its end, whose word on the member is heard.
+func TestClientLeavesWhileItsQueryRuns(t *testing.T) {
+	e, side := start(t, 1)
+	answer := make(chan bool)
+	m := standin.NewMember(t, nil, func(string) *standin.Reply { <-answer; return standin.Row("v", "source", "1") })
+	e.do(func() { side.List(list(m.Addr, router.Up)); side.Submit(txn(e, "1", 60000), 0, "a", 0) })
+	standin.Until(t, "it is out", func() bool { _, asked := m.Seen(); return len(asked) > 0 })
+	e.do(func() { side.Abandon("1") })
+	close(answer)
+	if got := e.hear(t); got != "0 committed 1 1 true" {
+		t.Errorf("got %q", got)
+	}
+}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -16,6 +16,7 @@
 	"wayloft/internal/decide/pool"
 	"wayloft/internal/discovery"
 	"wayloft/internal/exchange"
+	"wayloft/internal/faults"
 	"wayloft/internal/host"
 	"wayloft/internal/must"
 	"wayloft/internal/pg"
@@ -279,6 +280,13 @@
 	}
 }
 
+// Abandon gives a submission up whose client has gone, unless it may run already. A talk ends by its own way.
+func (a *Members) Abandon(txn string) {
+	if j := a.jobs[txn]; j != nil && j.txn.Talk == nil && (j.link == nil || !j.link.sent()) {
+		a.end(j, router.Revoked)
+	}
+}
+
 func (a *Members) begin(j *job, id string) {
 	m := a.byID[id]
 	must.Hold(m != nil, "submissions and checks go to listed members")
@@ -375,6 +383,7 @@
 
 // take writes the job's query.
 func (l *link) take(j *job) {
+	must.Hold(j.txn == nil || j.txn.Talk != nil || !j.txn.Over(), "nothing is sent for a client that has gone")
 	l.job, j.link, l.asked = j, l, true
 	l.rows, l.stage, l.cell, l.err, l.role, l.gtid, l.vital = nil, 0, nil, nil, router.Unsaid,
 		router.Never, ""
@@ -459,6 +468,17 @@
 // sent tells whether the last byte of the job's query is written, so that it may run.
 func (l *link) sent() bool { return l.asked && l.conn.Sent() }
 
+// unsent tells that it is not, and never will be. Guards against the poller, which may be writing the rest just now: the
+// connection is closed first and asked then, after which nothing more goes out.
+func (l *link) unsent() bool {
+	if l.sent() {
+		return false
+	}
+	faults.Here("members.unsent")
+	l.conn.Close()
+	return !l.sent()
+}
+
 // end gives a job its outcome, once. A connection whose answer is not through is closed before anyone hears of it.
 func (a *Members) end(j *job, how router.Outcome) {
 	if j.over {
@@ -479,7 +499,7 @@
 		}
 		return
 	}
-	if j.txn != nil && (how == router.TimedOut || how == router.Revoked) && (l == nil || !l.sent()) {
+	if j.txn != nil && (how == router.TimedOut || how == router.Revoked) && (l == nil || l.unsent()) {
 		how = router.Moot // given up before it was written: that says nothing of the member
 	}
 	var rows, cell []byte
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := e.Listen(l, 1<<20, func(*host.Conn) {}); err != nil {
+	if err := e.Listen(l, 64<<20, func(*host.Conn) {}); err != nil {
 		t.Fatal(err)
 	}
 	side := New(e, Limits{DialTimeout: 200, Reports: true, Longest: longest, Budget: 4 * longest,
