Where lists are asked for, the next call after a failed one comes within 1.5 s

Log of its routers: silent since the first second, "out of reach" at 5.0 s, "the list is back" at 6.7 to 7.1 s: 5 s of silence and a pause of up to 1.9 s (AskWithin/8, 10 s there). Ruled out: a list that was refused (the only error is silent) and a send that waited (the grace is 0.5 s, the connect time-out 0.25 s).

--- a/router/router.go
+++ b/router/router.go
@@ -290,7 +290,8 @@
 // ListFailed says that a call failed or the subscription broke. Many routers must not ask again at once.
 func (r *Router) ListFailed() {
 	if r.set.Ask {
-		r.wantWatch = math.Min(r.wantWatch, r.now+r.set.AskWithin/8*(0.5+r.chance.Next()))
+		pause := math.Min(r.set.AskWithin/8, restCheck) // told 6 s after it can be, though one more call is refused
+		r.wantWatch = math.Min(r.wantWatch, r.now+pause*(0.5+r.chance.Next()))
 	}
 }
 
