--- a/router/router_test.go
+++ b/router/router_test.go
@@ -328,3 +328,35 @@
 		t.Errorf("sight went quiet at 4,800; checks: %v", quiet)
 	}
 }
+
+// Where lists are asked for, a failed call is followed by another within 1.5 s and not in the same instant, whatever time
+// the settings leave: the watch is given up after 2.5 s of silence, and a change counts as told after 6 s, also if one more
+// call is refused.
+func TestTheNextCallForTheList(t *testing.T) {
+	for _, within := range []float64{2000, 10000, 40000} {
+		for seed := uint64(1); seed <= 50; seed++ {
+			r := New(&Settings{Ask: true, AskWithin: within, Routers: 1}, seed)
+			watches := func(now float64) (asked bool) {
+				r.At(now)
+				r.Rang()
+				for d, more := r.Next(); more; d, more = r.Next() {
+					asked = asked || d.Verb == Watch
+				}
+				return asked
+			}
+			if !watches(1) {
+				t.Fatal("no call at first")
+			}
+			r.At(50)
+			r.ListFailed()
+			if watches(50) {
+				t.Errorf("within %.0f, seed %d: asked again at once", within, seed)
+			}
+			for now := 60.0; !watches(now); now += 10 {
+				if now > 50+1500 {
+					t.Fatalf("within %.0f, seed %d: not asked after %.0f ms", within, seed, now-50)
+				}
+			}
+		}
+	}
+}
