No repeat that could meet its mark's window closed, nor a decline that invites one

Found by reading: hopeless asked whether the window was open when a repeat was decided, while it may wait for a connection as long as the settings let one come up (250 ms; a window may be 900 ms, deploy/sites/tartu-cards). end said that a repeat does no harm wherever the mark holds in all members, also when the window would be over by the time the client is told to come back. Change: the time to connect is counted in, and a decline is given only while its wait ends within the window; else rolled back.

--- a/cmd/wayloft/crossing_test.go
+++ b/cmd/wayloft/crossing_test.go
@@ -3,8 +3,14 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -12,6 +18,7 @@
 	"time"
 
 	"wayloft/internal/faults"
+	"wayloft/internal/lab"
 	"wayloft/internal/pg"
 	"wayloft/internal/standin"
 )
@@ -281,3 +288,133 @@
 		t.Error(err)
 	}
 }
+
+// The same for a txn that waits for a pool's only connection: its client closes, or cancels by its key, and nothing of it
+// runs once the connection is free.
+func TestClientLeavesThePoolsQueue(t *testing.T) {
+	addr, _ := pooledRouter(t, 1, lab.Pool{PerMember: 1}, nil)
+	wait, clear := settled(t)
+	defer clear()
+	holder := standin.NewClient(t, addr, true)
+	if got := told(holder, "BEGIN", insert("holder", "1")); got != "ok ready; 1 ok ready" {
+		t.Fatalf("the holder: %q", got)
+	}
+	closes, cancels := standin.NewClient(t, addr, true), standin.NewClient(t, addr, true)
+	for n, c := range []*standin.Client{closes, cancels} {
+		c.Ask(insert(fmt.Sprint("waits", n), "1"))
+	}
+	closes.Close()
+	wait()
+	key := standin.NewClient(t, addr, false)
+	key.Send(string(pg.AppendCancel(nil, cancels.Key)))
+	if got := cancels.Answer(); got != "57014 ready" {
+		t.Errorf("the one that cancels: %q", got)
+	}
+	if got := told(holder, "COMMIT"); got != "ok ready" {
+		t.Errorf("the holder: %q", got)
+	}
+	for n := range 2 {
+		if got := alone(t, addr, fmt.Sprintf("SELECT blob FROM rows WHERE handle = 'waits%d'", n)); got != "ok ready" {
+			t.Errorf("what waited for a client that had gone: %q", got)
+		}
+	}
+	if got := told(cancels, insert("after", "1")); got != "1 ok ready" {
+		t.Errorf("the one that cancelled, afterwards: %q", got)
+	}
+}
+
+// process starts a router of its own, with no more descriptors than its configuration says.
+func process(t *testing.T, config string) *exec.Cmd {
+	t.Helper()
+	dir := t.TempDir()
+	program := filepath.Join(dir, "wayloft")
+	if out, err := exec.Command("go", "build", "-tags", "debug", "-o", program, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	c := exec.Command("sh", "-c", "ulimit -n 128; exec "+program+" serve --config "+write(t, filepath.Join(dir, "config.json"), config))
+	var log bytes.Buffer
+	c.Stdout, c.Stderr = &log, &log
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		c.Process.Kill()
+		c.Wait()
+		if t.Failed() {
+			t.Log(log.String())
+		}
+	})
+	return c
+}
+
+// A process that starts while discovery says nothing is ready all the same, and idle clients may take all the descriptors
+// that it has for them: at discovery's return the list gets through, members are reached, and signals are heard.
+func TestIdleClientsWhileDiscoveryIsDown(t *testing.T) {
+	speak := make(chan string)
+	calls := make(chan bool, 1000)
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls <- true
+		select {
+		case line := <-speak:
+			fmt.Fprintln(w, line)
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		case <-r.Context().Done():
+		}
+	}))
+	t.Cleanup(func() { discovery.CloseClientConnections(); discovery.Close() })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	c := process(t, strings.NewReplacer("127.0.0.1:0", addr, "127.0.0.1:1", strings.TrimPrefix(discovery.URL, "http://"),
+		`"sockets":256`, `"sockets":128`).Replace(configuration))
+	standin.Until(t, "it listens", func() bool {
+		one, err := net.Dial("tcp", addr)
+		if err == nil {
+			one.Close()
+		}
+		return err == nil
+	})
+	ready := standin.NewClient(t, addr, true)
+	ready.Ask("")
+	if got := ready.Answer(); got != "empty ready" {
+		t.Errorf("not ready: %q", got)
+	}
+	hello := string(pg.AppendStartup(nil, "api", "ledger"))
+	for n := range 300 { // more than there are descriptors: the last wait with the system
+		idle, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { idle.Close() })
+		if n%3 > 0 {
+			idle.Write([]byte(hello))
+		}
+		if n%3 > 1 {
+			idle.Write(pg.AppendQuery(nil, ""))
+		}
+	}
+	<-calls
+	moved := member(t)
+	speak <- fmt.Sprintf(`{"revision":43,"complete":false,"members":[{"id":"m0","host_port":"%s","cell":2,"phase":"in_service"}]}`, moved.Addr)
+	n := 0
+	standin.Until(t, "a client is served by the new list", func() bool {
+		n++
+		one, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer one.Close()
+		one.Write([]byte(hello + string(pg.AppendQuery(nil, look(fmt.Sprint(n), "x")))))
+		one.SetReadDeadline(time.Now().Add(time.Second))
+		got, _ := io.ReadAll(io.LimitReader(one, 300))
+		return strings.Contains(string(got), "SELECT 1")
+	})
+	c.Process.Signal(syscall.SIGTERM)
+	if err := c.Wait(); err != nil {
+		t.Errorf("its end: %v", err)
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -918,13 +918,14 @@
 		ran && t.effect == OnceOnly || len(t.subs) == 0 && r.now+2*beat > t.half &&
 		(r.headless(t.group) || r.now > t.arrived+t.kind.SLA) ||
 		ran && t.kind.Level == Write && t.met == Reset || // DESIGN: a write that met a reset ends in error
-		ran && t.kind.Effect == Referenced && r.now-t.mayRun > t.kind.Window ||
+		ran && t.kind.Effect == Referenced && r.now+r.set.Connect-t.mayRun > t.kind.Window ||
 		t.kind.LateValue == 0 && r.now+usual > t.arrived+t.kind.SLA
 }
 
 func (r *Router) end(t *txn) Decision {
 	r.lose(t)
-	promise := t.effect == Repeatable || t.effect == Referenced && t.kind.Scope == ScopeAll
+	promise := t.effect == Repeatable || t.effect == Referenced && t.kind.Scope == ScopeAll &&
+		r.now+r.set.RetryAfter-t.mayRun < t.kind.Window // when its client is told to come back
 	if t.mayRun != Never && !promise {
 		return Decision{Verb: RollBack, Txn: t.id}
 	}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -85,6 +85,7 @@
 		p.set.Routers = int(number(o["routers"], float64(p.set.Routers)))
 		p.set.Submissions = int(number(o["submissions"], float64(p.set.Submissions)))
 		p.set.RetryAfter = number(o["retryafter"], 0)
+		p.set.Connect = number(o["connect"], 0)
 		_, p.set.Ask = o["ask"]
 		_, p.set.Remembered = o["remembered"]
 		_, p.set.MarksRepeats = o["marks"]
--- a/router/types.go
+++ b/router/types.go
@@ -80,6 +80,7 @@
 	SoftRemoval    bool
 	ColdFrom       float64
 	WarmUp         float64
+	Connect        float64 // that may pass until a submission is on a connection
 	FallMultiple   float64
 	FallWindow     float64
 	Submissions    int // at most, for one txn
