Names: token bucket of a cold member, heartbeat timeout and backoff of a watch

Renames only: allow and allowAt are a token bucket's level and when it was filled, silence is a heartbeat timeout, least and most wait are a backoff's.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -23,15 +23,15 @@
 	"wayloft/router"
 )
 
-// PROTOCOL: an empty line comes every 2 s at least, and a change counts as told 6 s after discovery had it and could be
-// reached. The longest that a change can take here, from a watch that falls silent, is silence, a pause, a call that is
-// never answered (silence once more) and a pause: 2 x (2.5 + 0.15) s; from the return of discovery, half of it after a
-// call that hangs, or mostWait and a half after one that was refused.
+// PROTOCOL: a heartbeat, an empty line, comes every 2 s at least, and a change counts as told 6 s after discovery had it and
+// could be reached. The longest that a change can take here, from a watch that falls silent, is its heartbeat's timeout, a
+// pause, a call that is never answered (the timeout once more) and a pause: 2 x (2.5 + 0.15) s; from the return of
+// discovery, half of it after a call that hangs, or the longest backoff and a half after one that was refused.
 const (
-	silence   = 2500 * time.Millisecond
-	leastWait = 100 * time.Millisecond
-	mostWait  = 500 * time.Millisecond
-	longest   = 4 << 20 // bytes of one list
+	heartbeatTimeout = 2500 * time.Millisecond
+	leastBackoff     = 100 * time.Millisecond
+	mostBackoff      = 500 * time.Millisecond
+	longest          = 4 << 20 // bytes of one list
 )
 
 // Entry is one member as the list has it.
@@ -89,11 +89,11 @@
 
 // Watcher keeps a watch on the list.
 type Watcher struct {
-	revision int64
-	deliver  func(*List)
-	failed   func(error)
-	client   *http.Client
-	silence  time.Duration // after which a watch is given up; one list may take twice as long while it keeps coming
+	revision         int64
+	deliver          func(*List)
+	failed           func(error)
+	client           *http.Client
+	heartbeatTimeout time.Duration // after which a watch is given up; one list may take twice as long while it keeps coming
 
 	mu    sync.Mutex
 	addr  string
@@ -104,7 +104,7 @@
 
 // New makes a watcher from a revision on. Both functions are called from its own goroutine.
 func New(addr string, revision int64, deliver func(*List), failed func(error)) *Watcher {
-	return &Watcher{addr: addr, revision: revision, deliver: deliver, failed: failed, silence: silence,
+	return &Watcher{addr: addr, revision: revision, deliver: deliver, failed: failed, heartbeatTimeout: heartbeatTimeout,
 		moved: make(chan struct{}, 1), client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 }
 
@@ -128,7 +128,7 @@
 
 // Keep watches until ctx ends, and asks again with backing off whenever a watch ends.
 func (w *Watcher) Keep(ctx context.Context) {
-	for wait := leastWait; ; wait = min(2*wait, mostWait) {
+	for wait := leastBackoff; ; wait = min(2*wait, mostBackoff) {
 		before := time.Now()
 		err := w.Once(ctx)
 		if ctx.Err() != nil {
@@ -137,14 +137,14 @@
 		if !errors.Is(err, errMoved) {
 			w.failed(err)
 		}
-		if time.Since(before) >= w.silence { // it went well for a while, or took its time: that paces as well as a pause
-			wait = leastWait
+		if time.Since(before) >= w.heartbeatTimeout { // it went well for a while, or took its time: that paces as well as a pause
+			wait = leastBackoff
 		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-w.moved:
-			wait = leastWait / 2
+			wait = leastBackoff / 2
 		case <-time.After(time.Duration((0.5 + rand.Float64()) * float64(wait))): // many ask
 		}
 	}
@@ -175,7 +175,7 @@
 	url, fresh := "http://"+w.addr+"/api/targets", w.fresh
 	w.stop = cancel
 	w.mu.Unlock()
-	p := &pace{silence: w.silence, whole: time.Now(), quiet: time.AfterFunc(w.silence, func() { cancel(errSilent) })}
+	p := &pace{heartbeatTimeout: w.heartbeatTimeout, whole: time.Now(), quiet: time.AfterFunc(w.heartbeatTimeout, func() { cancel(errSilent) })}
 	defer p.quiet.Stop()
 	if fresh {
 		if err := w.whole(ctx, url, p); err != nil {
@@ -188,14 +188,16 @@
 // pace ends a watch on which nothing comes. A list that is on its way may go on coming, up to a bound. Guards against
 // a connection that stays open and silent, whatever it fell silent in, and against lists that never end.
 type pace struct {
-	silence time.Duration
-	whole   time.Time // when the last line or list was through
-	quiet   *time.Timer
+	heartbeatTimeout time.Duration
+	whole            time.Time // when the last line or list was through
+	quiet            *time.Timer
 }
 
 // told says that a line or list is through, came that some bytes are.
-func (p *pace) told() { p.whole = time.Now(); p.quiet.Reset(p.silence) }
-func (p *pace) came() { p.quiet.Reset(min(p.silence, time.Until(p.whole.Add(2*p.silence)))) }
+func (p *pace) told() { p.whole = time.Now(); p.quiet.Reset(p.heartbeatTimeout) }
+func (p *pace) came() {
+	p.quiet.Reset(min(p.heartbeatTimeout, time.Until(p.whole.Add(2*p.heartbeatTimeout))))
+}
 
 // paced is a body whose bytes keep its pace.
 type paced struct {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -62,7 +62,7 @@
 				told = append(told, line)
 			}, nil)
 			if c.want == "silent" {
-				w.silence = 50 * time.Millisecond
+				w.heartbeatTimeout = 50 * time.Millisecond
 			}
 			err := w.Once(context.Background())
 			if err == nil || !strings.Contains(err.Error(), c.want) {
@@ -243,7 +243,7 @@
 				defer cancel()
 				told := make(chan *List, 100)
 				w := New(p.Addr().String(), 41, func(l *List) { told <- l }, func(error) {})
-				w.silence = 30 * time.Millisecond
+				w.heartbeatTimeout = 30 * time.Millisecond
 				go w.Keep(ctx)
 				for l := range told {
 					if len(l.Entries) == 1 && l.Revision == 43 {
@@ -258,19 +258,19 @@
 // What the page allows between a change that discovery has and can tell, and its being told here.
 func TestTheLongestUntilTold(t *testing.T) {
 	const allowed, beat, most = 6 * time.Second, 2 * time.Second, 1.5
-	pause := time.Duration(most * float64(leastWait))
+	pause := time.Duration(most * float64(leastBackoff))
 	for what, longest := range map[string]time.Duration{
-		"a watch falls silent, the next call hangs": 2 * (silence + pause),
-		"discovery returns while a call hangs":      silence + pause,
-		"calls are refused up to its return":        time.Duration(most * float64(mostWait)),
-		"a list that keeps coming, and never ends":  2*silence + pause,
+		"a watch falls silent, the next call hangs": 2 * (heartbeatTimeout + pause),
+		"discovery returns while a call hangs":      heartbeatTimeout + pause,
+		"calls are refused up to its return":        time.Duration(most * float64(mostBackoff)),
+		"a list that keeps coming, and never ends":  2*heartbeatTimeout + pause,
 	} {
 		if longest >= allowed {
 			t.Errorf("%s: told after %v, %v are allowed", what, longest, allowed)
 		}
 	}
-	if silence <= beat {
-		t.Errorf("a watch is given up after %v, and has a line every %v", silence, beat)
+	if heartbeatTimeout <= beat {
+		t.Errorf("a watch is given up after %v, and has a line every %v", heartbeatTimeout, beat)
 	}
 }
 
@@ -304,7 +304,7 @@
 	defer cancel()
 	told, requests := make(chan *List, 10), make(chan struct{}, 1)
 	w := New(p.Addr().String(), 41, func(l *List) { told <- l }, func(error) {})
-	w.silence = 30 * time.Millisecond
+	w.heartbeatTimeout = 30 * time.Millisecond
 	go w.Answer(ctx, requests)
 	requests <- struct{}{}
 	<-p.asked
--- a/router/router.go
+++ b/router/router.go
@@ -30,7 +30,7 @@
 	lostAfter  = 5.5    // expected waits; one healthy txn in 250 takes longer (e^-5.5)
 	firstLimit = 1.0    // submissions at once to a member not yet known: all routers may start together
 	reserve    = 1.5    // of the chance to be taken on, so that a few slow answers in a row change nothing
-	lapse      = 2.0    // of the fall's window, for which a cold member's share may be sent once it has added up
+	tokenAge   = 2.0    // of the fall's window, for which a cold member's share may be sent once it has added up
 	leastLimit = 0.2    // a fifth of the time, so that a member that recovers is still noticed
 )
 
@@ -52,7 +52,7 @@
 	mum                             bool    // its last check came back with an error
 	prompt, checkOut                bool    // check as soon as the least gap allows; one is out
 	since, downAt, guessed          float64 // first listed; went down; was last back from a possible restart
-	allow, allowAt                  float64 // while cold: SLA time it may be sent; Never: nothing counted
+	bucket, filledAt                float64 // while cold: SLA time it may be sent; Never: nothing counted
 	checkSent, lastAnswer, lastSent float64
 	sighted                         float64 // when another router's check was last heard of
 	out                             []*submission
@@ -247,7 +247,7 @@
 	if m == nil {
 		m = &member{id: id, zone: zone, group: g, claim: Never, denial: Never, gtid: Never, started: Never,
 			checkSent: Never, lastAnswer: Never, lastSent: Never, sighted: Never, since: r.now,
-			guessed: Never, allow: Never, limit: firstLimit}
+			guessed: Never, bucket: Never, limit: firstLimit}
 		r.members[id] = m
 		g.members = slices.Insert(g.members, int(r.chance.Next()*float64(len(g.members)+1)), m) // asked in turn
 	}
@@ -621,7 +621,7 @@
 // begin starts a cold member's record of speed and limit anew.
 func (m *member) begin() {
 	m.denial = math.Max(m.denial, m.downAt) // if it was primary, it may be no more
-	m.limit, m.tested, m.allow = math.Min(firstLimit, m.limit), false, Never
+	m.limit, m.tested, m.bucket = math.Min(firstLimit, m.limit), false, Never
 }
 
 // Reported conveys a report of role and position, dated by that position, since it may be old.
@@ -902,7 +902,7 @@
 	m.out, m.load = append(m.out, sub), m.load+1
 	t.placed = true // so that no other goes out before it has returned
 	m.lastSent, m.passed = r.now, false
-	m.allow -= t.kind.SLA
+	m.bucket -= t.kind.SLA
 	d := Decision{Verb: Submit, Txn: t.id, Member: m.id}
 	if t.effect == Repeatable && !r.set.CanRevoke {
 		d.Wait = r.lostAfter(sub) // in place of taking it back
@@ -1098,14 +1098,14 @@
 	if w >= 1 {
 		return true
 	}
-	if m.allow == Never {
-		m.allow, m.allowAt = t.kind.SLA*r.chance.Next(), r.now
+	if m.bucket == Never {
+		m.bucket, m.filledAt = t.kind.SLA*r.chance.Next(), r.now
 	}
-	lasts := r.set.FallWindow / lapse
+	lasts := r.set.FallWindow / tokenAge
 	rate := r.set.FallMultiple * w * r.flow * r.set.FallWindow / (r.set.FallWindow + lasts)
-	m.allow, m.allowAt = m.allow+rate*(r.now-m.allowAt), r.now
-	m.allow -= t.kind.SLA * math.Max(0, math.Ceil((m.allow-rate*lasts)/t.kind.SLA-1))
-	return m.allow >= t.kind.SLA
+	m.bucket, m.filledAt = m.bucket+rate*(r.now-m.filledAt), r.now
+	m.bucket -= t.kind.SLA * math.Max(0, math.Ceil((m.bucket-rate*lasts)/t.kind.SLA-1))
+	return m.bucket >= t.kind.SLA
 }
 
 // follow keeps the best average that members have committed, over the most that were ever up, lest a loss of
