--- a/router/router.go
+++ b/router/router.go
@@ -30,7 +30,7 @@
 	lostAfter  = 5.5    // expected waits; one healthy txn in 250 takes longer (e^-5.5)
 	firstLimit = 1.0    // submissions at once to a member not yet known: all routers may start together
 	reserve    = 1.5    // of the chance to be taken on, so that a few slow answers in a row change nothing
-	tokenAge   = 2.0    // of the fall's window, for which a cold member's share may be sent once it has added up
+	lapse      = 2.0    // of the fall's window, for which a cold member's share may be sent once it has added up
 	leastLimit = 0.2    // a fifth of the time, so that a member that recovers is still noticed
 )
 
@@ -1101,7 +1101,7 @@
 	if m.bucket == Never {
 		m.bucket, m.filledAt = t.kind.SLA*r.chance.Next(), r.now
 	}
-	lasts := r.set.FallWindow / tokenAge
+	lasts := r.set.FallWindow / lapse
 	rate := r.set.FallMultiple * w * r.flow * r.set.FallWindow / (r.set.FallWindow + lasts)
 	m.bucket, m.filledAt = m.bucket+rate*(r.now-m.filledAt), r.now
 	m.bucket -= t.kind.SLA * math.Max(0, math.Ceil((m.bucket-rate*lasts)/t.kind.SLA-1))
