--- a/cmd/wayloft/crossing_test.go
+++ b/cmd/wayloft/crossing_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -418,3 +419,30 @@
 		t.Errorf("its end: %v", err)
 	}
 }
+
+// SIGTERM comes before the router listens: it serves who connects meanwhile, and ends in order.
+func TestSignalBeforeTheStart(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.Replace(configuration, `"members":[]`, fmt.Sprintf(`"members":[{"id":"m0","host_port":"%s","cell":2,"phase":"in_service"}]`, member(t).Addr), 1)
+	conf, err := load(write(t, filepath.Join(t.TempDir(), "config.json"), text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := standin.NewClient(t, l.Addr().String(), false) // the system takes it before the router does
+	c.Send(string(pg.AppendStartup(nil, "api", "ledger")) + string(pg.AppendQuery(nil, look("early", "served"))))
+	signals, ended := make(chan os.Signal, 2), make(chan error, 1)
+	signals <- syscall.SIGTERM
+	go func() { ended <- serve(conf, l, signals) }()
+	for _, want := range []string{"ready", "served ok ready", "closed"} {
+		if got := c.Answer(); got != want {
+			t.Fatalf("got %q, want %q", got, want)
+		}
+	}
+	c.Close()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/members/answer.go
+++ b/internal/members/answer.go
@@ -36,6 +36,11 @@
 		l.spoilt()
 		return
 	}
+	// Guards against messages without end that are passed over one by one, on a connection that rests too.
+	if l.heard += len(b); l.talk == nil && l.heard > 2*l.all.limits.Longest {
+		l.spoilt()
+		return
+	}
 	l.in.Feed(b)
 	for l.all.links[l.id] == l {
 		m, ok, err := l.in.Next()
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -122,6 +122,7 @@
 	gtid  float64
 	vital string
 	held  int
+	heard int // bytes that have come since its last job began
 
 	*talk // of pools whose txns take more than one question
 }
@@ -384,7 +385,7 @@
 // take writes the job's query.
 func (l *link) take(j *job) {
 	must.Hold(j.txn == nil || j.txn.Talk != nil || !j.txn.Over(), "nothing is sent for a client that has gone")
-	l.job, j.link, l.asked = j, l, true
+	l.job, j.link, l.asked, l.heard = j, l, true, 0
 	l.rows, l.stage, l.cell, l.err, l.role, l.gtid, l.vital = nil, 0, nil, nil, router.Unsaid,
 		router.Never, ""
 	var out []byte
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -145,6 +145,8 @@
 		{"too long", nil, &standin.Reply{Bytes: standin.Rows(strings.Repeat("x", longest))}, 0, "0 errored 0 0 false", false},
 		{"too long in parts", nil, &standin.Reply{Bytes: bytes(standin.Rows(strings.Repeat("x", longest/2)),
 			standin.Rows(strings.Repeat("x", longest/2)), ready)}, 0, "0 errored 0 0 false", false},
+		{"notices without end", nil, &standin.Reply{Bytes: []byte(strings.Repeat("N\x00\x00\x00\x08abcd", longest/4))}, 0,
+			"0 errored 0 0 false", false},
 		{"more than the answer", nil, &standin.Reply{Bytes: bytes(standin.Rows("v"), ready, ready)}, 0,
 			"0 committed 0 0 true", false},
 		{"no answer", nil, nil, 100, "0 timed out 0 0 false", false},
