A submission is not written once what it rests on holds no more; the ramp is a bucket of its own

Ruled out: a position that was told wrong (they are rounded down, and only grow) and the ramp (it decides no position). Change: a decision tells until when it holds (holds: the position plus the bound; the end of the mark's window), and the members' side asks the clock itself just before it writes. That takes the place of the time to connect that was counted in for windows. Shown by TestUntilWhenASubmissionHolds and TestTooLateToBeWritten.

--- a/cmd/wayloft/serve.go
+++ b/cmd/wayloft/serve.go
@@ -84,7 +84,6 @@
 		limits.Queue = true
 		b := bounds[members.Platform]
 		b.Wait = conf.host.DialTimeout
-		conf.set.Connect = max(conf.set.Connect, b.Wait+conf.host.DialTimeout)
 		bounds[members.Platform] = b
 	}
 	pooling := &clients.Pooling{Seed: conf.seed, Again: map[string]bool{}, Write: limits.Writes}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -14,7 +14,7 @@
 // up what of a txn may not have run yet.
 type Members interface {
 	Abandon(txn string)
-	Submit(txn *exchange.Txn, seq int, member string, wait float64)
+	Submit(txn *exchange.Txn, seq int, member string, wait, by float64)
 	Revoke(txn string, seq int)
 	Check(member string)
 	CloseIdle(member string)
@@ -211,7 +211,7 @@
 		case router.Submit:
 			e.sent++
 			e.out++
-			h.members.Submit(e.txn, e.sent-1, d.Member, d.Wait)
+			h.members.Submit(e.txn, e.sent-1, d.Member, d.Wait, d.By)
 		case router.Decline:
 			e.txn.Decline(d.Wait)
 		case router.RollBack:
--- a/internal/host/loop.go
+++ b/internal/host/loop.go
@@ -72,10 +72,14 @@
 // Now is the Unix time in ms at which the present batch of events is taken to happen.
 func (l *Loop) Now() float64 { return l.now }
 
-// tick moves the clock: one reading at the start, and the monotonic clock since.
+// Clock is the Unix time in ms at this very moment, a batch of events may be long: one reading at the start, and the
+// monotonic clock since.
+func (l *Loop) Clock() float64 { return l.wall + float64(time.Since(l.start).Microseconds())/1000 }
+
+// tick moves the batch's time.
 func (l *Loop) tick() {
 	l.batch++
-	l.now = l.wall + float64(time.Since(l.start).Microseconds())/1000
+	l.now = l.Clock()
 }
 
 // Post has f run on the loop; it waits while the mailbox is full and must not be called on the loop.
--- a/internal/members/crossing_test.go
+++ b/internal/members/crossing_test.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"runtime"
 	"strings"
@@ -66,7 +67,7 @@
 				}
 				e.do(func() {
 					side.List(list(h.addr, router.Up))
-					side.Submit(exchange.New(st, e.Now(), func(exchange.Answer) {}), 0, "a", 0)
+					side.Submit(exchange.New(st, e.Now(), func(exchange.Answer) {}), 0, "a", 0, math.Inf(1))
 				})
 				peer := <-h.in
 				defer peer.Close()
@@ -144,7 +145,7 @@
 	e.do(func() {
 		side.limits.DialTimeout = 20000
 		side.List(list(l.Addr().String(), router.Up))
-		side.Submit(txn(e, "1", 60000), 0, "a", 0)
+		side.Submit(txn(e, "1", 60000), 0, "a", 0, math.Inf(1))
 	})
 	e.do(func() { side.Abandon("1") })
 	if got := e.hear(t); got != "0 moot 0 0 false" {
@@ -156,7 +157,7 @@
 		e.do(func() { idle = side.pool.Idle("a") == 1 })
 		return idle
 	})
-	e.do(func() { side.Submit(txn(e, "2", 60000), 0, "a", 0) })
+	e.do(func() { side.Submit(txn(e, "2", 60000), 0, "a", 0, math.Inf(1)) })
 	if got := e.hear(t); got != "0 committed 1 1 true" {
 		t.Errorf("got %q", got)
 	}
@@ -170,7 +171,7 @@
 	e, side := start(t, 1)
 	answer := make(chan bool)
 	m := standin.NewMember(t, nil, func(string) *standin.Reply { <-answer; return standin.Row("v", "source", "1") })
-	e.do(func() { side.List(list(m.Addr, router.Up)); side.Submit(txn(e, "1", 60000), 0, "a", 0) })
+	e.do(func() { side.List(list(m.Addr, router.Up)); side.Submit(txn(e, "1", 60000), 0, "a", 0, math.Inf(1)) })
 	standin.Until(t, "it is out", func() bool { _, asked := m.Seen(); return len(asked) > 0 })
 	e.do(func() { side.Abandon("1") })
 	close(answer)
@@ -178,3 +179,24 @@
 		t.Errorf("got %q", got)
 	}
 }
+
+// What a submission was decided on holds no more when its connection is there: it is not written, and the connection
+// serves the next.
+func TestTooLateToBeWritten(t *testing.T) {
+	e, side := start(t, 1)
+	m := standin.NewMember(t, nil, func(string) *standin.Reply { return standin.Row("v", "source", "1") })
+	e.do(func() {
+		side.List(list(m.Addr, router.Up))
+		side.Submit(txn(e, "1", 60000), 0, "a", 0, e.Clock()) // the time that a connection takes is later
+	})
+	if got := e.hear(t); got != "0 moot 0 0 false" {
+		t.Errorf("got %q", got)
+	}
+	e.do(func() { side.Submit(txn(e, "2", 60000), 0, "a", 0, e.Clock()+60000) })
+	if got := e.hear(t); got != "0 committed 1 1 true" {
+		t.Errorf("got %q", got)
+	}
+	if accepted, asked := m.Seen(); accepted != 1 || strings.Contains(strings.Join(asked, ""), "id=1") {
+		t.Errorf("%d connections, asked %q", accepted, asked)
+	}
+}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -45,6 +45,7 @@
 // Host is what runs the loop, and hears how submissions and checks end.
 type Host interface {
 	Now() float64
+	Clock() float64
 	After(ms float64, f func()) *time.Timer
 	Turn(t *exchange.Txn, seq int, rests bool)
 	Soon(f func())
@@ -92,6 +93,7 @@
 	to     *member
 	at     float64
 	until  float64
+	by     float64 // not written after this
 	worked float64 // ms that the member has had to answer, where the client has turns too
 	turned float64 // since when it is the member's turn; 0: it is not
 	timer  *time.Timer
@@ -224,6 +226,11 @@
 			a.want(j)
 			return
 		}
+		if a.host.Clock() > j.by { // what it was decided on holds no more
+			a.hear().Free(d.Conn, l.like())
+			a.host.Soon(func() { a.end(j, router.Moot) })
+			return
+		}
 		if l.fence = 0; d.Fresh && l.talk == nil {
 			l.fence = 2
 		}
@@ -258,9 +265,9 @@
 	}
 }
 
-// Submit sends a txn to a member, with its own time-out if wait is more than 0.
-func (a *Members) Submit(t *exchange.Txn, seq int, id string, wait float64) {
-	j := &job{txn: t, seq: seq, at: a.host.Now(), until: t.Expiry}
+// Submit sends a txn to a member, with its own time-out if wait is more than 0; it is not written after by.
+func (a *Members) Submit(t *exchange.Txn, seq int, id string, wait, by float64) {
+	j := &job{txn: t, seq: seq, at: a.host.Now(), until: t.Expiry, by: by}
 	if wait > 0 {
 		j.until = min(j.until, j.at+wait)
 	}
@@ -271,7 +278,7 @@
 // Check asks a member how it is.
 func (a *Members) Check(id string) {
 	now := a.host.Now()
-	a.begin(&job{at: now, until: now + a.limits.DialTimeout}, id)
+	a.begin(&job{at: now, until: now + a.limits.DialTimeout, by: math.Inf(1)}, id)
 }
 
 // Revoke gives a submission up.
@@ -555,17 +562,21 @@
 		l.drop()
 		return
 	}
-	var like any
-	if l.talk != nil {
-		like = l.has.ID()
-	}
 	l.rows, l.cell = nil, nil
 	l.in.Shrink()
 	l.count()
-	l.all.hear().Free(l.id, like)
+	l.all.hear().Free(l.id, l.like())
 	l.all.host.Soon(l.all.pull)
 }
 
+// like is what the connection was left as, for the pool.
+func (l *link) like() any {
+	if l.talk == nil {
+		return nil
+	}
+	return l.has.ID()
+}
+
 // possible tells whether a position is one that a member can have.
 func (a *Members) possible(gtid float64) bool { return gtid > 0 && gtid <= a.host.Now()+host.Ahead }
 
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 	"strings"
 	"testing"
@@ -156,7 +157,7 @@
 			m := standin.NewMember(t, c.greet, func(string) *standin.Reply { return c.answer })
 			e.do(func() {
 				side.List(list(m.Addr, router.Up))
-				side.Submit(txn(e, "1", 5000), 0, "a", c.wait)
+				side.Submit(txn(e, "1", 5000), 0, "a", c.wait, math.Inf(1))
 			})
 			if got := e.hear(t); got != c.want {
 				t.Errorf("got %q, want %q", got, c.want)
@@ -178,7 +179,7 @@
 	m.Stop()
 	e.do(func() {
 		side.List(list(m.Addr, router.Up))
-		side.Submit(txn(e, "1", 5000), 3, "a", 0)
+		side.Submit(txn(e, "1", 5000), 3, "a", 0, math.Inf(1))
 		side.Check("a")
 	})
 	if a, b := e.hear(t), e.hear(t); a+b != "3 unconnected 0 0 falsecheck unconnected" &&
@@ -198,14 +199,14 @@
 	})
 	e.do(func() {
 		side.List(list(m.Addr, router.Up))
-		side.Submit(txn(e, "1", 5000), 0, "a", 0)
+		side.Submit(txn(e, "1", 5000), 0, "a", 0, math.Inf(1))
 	})
 	standin.Until(t, "it is out", func() bool { _, asked := m.Seen(); return len(asked) > 0 })
 	e.do(func() { side.Revoke("1", 0) })
 	if got := e.hear(t); got != "0 revoked 0 0 false" {
 		t.Errorf("got %q", got)
 	}
-	e.do(func() { side.Submit(txn(e, "2", 5000), 0, "a", 0) })
+	e.do(func() { side.Submit(txn(e, "2", 5000), 0, "a", 0, math.Inf(1)) })
 	if got := e.hear(t); got != "0 committed 1 1 true" {
 		t.Errorf("got %q", got)
 	}
@@ -261,7 +262,7 @@
 	e.do(func() { side.List(list(m.Addr, router.Up)) })
 	for n, want := range []string{"0 committed 1 1 true", "0 committed 1 1 true", "0 errored 0 0 false"} {
 		e.do(func() { copied = n == 2 })
-		e.do(func() { side.Submit(txn(e, fmt.Sprint(n), 5000), 0, "a", 0) })
+		e.do(func() { side.Submit(txn(e, fmt.Sprint(n), 5000), 0, "a", 0, math.Inf(1)) })
 		if got := e.hear(t); got != want {
 			t.Errorf("%d: got %q, want %q", n, got, want)
 		}
@@ -279,7 +280,7 @@
 	e.do(func() {
 		side.List(list(m.Addr, router.Up))
 		for n := range 6 {
-			side.Submit(txn(e, fmt.Sprint(n), 60000), 0, "a", 0)
+			side.Submit(txn(e, fmt.Sprint(n), 60000), 0, "a", 0, math.Inf(1))
 		}
 	})
 	for range 2 {
@@ -310,7 +311,7 @@
 		id := fmt.Sprint("m", n)
 		e.do(func() {
 			side.List(&discovery.List{Entries: []discovery.Entry{{ID: id, Addr: m.Addr, Started: router.Never}}})
-			side.Submit(txn(e, id, 5000), 0, id, 0)
+			side.Submit(txn(e, id, 5000), 0, id, 0, math.Inf(1))
 		})
 		standin.Until(t, "it is out", func() bool {
 			_, asked := m.Seen()
@@ -345,14 +346,14 @@
 		l := list(m.Addr, router.Up)
 		l.Entries = append(l.Entries, discovery.Entry{ID: "b", Addr: other.Addr})
 		side.List(l)
-		side.Submit(txn(e, "1", 5000), 0, "a", 0)
+		side.Submit(txn(e, "1", 5000), 0, "a", 0, math.Inf(1))
 	})
 	if got := e.hear(t); got != "0 committed 1 1 true" {
 		t.Errorf("got %q", got)
 	}
 	e.do(func() {
-		side.Submit(txn(e, "2", 5000), 0, "b", 0)
-		side.Submit(txn(e, "3", 5000), 0, "a", 0)
+		side.Submit(txn(e, "2", 5000), 0, "b", 0, math.Inf(1))
+		side.Submit(txn(e, "3", 5000), 0, "a", 0, math.Inf(1))
 	})
 	if got := e.hear(t); got != "0 moot 0 0 false" {
 		t.Errorf("got %q", got)
@@ -372,7 +373,7 @@
 	m := standin.NewMember(t, nil, func(string) *standin.Reply { return standin.Row("v", "source", "1") })
 	e.do(func() {
 		side.List(list(mute.Addr, router.Up))
-		side.Submit(txn(e, "1", 5000), 0, "a", 0)
+		side.Submit(txn(e, "1", 5000), 0, "a", 0, math.Inf(1))
 		side.List(list(mute.Addr, router.Draining))
 	})
 	if got := e.hear(t); got != "0 moot 0 0 false" {
@@ -389,7 +390,7 @@
 		if len(l.Entries) == 0 || l.Entries[0].Addr != m.Addr {
 			continue
 		}
-		e.do(func() { side.Submit(txn(e, fmt.Sprint("t", n), 5000), 0, "a", 0) })
+		e.do(func() { side.Submit(txn(e, fmt.Sprint("t", n), 5000), 0, "a", 0, math.Inf(1)) })
 		if got := e.hear(t); got != "0 committed 1 1 true" {
 			t.Errorf("list %d: got %q", n, got)
 		}
@@ -408,7 +409,7 @@
 	for n := range 20 {
 		e.do(func() {
 			time.Sleep(5 * time.Millisecond) // the end comes while the loop is busy
-			side.Submit(txn(e, fmt.Sprint(n), 5000), 0, "a", 0)
+			side.Submit(txn(e, fmt.Sprint(n), 5000), 0, "a", 0, math.Inf(1))
 		})
 		if got := e.hear(t); got != "0 committed 1 1 true" {
 			t.Fatalf("submission %d: %q", n, got)
@@ -422,14 +423,14 @@
 	answer := make(chan bool)
 	old := standin.NewMember(t, nil, func(string) *standin.Reply { <-answer; return standin.Row("v", "source", "1") })
 	moved := standin.NewMember(t, nil, func(string) *standin.Reply { return standin.Row("v", "source", "2") })
-	e.do(func() { side.List(list(old.Addr, router.Up)); side.Submit(txn(e, "1", 5000), 0, "a", 0) })
+	e.do(func() { side.List(list(old.Addr, router.Up)); side.Submit(txn(e, "1", 5000), 0, "a", 0, math.Inf(1)) })
 	standin.Until(t, "it is out", func() bool { _, asked := old.Seen(); return len(asked) > 0 })
 	e.do(func() { side.List(list(moved.Addr, router.Up)) })
 	close(answer)
 	if got := e.hear(t); got != "0 committed 1 1 true" {
 		t.Errorf("got %q", got)
 	}
-	e.do(func() { side.Submit(txn(e, "2", 5000), 0, "a", 0) })
+	e.do(func() { side.Submit(txn(e, "2", 5000), 0, "a", 0, math.Inf(1)) })
 	if got := e.hear(t); got != "0 committed 1 2 true" {
 		t.Errorf("after the move: %q", got)
 	}
--- a/internal/members/talk.go
+++ b/internal/members/talk.go
@@ -1,6 +1,7 @@
 package members
 
 import (
+	"math"
 	"strconv"
 
 	iradix "github.com/hashicorp/go-immutable-radix/v2"
@@ -61,6 +62,10 @@
 			a.host.Soon(func() { a.end(j, router.ConnectFailed) })
 			return
 		}
+		if a.host.Clock() > j.by {
+			a.host.Soon(func() { a.end(j, router.Moot) })
+			return
+		}
 		l.asked = true
 		l.carry(j)
 		return
@@ -490,7 +495,7 @@
 	}
 	now := l.all.host.Now()
 	key := l.key
-	j := &job{key: &key, to: l.to, at: now, until: now + l.all.limits.DialTimeout}
+	j := &job{key: &key, to: l.to, at: now, until: now + l.all.limits.DialTimeout, by: math.Inf(1)}
 	j.timer = l.all.host.After(j.until-now, func() { l.all.end(j, router.TimedOut) })
 	l.all.want(j)
 	l.all.pull()
--- a/internal/settings/file.go
+++ b/internal/settings/file.go
@@ -328,10 +328,6 @@
 		FallWindow: or(float64(fl.Window), 2000), Submissions: cmp.Or(fl.Submissions, 6), CanCheck: true, CanRevoke: true,
 		RetryAfter: or(float64(fl.RetryAfter), 1000), TxnTypes: map[string]*router.TxnType{}, Tenants: map[string]float64{}}
 	host := &Host{DialTimeout: or(float64(fl.Connect), 1000), IdleClose: or(float64(fl.IdleClose), 600000), Reports: fl.Reports}
-	set.Connect = host.DialTimeout
-	for _, p := range f.Pools { // who waits for one of a pool's connections may wait for one to come up, too
-		set.Connect = max(set.Connect, host.DialTimeout+float64(p.Wait))
-	}
 	var err error
 	if set.Lag, err = word(fileLags, "fleet.lagging_reads", fl.Lag, "answers"); err != nil {
 		return nil, nil, err
--- a/internal/settings/file_test.go
+++ b/internal/settings/file_test.go
@@ -58,7 +58,7 @@
 		t.Fatal(err)
 	}
 	set, host, err := f.Settings()
-	if err != nil || set.TxnTypes["write"].SLA != 500 || set.TxnTypes["write"].Expiry != 3000 || host.DialTimeout != 1000 || set.Connect != 2000 {
+	if err != nil || set.TxnTypes["write"].SLA != 500 || set.TxnTypes["write"].Expiry != 3000 || host.DialTimeout != 1000 {
 		t.Errorf("got %+v, %+v, %v", set, host, err)
 	}
 	if set.TxnTypes[Fallback] != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -154,7 +154,6 @@
 			set.RetryAfter = c.OrZero("maxRetryAfter") / 1000
 		}
 		host.DialTimeout, host.IdleClose = c.OrZero("dialTimeout")/1000, c.OrZero("idleClose")/1000
-		set.Connect = host.DialTimeout
 	})
 	if f.Get("report") != nil {
 		f.Inner("report", func(c *Fields) { host.Reports = len(c.Array("columns")) > 0 })
--- a/router/router.go
+++ b/router/router.go
@@ -14,6 +14,7 @@
 	"wayloft/internal/decide/chance"
 	"wayloft/internal/decide/commits"
 	"wayloft/internal/decide/fade"
+	"wayloft/internal/decide/ramp"
 )
 
 const (
@@ -30,7 +31,6 @@
 	lostAfter  = 5.5    // expected waits; one healthy txn in 250 takes longer (e^-5.5)
 	firstLimit = 1.0    // submissions at once to a member not yet known: all routers may start together
 	reserve    = 1.5    // of the chance to be taken on, so that a few slow answers in a row change nothing
-	lapse      = 2.0    // of the fall's window, for which a cold member's share may be sent once it has added up
 	leastLimit = 0.2    // a fifth of the time, so that a member that recovers is still noticed
 )
 
@@ -39,20 +39,22 @@
 
 // member is this router's own record of one server.
 type member struct {
-	id, zone                        string
-	group                           *group
-	barred                          bool    // the list says that it drains or is gone
-	started                         float64 // Never: long ago
-	known                           bool    // some check or answer has come since it was last marked unknown
-	down                            bool    // reset or failed to connect, and no check has gone through since
-	claim, denial                   float64 // when it was last known to be primary, and not to be
-	gtid                            float64 // a time up to which it surely has every commit
-	behind                          float64 // how far behind it seemed at the last check or miss
-	shut                            bool    // it refused the last connection: down, or only full
-	mum                             bool    // its last check came back with an error
-	prompt, checkOut                bool    // check as soon as the least gap allows; one is out
-	since, downAt, guessed          float64 // first listed; went down; was last back from a possible restart
-	bucket, filledAt                float64 // while cold: SLA time it may be sent; Never: nothing counted
+	id, zone               string
+	group                  *group
+	barred                 bool    // the list says that it drains or is gone
+	started                float64 // Never: long ago
+	known                  bool    // some check or answer has come since it was last marked unknown
+	down                   bool    // reset or failed to connect, and no check has gone through since
+	claim, denial          float64 // when it was last known to be primary, and not to be
+	gtid                   float64 // a time up to which it surely has every commit
+	behind                 float64 // how far behind it seemed at the last check or miss
+	shut                   bool    // it refused the last connection: down, or only full
+	mum                    bool    // its last check came back with an error
+	prompt, checkOut       bool    // check as soon as the least gap allows; one is out
+	since, downAt, guessed float64 // first listed; went down; was last back from a possible restart
+
+	bucket ramp.Bucket // while cold: SLA time it may be sent
+
 	checkSent, lastAnswer, lastSent float64
 	sighted                         float64 // when another router's check was last heard of
 	out                             []*submission
@@ -247,7 +249,7 @@
 	if m == nil {
 		m = &member{id: id, zone: zone, group: g, claim: Never, denial: Never, gtid: Never, started: Never,
 			checkSent: Never, lastAnswer: Never, lastSent: Never, sighted: Never, since: r.now,
-			guessed: Never, bucket: Never, limit: firstLimit}
+			guessed: Never, limit: firstLimit}
 		r.members[id] = m
 		g.members = slices.Insert(g.members, int(r.chance.Next()*float64(len(g.members)+1)), m) // asked in turn
 	}
@@ -287,11 +289,10 @@
 	}
 }
 
-// ListFailed says that a call failed or the subscription broke. Many routers must not ask again at once.
+// ListFailed says that a call failed or the subscription broke. Many must not ask again at once, nor late.
 func (r *Router) ListFailed() {
 	if r.set.Ask {
-		pause := math.Min(r.set.AskWithin/8, restCheck) // told 6 s after it can be, though one more call is refused
-		r.wantWatch = math.Min(r.wantWatch, r.now+pause*(0.5+r.chance.Next()))
+		r.wantWatch = math.Min(r.wantWatch, r.now+math.Min(r.set.AskWithin/8, restCheck)*(0.5+r.chance.Next()))
 	}
 }
 
@@ -621,7 +622,7 @@
 // begin starts a cold member's record of speed and limit anew.
 func (m *member) begin() {
 	m.denial = math.Max(m.denial, m.downAt) // if it was primary, it may be no more
-	m.limit, m.tested, m.bucket = math.Min(firstLimit, m.limit), false, Never
+	m.limit, m.tested, m.bucket = math.Min(firstLimit, m.limit), false, ramp.Bucket{}
 }
 
 // Reported conveys a report of role and position, dated by that position, since it may be old.
@@ -902,8 +903,8 @@
 	m.out, m.load = append(m.out, sub), m.load+1
 	t.placed = true // so that no other goes out before it has returned
 	m.lastSent, m.passed = r.now, false
-	m.bucket -= t.kind.SLA
-	d := Decision{Verb: Submit, Txn: t.id, Member: m.id}
+	m.bucket.Spend(t.kind.SLA)
+	d := Decision{Verb: Submit, Txn: t.id, Member: m.id, By: r.holds(t, m)}
 	if t.effect == Repeatable && !r.set.CanRevoke {
 		d.Wait = r.lostAfter(sub) // in place of taking it back
 	}
@@ -918,7 +919,7 @@
 		ran && t.effect == OnceOnly || len(t.subs) == 0 && r.now+2*beat > t.half &&
 		(r.headless(t.group) || r.now > t.arrived+t.kind.SLA) ||
 		ran && t.kind.Level == Write && t.met == Reset || // DESIGN: a write that met a reset ends in error
-		ran && t.kind.Effect == Referenced && r.now+r.set.Connect-t.mayRun > t.kind.Window ||
+		ran && t.kind.Effect == Referenced && r.now-t.mayRun > t.kind.Window ||
 		t.kind.LateValue == 0 && r.now+usual > t.arrived+t.kind.SLA
 }
 
@@ -1090,22 +1091,24 @@
 }
 
 // bears tells whether a cold member can take one more (rule 4): what goes there from here stays under the
-// allowed multiple of the cold share of what a member has committed here. It adds up from a start by chance,
-// so that many routers take turns, and lapses, so that what they all have saved up is not spent in one burst:
-// no window sees more than the rate over it and the time that a share lasts.
+// allowed multiple of the cold share of what a member has committed here.
 func (r *Router) bears(m *member, t *txn) bool {
 	w := r.warmth(m)
-	if w >= 1 {
-		return true
+	rate := r.set.FallMultiple * w * r.flow
+	return w >= 1 || m.bucket.Bears(r.now, rate, t.kind.SLA, r.set.FallWindow, r.chance.Next)
+}
+
+// holds tells until when what a submission rests on holds: its connection may take a while to come up, while
+// the data that is known there ages (rule 5) and the window for repeats closes (rule 2).
+func (r *Router) holds(t *txn, m *member) float64 {
+	by := math.Inf(1)
+	if t.kind.Level == Bounded && r.set.Lag == LagAnswers && m != r.primary(m.group) {
+		by = m.gtid + t.kind.Bound
 	}
-	if m.bucket == Never {
-		m.bucket, m.filledAt = t.kind.SLA*r.chance.Next(), r.now
+	if t.mayRun != Never && t.kind.Effect == Referenced {
+		by = math.Min(by, t.mayRun+t.kind.Window)
 	}
-	lasts := r.set.FallWindow / lapse
-	rate := r.set.FallMultiple * w * r.flow * r.set.FallWindow / (r.set.FallWindow + lasts)
-	m.bucket, m.filledAt = m.bucket+rate*(r.now-m.filledAt), r.now
-	m.bucket -= t.kind.SLA * math.Max(0, math.Ceil((m.bucket-rate*lasts)/t.kind.SLA-1))
-	return m.bucket >= t.kind.SLA
+	return by
 }
 
 // follow keeps the best average that members have committed, over the most that were ever up, lest a loss of
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -85,7 +86,6 @@
 		p.set.Routers = int(number(o["routers"], float64(p.set.Routers)))
 		p.set.Submissions = int(number(o["submissions"], float64(p.set.Submissions)))
 		p.set.RetryAfter = number(o["retryafter"], 0)
-		p.set.Connect = number(o["connect"], 0)
 		_, p.set.Ask = o["ask"]
 		_, p.set.Remembered = o["remembered"]
 		_, p.set.MarksRepeats = o["marks"]
@@ -361,3 +361,54 @@
 		}
 	}
 }
+
+// What a submission rests on holds for a time, which goes with it: a position known of a member ages, and the window for
+// repeats closes, while its connection comes up.
+func TestUntilWhenASubmissionHolds(t *testing.T) {
+	r := New(&Settings{Routers: 1, Submissions: 6, CanCheck: true, Lag: LagAnswers, TxnTypes: map[string]*TxnType{
+		"read": {SLA: 500, Expiry: 2000, Value: 1, Level: Bounded, Bound: 700},
+		"any":  {SLA: 500, Expiry: 2000, Value: 1, Level: Any},
+		"put":  {SLA: 500, Expiry: 2000, Value: 1, LateValue: 0.5, Level: Write, Effect: Referenced, Scope: ScopeGroup, Window: 900}}}, 1)
+	submit := func(id string) (to string, by float64) {
+		t.Helper()
+		for d, more := r.Next(); more; d, more = r.Next() {
+			if d.Verb == Submit && d.Txn == id {
+				to, by = d.Member, d.By
+			}
+		}
+		if to == "" {
+			t.Fatalf("%s was not submitted", id)
+		}
+		return to, by
+	}
+	r.At(1000)
+	r.ListStart()
+	r.Listed("p", "z", 1, Up, Never)
+	r.Listed("c", "z", 1, Up, Never)
+	r.ListEnd(true)
+	r.Reported("p", Primary, 990)
+	r.Checked("p", Committed)
+	r.Reported("c", Replica, 800)
+	r.Checked("c", Committed)
+	for _, m := range r.members {
+		m.checkSent = 995
+	}
+	for _, c := range []struct {
+		kind, to string
+		by       float64
+	}{{"read", "c", 800 + 700}, {"any", "c", math.Inf(1)}, {"put", "p", math.Inf(1)}} {
+		r.At(1000)
+		r.Arrive(c.kind, "", "", c.kind, 1, 0, 2000, false)
+		if to, by := submit(c.kind); to != c.to || by != c.by {
+			t.Errorf("%s: to %s by %v, want %s by %v", c.kind, to, by, c.to, c.by)
+		}
+		if c.kind != "put" {
+			r.Returned(c.kind, 0, Committed, 10, true, Replica, Never)
+		}
+	}
+	r.At(1100)
+	r.Returned("put", 0, Errored, 100, false, Primary, Never)
+	if _, by := submit("put"); by != 1000+900 {
+		t.Errorf("a repeat by %v, want %v", by, 1900)
+	}
+}
--- a/router/types.go
+++ b/router/types.go
@@ -80,7 +80,6 @@
 	SoftRemoval    bool
 	ColdFrom       float64
 	WarmUp         float64
-	Connect        float64 // that may pass until a submission is on a connection
 	FallMultiple   float64
 	FallWindow     float64
 	Submissions    int // at most, for one txn
@@ -128,5 +127,6 @@
 	Member string
 	Seq    int     // Revoke: which submission
 	Wait   float64 // Decline: when to come back; Submit: its time-out, 0 for none
+	By     float64 // Submit: not written after this
 	At     float64 // Alarm
 }
