A ledger that is refused is no longer read while it is unmapped

Cause: whole returned at the first thing found wrong; the goroutine of Check went on reading while the file was closed and unmapped, or hung for ever on its channel. It is read to its end now. TestRefuses asks that nothing reads a refused file any more: fails before. Also: TestOnce's endless list came in lines of one byte, 4 million of them: 5 s under load, over the time that a list has. The lines are longer.

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -39,7 +39,7 @@
 		{"a text that is cut", "{\"revis\n" + changed + "\n", "", "not JSON"},
 		{"missing field", strings.Replace(changed, `"phase":"in_service",`, "", 1) + "\n", "", "members[0].phase: must be text"},
 		{"wrong type", strings.Replace(changed, "43", `"43"`, 1) + "\n", "", "revision: must be a number"},
-		{"lines without end", strings.Repeat("[\n", longest+1), "", "line or list too long"},
+		{"lines without end", strings.Repeat(strings.Repeat("[", 1<<12)+"\n", longest>>12+1), "", "line or list too long"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -5,6 +5,7 @@
 package ledger
 
 import (
+	"cmp"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -104,8 +105,12 @@
 		} else if s.Size() < tx.Size() {
 			return fmt.Errorf("cut short: %d bytes of %d", s.Size(), tx.Size())
 		}
-		for err := range tx.Check() {
-			return err
+		var first error
+		for err := range tx.Check() { // to its end: it reads the file beside us, which is unmapped once it is refused
+			first = cmp.Or(first, err)
+		}
+		if first != nil {
+			return first
 		}
 		return tx.ForEach(func(bucket []byte, b *bbolt.Bucket) error {
 			return b.ForEach(func(k, v []byte) error {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 )
@@ -101,6 +103,17 @@
 			t.Errorf("%s: the error doesn't name the place: %v", what, err)
 		}
 	}
+	reads := func() bool { // something still reads a file that was refused, and is unmapped
+		all := make([]byte, 1<<20)
+		return bytes.Contains(all[:runtime.Stack(all, true)], []byte("bbolt.(*Tx).check"))
+	}
+	defer func() {
+		for late := time.Now().Add(10 * time.Second); reads(); runtime.Gosched() {
+			if time.Now().After(late) {
+				t.Fatal("a file that was refused is still being read")
+			}
+		}
+	}()
 	for n := 1; n < 16; n++ {
 		damage(fmt.Sprint("cut to sixteenths: ", n), whole[:len(whole)*n/16])
 	}
