--- a/cmd/wayloft/crossing_test.go
+++ b/cmd/wayloft/crossing_test.go
@@ -225,6 +225,12 @@
 // A connection that was let in, with its request whole, while the last session closes after SIGTERM: the process stays
 // until it is answered. The one behind it is still with the system.
 func TestLastSessionClosesAsAnotherArrives(t *testing.T) {
+	for arriving := 1; arriving <= 3; arriving++ { // the first is let in and in no book yet, others are with the system
+		t.Run(fmt.Sprint(arriving), func(t *testing.T) { lastSession(t, arriving) })
+	}
+}
+
+func lastSession(t *testing.T, arriving int) {
 	addr, term, ended := start(t, "127.0.0.1:1", 256, member(t).Addr)
 	first := standin.NewClient(t, addr, true)
 	held, release := make(chan bool, 10), make(chan bool)
@@ -234,7 +240,7 @@
 	defer faults.At("clients.last", func() { empty <- true })()
 	hello := string(pg.AppendStartup(nil, "api", "ledger"))
 	var late []*standin.Client
-	for n := range 2 {
+	for n := range arriving {
 		c := standin.NewClient(t, addr, false)
 		c.Send(hello + string(pg.AppendQuery(nil, look(fmt.Sprint("late", n), "served"))))
 		late = append(late, c)
