Lists that are asked for need a time to ask within, said with its field

Seen: TestOtherSettings, settings with discovery ask and no contract.askWithin: the process hung at its first txn. Cause: the time of the next call was now, so Next decided on a watch for ever. Refused by name. Also: a ramp's rate no longer divides by the window, which may be 0.

--- a/cmd/wayloft/serve_test.go
+++ b/cmd/wayloft/serve_test.go
@@ -514,3 +514,63 @@
 	}
 	standin.Until(t, "the next is served", func() bool { return ask() == long+" ok ready" })
 }
+
+// Another customer's settings: what may be left out is, and short windows, deadlines and bounds follow from them alone.
+// Reads and writes are served, or the settings refused with the field.
+func TestOtherSettings(t *testing.T) {
+	swap := func(pairs ...string) string { return strings.NewReplacer(pairs...).Replace(configuration) }
+	for _, c := range []struct{ name, config, bad string }{
+		{"as given", configuration, ""},
+		{"no reports", swap(`"report":{"columns":["x0","x1"],"how":"pull"},`, ""), ""},
+		{"no columns in reports", swap(`"columns":["x0","x1"]`, `"columns":[]`), ""},
+		{"no checks", swap(`"probes":true`, `"probes":false`), ""},
+		{"no cancels", swap(`"cancel":true`, `"cancel":false`), ""},
+		{"no wait may be told", swap(`"retryAfter":true,"maxRetryAfter":1000000,`, `"retryAfter":false,`), ""},
+		{"lists are asked for", swap(`"push"`, `"ask"`, `"contract":{`, `"contract":{"askWithin":10000000,`), ""},
+		{"lists are asked for, no time given", swap(`"push"`, `"ask"`), "contract.askWithin"},
+		{"one submission", swap(`"attemptsCap":6`, `"attemptsCap":1`), ""},
+		{"no worth", swap(`"worth":1`, `"worth":0`), ""},
+		{"tenants of more than all", swap(`"settings":{`, `"settings":{"orgs":[{"name":"n","quotaRps":1e9},{"name":"m","quotaRps":0}],`), ""},
+		{"a mark, a window shorter than any wait", swap(`"fragile"`, `"dedup","group":"cell","window":1000`), ""},
+		{"deadlines shorter than a check's period", swap(`"target":500000,"deadline":3000000`, `"target":200000,"deadline":400000`), ""},
+		{"no warming up", swap(`"warmUp":1000000`, `"warmUp":0`), ""},
+		{"an effect without a group", swap(`"fragile"`, `"dedup"`), "profiles[1].group"},
+		{"a type without a level", swap(`["any","write"]`, `["any"]`), "readLevel"},
+		{"half a type", swap(`"target":500000,`, ``), "profiles[0].target"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			both := member(t)
+			text := strings.Replace(c.config, `"members":[]`, fmt.Sprintf(`"members":[{"id":"m0","host_port":"%s","cell":2,"phase":"in_service"}]`, both.Addr), 1)
+			text = strings.Replace(text, `"sockets":256`, `"sockets":128`, 1)
+			conf, err := load(write(t, filepath.Join(t.TempDir(), "config.json"), text))
+			if c.bad != "" {
+				if err == nil || !strings.Contains(err.Error(), c.bad) {
+					t.Errorf("got %v, want %s named", err, c.bad)
+				}
+				return
+			} else if err != nil {
+				t.Fatal(err)
+			}
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			signals, ended := make(chan os.Signal, 1), make(chan error, 1)
+			go func() { ended <- serve(conf, l, signals) }()
+			one := standin.NewClient(t, l.Addr().String(), true)
+			n := 0
+			standin.Until(t, "a read and a write are served", func() bool {
+				n++
+				one.Ask(look(fmt.Sprint("r", n), "x"))
+				read := one.Answer()
+				one.Ask(put(fmt.Sprint("w", n), "y"))
+				return read == "x ok ready" && one.Answer() == "y ok ready"
+			})
+			one.Close()
+			signals <- syscall.SIGTERM
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
--- a/internal/decide/ramp/ramp.go
+++ b/internal/decide/ramp/ramp.go
@@ -21,7 +21,7 @@
 		b.begun, b.level, b.filled = true, size*chance(), now
 	}
 	lasts := window / lapse
-	rate *= window / (window + lasts)
+	rate *= lapse / (lapse + 1)
 	b.level, b.filled = b.level+rate*(now-b.filled), now
 	if over := b.level - rate*lasts - size; over > 0 {
 		b.level -= size * math.Ceil(over/size)
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -21,6 +21,7 @@
 func TestOnce(t *testing.T) {
 	for _, c := range []struct{ name, sent, told, want string }{
 		{"changes", changed + "\n\n" + `{"revision":44,"complete":true,"members":[]}` + "\n", "43 false a; 44 true", "EOF"},
+		{"the same change twice", changed + "\n" + changed + "\n", "43 false a; 43 false a", "EOF"},
 		{"nothing new", "\n\n", "41 false", "EOF"},
 		{"cut within a line", changed + "\n" + changed[:40], "43 false a", "EOF"},
 		{"not JSON", changed + "\n{,}\n" + changed + "\n", "43 false a", "not JSON"},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -140,7 +140,9 @@
 		f.Inner("clientHabits", func(c *Fields) { set.MarksRepeats = c.Flag("marksRetry") })
 	}
 	f.Inner("contract", func(c *Fields) {
-		set.AskWithin = c.OrZero("askWithin") / 1000
+		if set.AskWithin = c.OrZero("askWithin") / 1000; set.Ask && set.AskWithin <= 0 {
+			c.Fail("askWithin", "more than 0 where lists are asked for")
+		}
 		set.SoftRemoval = c.Flag("softRemoval")
 		set.ColdFrom = c.Number("coldFrom")
 		set.WarmUp = c.Number("warmUp") / 1000
