--- a/cmd/wayloft/crossing_test.go
+++ b/cmd/wayloft/crossing_test.go
@@ -30,7 +30,7 @@
 	mu           sync.Mutex
 	greets, asks chan bool // one for each that may go on
 	came         chan bool // connections that want to be let in
-	once         bool      // a connection ends with its first answer
+	once         bool      // a connection ends with its first answer: where one alone is let in
 	seen         []string
 }
 
@@ -40,7 +40,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := &gated{addr: l.Addr().String(), greets: make(chan bool, 100), asks: make(chan bool, 100), came: make(chan bool, 100)}
+	g := &gated{addr: l.Addr().String(), greets: make(chan bool, 100), asks: make(chan bool, 100), came: make(chan bool, 100), once: greets == 1}
 	for range greets {
 		g.greets <- true
 	}
@@ -127,11 +127,19 @@
 }
 
 // settled gives what waits until the router has heard that one more client has gone.
-func settled(t *testing.T) (wait func(), clear func()) {
+func settled(t *testing.T) (wait func()) {
 	t.Helper()
 	gone := make(chan bool, 100)
-	clear = faults.At("clients.closed", func() { gone <- true })
-	return func() { t.Helper(); <-gone }, clear
+	t.Cleanup(faults.At("clients.closed", func() { gone <- true }))
+	return func() { <-gone }
+}
+
+// gatedRouter serves before a gated member that lets in so many connections at first.
+func gatedRouter(t *testing.T, greets int, primary *bool) (g *gated, addr string, wait func()) {
+	t.Helper()
+	g = newGated(t, greets, primary)
+	addr, _, _ = start(t, "127.0.0.1:1", 256, g.addr)
+	return g, addr, settled(t)
 }
 
 // A client leaves while its txn waits, wherever that is; when what it waited for comes, nothing is sent for it. The id
@@ -139,11 +147,7 @@
 func TestClientLeavesWhileItsTxnWaits(t *testing.T) {
 	t.Run("for a connection to come up", func(t *testing.T) {
 		primary := true
-		g := newGated(t, 1, &primary) // the check's, which doesn't last
-		g.once = true
-		addr, _, _ := start(t, "127.0.0.1:1", 256, g.addr)
-		wait, clear := settled(t)
-		defer clear()
+		g, addr, wait := gatedRouter(t, 1, &primary) // the check's, which doesn't last
 		leaves := standin.NewClient(t, addr, true)
 		leaves.Ask(put("leaves", "x"))
 		<-g.came // the check's
@@ -160,10 +164,7 @@
 	})
 	t.Run("for a primary", func(t *testing.T) {
 		primary := false
-		g := newGated(t, 20, &primary)
-		addr, _, _ := start(t, "127.0.0.1:1", 256, g.addr)
-		wait, clear := settled(t)
-		defer clear()
+		g, addr, wait := gatedRouter(t, 20, &primary)
 		leaves := standin.NewClient(t, addr, true)
 		leaves.Ask(put("leaves", "x"))
 		leaves.Close()
@@ -183,10 +184,7 @@
 	})
 	t.Run("behind another of its session", func(t *testing.T) {
 		primary := true
-		g := newGated(t, 20, &primary)
-		addr, _, _ := start(t, "127.0.0.1:1", 256, g.addr)
-		wait, clear := settled(t)
-		defer clear()
+		g, addr, wait := gatedRouter(t, 20, &primary)
 		leaves := standin.NewClient(t, addr, true)
 		leaves.Ask(look("first", "hang"))
 		leaves.Ask(look("leaves", "x"))
@@ -201,10 +199,7 @@
 	})
 	t.Run("for another try", func(t *testing.T) {
 		primary := true
-		g := newGated(t, 20, &primary)
-		addr, _, _ := start(t, "127.0.0.1:1", 256, g.addr)
-		wait, clear := settled(t)
-		defer clear()
+		g, addr, wait := gatedRouter(t, 20, &primary)
 		leaves := standin.NewClient(t, addr, true)
 		leaves.Ask(look("leaves", "hang and fail"))
 		standin.Until(t, "its first try is out", func() bool { return g.asked("leaves") })
@@ -300,8 +295,7 @@
 // runs once the connection is free.
 func TestClientLeavesThePoolsQueue(t *testing.T) {
 	addr, _ := pooledRouter(t, 1, lab.Pool{PerMember: 1}, nil)
-	wait, clear := settled(t)
-	defer clear()
+	wait := settled(t)
 	holder := standin.NewClient(t, addr, true)
 	if got := told(holder, "BEGIN", insert("holder", "1")); got != "ok ready; 1 ok ready" {
 		t.Fatalf("the holder: %q", got)
