--- /dev/null
+++ b/internal/decide/policy/follower.go
@@ -0,0 +1,318 @@
+package policy
+
+import (
+	"math"
+
+	"wayloft/internal/decide/chance"
+)
+
+// Settings of a Follower are given once. Times are ms.
+type Settings struct {
+	Rate    float64 // bytes a second that what is fetched may take, with what each request costs
+	Part    int     // bytes of one part, packed
+	Each    int     // bytes that a request costs besides
+	Spread  float64 // over which a first request is drawn: what starts, or hears of a change, together must not ask together
+	Retry   float64 // until the first retry of what failed; doubled each time, up to Longest
+	Longest float64
+	Seed    uint64
+	Unpack  func(b []byte, most int) ([]byte, error) // undoes the packing of all parts together; at most so many bytes may come of it
+	Planted Planted
+}
+
+// Planted are defects that tests plant, to show that checkers find them; none is ever set in the program.
+type Planted struct {
+	Unhashed   bool // takes a whole document whatever its hash
+	Backward   bool // believes whoever told it last
+	WrongBase  bool // applies a difference to whatever document it has
+	StoredWins bool // takes what was stored for what is in force
+	EarlyWord  bool // acknowledges before the router goes by it
+}
+
+// Verb tells what the host is to do.
+type Verb int
+
+const (
+	Fetch       Verb = iota // ask some process of the council for the part that Request names: Got or Failed follows
+	Adopt                   // go by Document, of Version, from now on: Took or Couldnt follows
+	Store                   // keep Version and Document for the next start; nothing waits for it
+	Acknowledge             // tell the council with the next beat: this router goes by Mark, and couldn't take Wont, for Why
+)
+
+// Request names the part that is wanted.
+type Request struct {
+	Have   uint64   // mark of the version whose document is here; 0: none
+	Hash   [32]byte // of it
+	Want   uint64   // mark of the version that is wanted: a process of the council that doesn't know of it must say so
+	Whole  bool     // not differences: they don't fit, or didn't
+	Offset int
+	Most   int // bytes
+}
+
+// Decision is one thing for the host to do; only the fields of its verb are set.
+type Decision struct {
+	Verb     Verb
+	Request  Request
+	Version  Version
+	Document Document
+	Mark     uint64
+	Wont     uint64
+	Why      string
+}
+
+// mostPacked are the bytes of all parts together: packing must not make the most that is packed longer than this.
+const mostPacked = 2 * mostChanges
+
+// Follower is one router's account of the policy: which version it goes by, which it was told of, and what it has yet to fetch.
+// It never goes back to an older version of an epoch, whoever tells it, and never has a document adopted whose hash isn't
+// the version's.
+type Follower struct {
+	set     Settings
+	now     float64
+	chance  chance.Source
+	known   Version // the latest whose document is here, whole and of its hash
+	doc     Document
+	sure    bool // the council told of known; else it is what was stored
+	here    Version
+	offered uint64 // mark of the latest that the host was told to adopt
+	wont    uint64
+	why     string
+	target  Version
+	whole   bool // what is fetched must be the whole
+	asked   bool
+	reading Part // the parts so far
+	at      float64
+	wait    float64
+	anew    bool // offered may be offered again: its document is another now
+	store   bool
+	word    bool
+
+	Stale, Wrong, Conflicts int // words of older versions, bytes whose hash didn't fit, other documents under a version that is known
+}
+
+// NewFollower makes one that knows nothing.
+func NewFollower(set Settings) *Follower {
+	return &Follower{set: set, chance: chance.Source{Seed: set.Seed}, at: math.Inf(1)}
+}
+
+// At sets the time; all that follows until the next call happens then.
+func (f *Follower) At(now float64) { f.now = math.Max(f.now, now) }
+
+// Stored says at start what was kept. It is gone by until the council has told what is in force: fields may overlap (all are
+// lenient), and a router that can't reach the council is nearer to the others with it than without.
+func (f *Follower) Stored(v Version, d Document) {
+	if f.known.Number > 0 || v.Number == 0 {
+		return
+	}
+	if d.Hash() != v.Hash && !f.set.Planted.Unhashed {
+		f.Wrong++
+		return
+	}
+	f.known, f.doc = v, d
+}
+
+// Told takes in a version that some process of the council tells, and what led to it, if that was told. The teller may lag: an
+// older version than one that is known says nothing.
+func (f *Follower) Told(v Version, x *Difference) {
+	mark, known := v.Mark(), f.known.Mark()
+	switch {
+	case mark == 0 || f.set.Planted.StoredWins && known > 0 && !f.sure:
+		return
+	case f.set.Planted.Backward && mark != known:
+	case mark < known || mark < f.target.Mark():
+		f.Stale++
+		return
+	case mark == known && v.Hash == f.known.Hash:
+		f.sure = true
+		return
+	case mark == known && f.sure:
+		f.Conflicts++
+		return
+	}
+	if mark == f.target.Mark() && v.Hash != f.target.Hash {
+		f.Conflicts++
+		return
+	}
+	f.target = v
+	if v.Hash == f.known.Hash && known > 0 { // the same document under a later version
+		f.verified(v, f.doc)
+		return
+	}
+	if x != nil {
+		if d, err := f.doc.With(*x); err == nil && (d.Hash() == v.Hash || f.set.Planted.WrongBase) {
+			f.verified(v, d)
+			return
+		}
+	}
+	if mark == known { // stored under this version, and another document: there is no difference from that
+		f.whole = true
+	}
+	f.begin()
+}
+
+// begin has the first part asked for, at a drawn time, unless something is on its way already.
+func (f *Follower) begin() {
+	if !f.asked && math.IsInf(f.at, 1) {
+		f.at = f.now + f.set.Spread*f.chance.Next()
+	}
+}
+
+// verified takes over a document whose hash fits.
+func (f *Follower) verified(v Version, d Document) {
+	if v.Mark() < f.known.Mark() && !f.set.Planted.Backward {
+		return
+	}
+	if v.Mark() == f.offered && v.Hash != f.known.Hash {
+		f.anew = true
+	}
+	f.known, f.doc, f.sure, f.whole = v, d, true, false
+	if f.target.Mark() <= v.Mark() {
+		f.target = v
+		f.reading, f.at, f.wait = Part{}, math.Inf(1), 0
+	} else {
+		f.begin()
+	}
+}
+
+// Got takes in what was fetched.
+func (f *Follower) Got(p Part) {
+	if !f.asked {
+		return
+	}
+	f.asked = false
+	mark := p.Version.Mark()
+	sound := mark > 0 && p.Total > 0 && p.Total <= mostPacked && len(p.Bytes) > 0 && p.Offset+len(p.Bytes) <= p.Total && len(p.Bytes) <= f.set.Part
+	old := mark < f.known.Mark() || mark == f.known.Mark() && p.Version.Hash == f.known.Hash
+	if f.set.Planted.Backward {
+		old = false
+	}
+	if !sound || old { // whoever answered lags, or worse
+		f.again()
+		return
+	}
+	if r := f.reading; p.Version != r.Version || p.Whole != r.Whole || p.Total != r.Total || p.Offset != len(r.Bytes) {
+		if p.Offset != 0 {
+			f.reading = Part{}
+			f.again()
+			return
+		}
+		f.reading = Part{Version: p.Version, Whole: p.Whole, Total: p.Total}
+	}
+	f.reading.Bytes = append(f.reading.Bytes, p.Bytes...)
+	if mark > f.target.Mark() {
+		f.target = p.Version
+	}
+	f.wait = 0
+	f.at = f.now + float64(len(p.Bytes)+f.set.Each)/f.set.Rate*1000
+	if len(f.reading.Bytes) == f.reading.Total {
+		f.complete()
+	}
+}
+
+// complete makes the document of all parts. What doesn't fit its hash is dropped, and the whole asked for.
+func (f *Follower) complete() {
+	r := f.reading
+	f.reading = Part{}
+	if d, ok := f.make(r); ok {
+		f.verified(r.Version, d)
+		return
+	}
+	f.Wrong++
+	f.whole = true
+	f.again()
+}
+
+func (f *Follower) make(r Part) (Document, bool) {
+	raw, err := f.set.Unpack(r.Bytes, mostChanges)
+	if err != nil {
+		return nil, false
+	}
+	if r.Whole {
+		d, err := Decode(raw)
+		return d, err == nil && (d.Hash() == r.Version.Hash || f.set.Planted.Unhashed)
+	}
+	all, err := DecodeChanges(raw)
+	if err != nil {
+		return nil, false
+	}
+	d := f.doc
+	for _, c := range all {
+		if d, err = d.With(c.Difference); err != nil {
+			return nil, false
+		}
+	}
+	return d, d.Hash() == r.Version.Hash || f.set.Planted.WrongBase
+}
+
+// Failed says that a request brought nothing.
+func (f *Follower) Failed() {
+	if f.asked {
+		f.asked = false
+		f.again()
+	}
+}
+
+// again puts the next try off, twice as far each time, by a part that is drawn.
+func (f *Follower) again() {
+	f.wait = math.Min(math.Max(2*f.wait, f.set.Retry), f.set.Longest)
+	f.at = f.now + f.wait*(1-f.chance.Next()/2)
+}
+
+// Took says that the router goes by a version that it was to adopt.
+func (f *Follower) Took(v Version) {
+	if v.Mark() < f.here.Mark() && !f.set.Planted.Backward {
+		return
+	}
+	f.here, f.word = v, true
+	if f.wont <= v.Mark() {
+		f.wont, f.why = 0, ""
+	}
+	if v == f.known {
+		f.store = true
+	}
+}
+
+// Couldnt says that the router can't go by a version that it was to adopt, and why; it stays with what it had until there is
+// another.
+func (f *Follower) Couldnt(v Version, why string) {
+	if len(why) > LongestWhy {
+		why = why[:LongestWhy]
+	}
+	f.wont, f.why, f.word = v.Mark(), why, true
+}
+
+// Next gives the next decision; false: none is left.
+func (f *Follower) Next() (Decision, bool) {
+	switch {
+	case f.known.Number > 0 && (f.known.Mark() != f.offered || f.anew):
+		f.offered, f.anew = f.known.Mark(), false
+		if f.set.Planted.EarlyWord {
+			f.here, f.word = f.known, true
+		}
+		return Decision{Verb: Adopt, Version: f.known, Document: f.doc}, true
+	case f.word:
+		f.word = false
+		return Decision{Verb: Acknowledge, Mark: f.here.Mark(), Wont: f.wont, Why: f.why}, true
+	case f.store:
+		f.store = false
+		if f.here == f.known {
+			return Decision{Verb: Store, Version: f.known, Document: f.doc}, true
+		}
+		return f.Next()
+	case !f.asked && f.at <= f.now:
+		f.asked, f.at = true, math.Inf(1)
+		q := Request{Have: f.known.Mark(), Hash: f.known.Hash, Want: f.target.Mark(), Whole: f.whole, Offset: len(f.reading.Bytes),
+			Most: f.set.Part}
+		if q.Offset > 0 { // what is begun is read to its end: else changes that come faster than it does would starve it
+			q.Want, q.Whole = f.reading.Version.Mark(), f.reading.Whole
+		}
+		return Decision{Verb: Fetch, Request: q}, true
+	}
+	return Decision{}, false
+}
+
+// Due is when At must be called again at the latest; infinite: nothing waits for a time.
+func (f *Follower) Due() float64 { return f.at }
+
+// Here is the version that the router goes by; Known the latest whose document is here.
+func (f *Follower) Here() Version  { return f.here }
+func (f *Follower) Known() Version { return f.known }
