--- a/cmd/wayloft/fleet.go
+++ b/cmd/wayloft/fleet.go
@@ -216,7 +216,7 @@
 	holder := "nobody"
 	for ctx.Err() == nil {
 		watch, stop := context.WithCancel(ctx)
-		err = client.Watch(watch, func(u *fleetpb.Update) {
+		err = client.Watch(watch, true, func(u *fleetpb.Update) {
 			for _, d := range u.Duties {
 				if d.Name != duty {
 					continue
--- a/cmd/wayloft/join.go
+++ b/cmd/wayloft/join.go
@@ -3,10 +3,12 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 
 	"wayloft/internal/decide/handover"
+	"wayloft/internal/decide/policy"
 	"wayloft/internal/decide/sight"
 	"wayloft/internal/discovery"
 	"wayloft/internal/fleet"
@@ -126,3 +128,11 @@
 func (s *service) Hold(group int, until float64) { s.host.Hold(group, until) }
 
 func (s *service) Writes(group int) (running, waiting int) { return s.host.Writes(group) }
+
+// Policy takes none yet but the empty one: a router whose settings can't change while it runs must not say that it goes by them.
+func (s *service) Policy(_ policy.Version, d policy.Document) error {
+	if len(d) > 0 {
+		return errors.New("this build can't change its settings while it runs")
+	}
+	return nil
+}
--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +24,7 @@
 
 	"wayloft/internal/decide/agent"
 	"wayloft/internal/decide/council"
+	"wayloft/internal/decide/policy"
 	"wayloft/internal/decide/register"
 	"wayloft/internal/faults"
 	"wayloft/internal/fleetpb"
@@ -39,6 +41,9 @@
 	longest   = 4 << 20         // bytes of one message
 	streams   = 256             // at once on one connection
 	handshake = 5 * time.Second // for a connection to begin to speak the protocol
+	ready     = 64              // pieces of the policy that are kept packed
+	readyFor  = 4 << 20         // bytes of them
+	mostPart  = 64 << 10        // bytes of one part
 )
 
 // Settings are given once.
@@ -72,9 +77,18 @@
 	mu      sync.Mutex
 	moved   chan struct{} // closed when the register has changed
 	index   uint64
+	packed  []packed // what was lately asked for of the policy, the latest last
 	ended   error
 }
 
+// packed is something of the policy, ready to be given in parts.
+type packed struct {
+	have    uint64 // mark after which it leads on; whole: no matter
+	whole   bool
+	version policy.Version
+	bytes   []byte
+}
+
 var stored = struct{ hard, snapshot, met string }{"hard", "snapshot", "met"}
 
 // Read gives what a ledger holds of a process of the council.
@@ -264,6 +278,14 @@
 // past writes what has become so; each process of the council does, so that its record is whole.
 func (c *Council) past(e register.Event) {
 	leads, _ := c.node.Leads()
+	if e.Policy > 0 {
+		v := c.node.Register().Policy().Version
+		c.set.Record.Add("policy", record.Fields{"index": e.Index, "version": policy.MarkString(e.Policy), "author": v.Author, "reason": v.Reason})
+		if leads {
+			logrus.WithFields(logrus.Fields{"version": v, "author": v.Author, "reason": v.Reason}).Info("policy in force")
+		}
+		return
+	}
 	f := record.Fields{"index": e.Index, "session": e.Session, "duty": e.Duty, "fence": e.Fence.String(), "ended": e.Ended, "why": e.Why}
 	what := "session"
 	if e.Duty != "" {
@@ -325,7 +347,8 @@
 
 // asks are the kinds of entries that others may bring; time and leadership are the leader's alone to tell.
 var asks = map[register.Kind]bool{register.Open: true, register.Beat: true, register.End: true, register.Take: true, register.Free: true,
-	register.Pass: true, register.Note: true, register.Told: true, register.Order: true, register.Did: true, register.Ascend: true}
+	register.Pass: true, register.Note: true, register.Told: true, register.Order: true, register.Did: true, register.Ascend: true,
+	register.Propose: true}
 
 // Do is the service's.
 func (c *Council) Do(ctx context.Context, q *fleetpb.Request) (*fleetpb.Answer, error) {
@@ -373,7 +396,7 @@
 		c.mu.Unlock()
 		got := make(chan *fleetpb.Update, 1)
 		if err := c.post(stream.Context(), func() {
-			u, index := agent.Changes(c.node.Register(), since)
+			u, index := agent.Changes(c.node.Register(), since, from.WithoutSessions)
 			out := wire.Update(u)
 			out.Index = index
 			got <- out
@@ -382,7 +405,7 @@
 		}
 		select {
 		case u := <-got:
-			if len(u.Sessions)+len(u.Duties) > 0 || u.Whole || first {
+			if len(u.Sessions)+len(u.Duties)+len(u.Policies) > 0 || u.Whole || first {
 				if err := stream.Send(u); err != nil {
 					return err
 				}
@@ -432,12 +455,12 @@
 
 func (c *Council) state() *fleetpb.State {
 	r := c.node.Register()
-	u, index := agent.Changes(r, 0)
+	u, index := agent.Changes(r, 0, false)
 	s := &fleetpb.State{State: wire.Update(u), Epoch: r.Epoch(), Refused: r.Refused()}
 	s.State.Index = index
 	for _, one := range s.State.Sessions {
 		had, _ := r.Session(one.Name)
-		one.SilentMs, one.Refused = r.Now()-had.Heard, had.Refused
+		one.SilentMs, one.Refused, one.Wont, one.Why = r.Now()-had.Heard, had.Refused, had.Wont, had.Why
 	}
 	for _, one := range s.State.Duties {
 		d, _ := r.Duty(one.Name)
@@ -449,6 +472,92 @@
 	return s
 }
 
+// Policy is the service's. It is this process's own word, which may lag: who follows a policy never goes back.
+func (c *Council) Policy(ctx context.Context, q *fleetpb.PolicyFrom) (*fleetpb.PolicyPart, error) {
+	if len(q.Hash) > 64 || q.Most == 0 {
+		return nil, status.Error(codes.InvalidArgument, "unsound")
+	}
+	got := make(chan packed, 1)
+	if err := c.post(ctx, func() {
+		p, known := c.pack(policy.Request{Have: q.Have, Want: q.Want, Whole: q.Whole, Offset: int(min(q.Offset, 1<<30))})
+		if !known {
+			p.version = policy.Version{}
+		}
+		got <- p
+	}); err != nil {
+		return nil, err
+	}
+	select {
+	case p := <-got:
+		if p.version.Number == 0 {
+			return nil, status.Error(codes.NotFound, "this process knows of no such version: it may lag, ask another")
+		}
+		at := min(q.Offset, uint64(len(p.bytes)))
+		if p.version.Mark() != q.Want || at == uint64(len(p.bytes)) { // it is another than the one that was begun with
+			at = 0
+		}
+		end := min(at+min(q.Most, mostPart), uint64(len(p.bytes)))
+		return &fleetpb.PolicyPart{Version: wire.Policy(p.version, nil), Whole: p.whole, Offset: at, Total: uint64(len(p.bytes)), Bytes: p.bytes[at:end]}, nil
+	case <-c.ctx.Done():
+		return nil, status.Error(codes.Unavailable, "this process is ending")
+	}
+}
+
+// pack gives what is asked for of the policy: what was begun is read to its end though another version is in force by now, as
+// long as it is kept.
+func (c *Council) pack(q policy.Request) (packed, bool) {
+	b := c.node.Register().Policy()
+	for n := len(c.packed) - 1; n >= 0; n-- {
+		p := c.packed[n]
+		if mark := p.version.Mark(); p.whole == q.Whole && (p.whole || p.have == q.Have) &&
+			(mark == b.Version.Mark() && q.Want <= mark && q.Have <= mark || q.Offset > 0 && mark == q.Want) {
+			c.packed = append(slices.Delete(c.packed, n, n+1), p)
+			return p, true
+		}
+	}
+	text, whole, known := b.Serve(q)
+	if !known {
+		return packed{}, false
+	}
+	if whole && !q.Whole {
+		q.Whole, q.Offset = true, 0
+		return c.pack(q)
+	}
+	p := packed{q.Have, whole, b.Version, wire.Pack(text)}
+	c.packed = append(c.packed, p)
+	bytes := 0
+	for n := len(c.packed) - 1; n >= 0; n-- {
+		if bytes += len(c.packed[n].bytes); bytes > readyFor || len(c.packed)-n > ready {
+			c.packed = slices.Delete(c.packed, 0, n+1)
+			break
+		}
+	}
+	return p, true
+}
+
+// Policies is the service's.
+func (c *Council) Policies(ctx context.Context, _ *fleetpb.Empty) (*fleetpb.PolicyBook, error) {
+	out := &fleetpb.PolicyBook{}
+	var document, history []byte
+	d, err := c.ask(ctx, func(number uint64) {
+		then := c.asked[number]
+		c.asked[number] = func(d council.Decision) {
+			b := c.node.Register().Policy()
+			out.Version, document, history = wire.Policy(b.Version, nil), b.Document.Encode(), policy.EncodeChanges(b.History)
+			then(d)
+		}
+		c.node.Read(number)
+	})
+	if err != nil {
+		return nil, err
+	}
+	if d.Verb == council.Moved {
+		return &fleetpb.PolicyBook{Moved: true, Leader: d.Leader.Name, Address: d.Leader.Addr}, nil
+	}
+	out.Document, out.History = wire.Pack(document), wire.Pack(history)
+	return out, nil
+}
+
 // Change is the service's.
 func (c *Council) Change(ctx context.Context, m *fleetpb.Members) (*fleetpb.Answer, error) {
 	var add []council.Peer
--- a/internal/decide/agent/agent.go
+++ b/internal/decide/agent/agent.go
@@ -13,6 +13,7 @@
 
 	"wayloft/internal/decide/chance"
 	"wayloft/internal/decide/lease"
+	"wayloft/internal/decide/policy"
 	"wayloft/internal/decide/register"
 )
 
@@ -52,9 +53,17 @@
 
 // Update is one word of the watch: all there is, or what has changed.
 type Update struct {
-	Whole    bool
-	Sessions []Session
-	Duties   []Duty
+	Whole           bool
+	WithoutSessions bool // they were not asked for
+	Sessions        []Session
+	Duties          []Duty
+	Policies        []Policy // versions of the policy, the one in force last
+}
+
+// Policy is a version of the policy, and what led to it, where that is short enough to be told with it.
+type Policy struct {
+	Version    policy.Version
+	Difference *policy.Difference
 }
 
 // Verb tells what the host is to do.
@@ -105,7 +114,10 @@
 	sessions map[string]Session
 	duties   map[string]Duty
 	out      []Decision
+	others   bool // sessions holds all there are
 	policy   uint64
+	wont     uint64
+	why      string
 
 	Reopened int // sessions that the council had ended
 	Refused  int // acts of others turned away for their fence
@@ -297,6 +309,7 @@
 	if u.Whole {
 		clear(a.sessions)
 		clear(a.duties)
+		a.others = !u.WithoutSessions
 	}
 	for _, s := range u.Sessions {
 		if s.Ended {
@@ -385,10 +398,14 @@
 	}
 }
 
-// GoBy says which version of the policy this process goes by; the council hears it with the next beat, now.
-func (a *Agent) GoBy(version uint64) {
-	if a.policy != version {
-		a.policy, a.beating.at = version, math.Min(a.beating.at, a.now)
+// GoBy says which version of the policy this process goes by, by its mark, and which it couldn't take, if any; the council hears
+// it with the next beat, now.
+func (a *Agent) GoBy(mark, wont uint64, why string) {
+	if a.policy == mark && a.wont == wont && a.why == why {
+		return
+	}
+	if a.policy, a.wont, a.why = mark, wont, why; a.open {
+		a.beating.at = math.Min(a.beating.at, a.now)
 	}
 }
 
@@ -424,10 +441,10 @@
 	case !a.open && a.opening.at <= a.now:
 		a.opening.at = math.Inf(1)
 		a.call(asked{kind: register.Open}, register.Entry{Kind: register.Open, Is: a.set.Kind, Address: a.set.Address,
-			Length: uint64(a.set.Length), Policy: a.policy})
+			Length: uint64(a.set.Length), Policy: a.policy, Wont: a.wont, Why: a.why})
 	case a.open && a.beating.at <= a.now:
 		a.beating.at = math.Inf(1)
-		a.call(asked{kind: register.Beat}, register.Entry{Kind: register.Beat, Policy: a.policy, Refused: uint64(a.Refused)})
+		a.call(asked{kind: register.Beat}, register.Entry{Kind: register.Beat, Policy: a.policy, Wont: a.wont, Why: a.why, Refused: uint64(a.Refused)})
 	default:
 		for _, duty := range slices.Sorted(maps.Keys(a.stands)) {
 			if r := a.stands[duty]; r.at <= a.now {
@@ -462,6 +479,9 @@
 	return due
 }
 
+// Others tells whether Sessions holds all that there are, as far as the council told: a watch may have left them out.
+func (a *Agent) Others() bool { return a.others }
+
 // Sessions gives the sessions of a kind that the council told of, by name.
 func (a *Agent) Sessions(kind string) (all []Session) {
 	for _, name := range slices.Sorted(maps.Keys(a.sessions)) {
--- a/internal/decide/agent/agent_test.go
+++ b/internal/decide/agent/agent_test.go
@@ -148,15 +148,15 @@
 func TestChanges(t *testing.T) {
 	s := sit(t, "d")
 	s.to(500, true)
-	u, at := Changes(s.r, 0)
+	u, at := Changes(s.r, 0, false)
 	if !u.Whole || len(u.Sessions) != 1 || len(u.Duties) != 1 || u.Duties[0].Holder != "p" {
 		t.Fatalf("%+v", u)
 	}
 	s.apply(register.Entry{Kind: register.Order, Duty: "d", Text: "x"})
-	if u, _ = Changes(s.r, at); u.Whole || len(u.Sessions) != 0 || len(u.Duties) != 1 || u.Duties[0].Open.Text != "x" {
+	if u, _ = Changes(s.r, at, false); u.Whole || len(u.Sessions) != 0 || len(u.Duties) != 1 || u.Duties[0].Open.Text != "x" {
 		t.Errorf("%+v", u)
 	}
-	if u, _ = Changes(s.r, at+1000); !u.Whole {
+	if u, _ = Changes(s.r, at+1000, false); !u.Whole {
 		t.Error("who is ahead of this state must hear all of it")
 	}
 }
--- a/internal/decide/agent/changes.go
+++ b/internal/decide/agent/changes.go
@@ -4,32 +4,45 @@
 	"maps"
 	"slices"
 
+	"wayloft/internal/decide/policy"
 	"wayloft/internal/decide/register"
 )
 
+// inline is the most that differences take in one word of the watch, in bytes: a third of what a router may spend in a second.
+const inline = 2 << 10
+
 // Changes gives what a watcher who has heard of everything up to an entry has to hear now: what has changed, or the whole
-// state where that is no longer kept or the watcher is ahead, since this state is an older one.
-func Changes(r *register.Register, since uint64) (Update, uint64) {
+// state where that is no longer kept or the watcher is ahead, since this state is an older one. Without sessions, what becomes of
+// others' is left out: who gives no orders needs none of them, and hundreds of routers are told of hundreds otherwise.
+func Changes(r *register.Register, since uint64, without bool) (Update, uint64) {
 	events, all := r.Since(since)
 	if since == 0 || since > r.Index() || !all {
-		u := Update{Whole: true}
-		for _, name := range r.Sessions() {
-			u.Sessions = append(u.Sessions, session(r, name))
+		u := Update{Whole: true, WithoutSessions: without, Policies: policies(r.Policy(), 1)}
+		if !without {
+			for _, name := range r.Sessions() {
+				u.Sessions = append(u.Sessions, session(r, name))
+			}
 		}
 		for _, name := range r.Duties() {
 			u.Duties = append(u.Duties, duty(r, name))
 		}
 		return u, r.Index()
 	}
-	sessions, duties := map[string]bool{}, map[string]bool{}
+	sessions, duties, versions := map[string]bool{}, map[string]bool{}, 0
 	for _, e := range events {
-		if e.Duty != "" {
+		switch {
+		case e.Policy != 0:
+			versions++
+		case e.Duty != "":
 			duties[e.Duty] = true
-		} else {
+		case !without:
 			sessions[e.Session] = true
 		}
 	}
-	var u Update
+	u := Update{WithoutSessions: without}
+	if versions > 0 {
+		u.Policies = policies(r.Policy(), versions)
+	}
 	for _, name := range slices.Sorted(maps.Keys(sessions)) {
 		u.Sessions = append(u.Sessions, session(r, name))
 	}
@@ -39,6 +52,26 @@
 	return u, r.Index()
 }
 
+// policies gives the latest versions, the one in force last, with as many of the differences as fit, from the latest back.
+func policies(b *policy.Book, versions int) (all []Policy) {
+	if b.Version.Number == 0 {
+		return nil
+	}
+	left := inline
+	for n := len(b.History) - 1; n >= max(0, len(b.History)-versions); n-- {
+		c := b.History[n]
+		if left -= c.Difference.Size(); left < 0 {
+			break
+		}
+		all = append(all, Policy{c.Version, &c.Difference})
+	}
+	if len(all) == 0 {
+		return []Policy{{Version: b.Version}}
+	}
+	slices.Reverse(all)
+	return all
+}
+
 func session(r *register.Register, name string) Session {
 	s, open := r.Session(name)
 	return Session{Name: name, Kind: s.Is, Address: s.Address, Incarnation: s.Incarnation, Policy: s.Policy, Ended: !open}
--- a/internal/decide/council/council.go
+++ b/internal/decide/council/council.go
@@ -13,6 +13,7 @@
 	"hash/fnv"
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/fxamacker/cbor/v2"
 	"go.etcd.io/raft/v3"
@@ -32,6 +33,7 @@
 	sizePerMsg    = 1 << 18 // bytes
 	uncommitted   = 4 << 20 // bytes of entries that wait for a majority
 	mostGone      = 1000
+	mostFindings  = 50         // told of one proposal
 	mostPeers     = 9          // of a council: more only make it slower
 	format        = uint64(1)  // of the snapshot
 	catchUp       = uint64(64) // entries that a process may lack and still be called level
@@ -355,9 +357,12 @@
 		n.moved(number)
 	case len(n.pending) >= mostPending:
 		n.out = append(n.out, Decision{Verb: Lost, Number: number}) // a refusal would say that somebody else holds what was asked for
-	case e.Kind == register.Beat && e.Policy == 0:
+	case e.Kind == register.Beat:
 		n.pending[number] = true
-		n.beats = append(n.beats, beat{number, register.Name{Session: e.Session, Incarnation: e.Incarnation, Refused: e.Refused}})
+		n.beats = append(n.beats, beat{number, register.Name{Session: e.Session, Incarnation: e.Incarnation, Refused: e.Refused,
+			Policy: e.Policy, Wont: e.Wont, Why: e.Why}})
+	case e.Kind == register.Propose && refused(e) != "":
+		n.out = append(n.out, Decision{Verb: Done, Number: number, Answer: register.Answer{Why: refused(e)}})
 	default:
 		n.pending[number] = true
 		if err := n.propose(e, number, nil); err != nil {
@@ -370,6 +375,19 @@
 	}
 }
 
+// refused tells all that keeps a proposal's fields from being changed. It is asked before the proposal gets into the log: there
+// each build must make the same of it, whatever it knows of fields.
+func refused(e register.Entry) string {
+	var all []string
+	for _, f := range e.Proposal.Difference.Judge() {
+		if all = append(all, f.Field+": "+f.Reason); len(all) == mostFindings {
+			all = append(all, "and more")
+			break
+		}
+	}
+	return strings.Join(all, "\n")
+}
+
 // preview answers an entry as if it were committed; a planted defect.
 func (n *Node) preview(e register.Entry) register.Answer {
 	r, err := register.Restore(n.set.Fleet, n.reg.Snapshot())
--- a/internal/decide/policy/book.go
+++ b/internal/decide/policy/book.go
@@ -93,12 +93,31 @@
 func (b *Book) After(mark uint64) ([]Change, bool) {
 	for n := len(b.History) - 1; n >= 0; n-- {
 		if b.History[n].Version.Base == mark {
-			return b.History[n:len(b.History):len(b.History)], true
+			return slices.Clone(b.History[n:]), true
 		}
 	}
 	return nil, false
 }
 
+// Serve gives what leads who asks to the version in force: the changes after the one it has, in one piece, or the whole document,
+// whichever is shorter. false: this book is behind what is asked for, so another must be asked.
+func (b *Book) Serve(q Request) (packs []byte, whole, known bool) {
+	mark := b.Version.Mark()
+	if mark == 0 || q.Want > mark || q.Have > mark {
+		return nil, false, false
+	}
+	if changes, kept := b.After(q.Have); kept && !q.Whole {
+		bytes := 0
+		for _, c := range changes {
+			bytes += c.Difference.Size()
+		}
+		if bytes < b.Version.Size {
+			return EncodeChanges(changes), false, true
+		}
+	}
+	return b.Document.Encode(), true, true
+}
+
 // Check tells whether what was stored is whole.
 func (b *Book) Check() error {
 	if err := b.Document.Check(); err != nil {
--- a/internal/decide/policy/document.go
+++ b/internal/decide/policy/document.go
@@ -212,6 +212,17 @@
 	return nil
 }
 
+// Size is about the bytes that a difference takes, never less than its texts; it costs less than Encode.
+func (x Difference) Size() (bytes int) {
+	for field, value := range x.Set {
+		bytes += len(field) + len(value) + 6
+	}
+	for _, field := range x.Gone {
+		bytes += len(field) + 3
+	}
+	return bytes
+}
+
 // Empty tells whether a difference changes nothing.
 func (x Difference) Empty() bool { return len(x.Set)+len(x.Gone) == 0 }
 
--- a/internal/decide/policy/version.go
+++ b/internal/decide/policy/version.go
@@ -20,6 +20,14 @@
 	Reason string   `cbor:"7,keyasint"`
 }
 
+// Check tells whether a version is one that a register could have made.
+func (v Version) Check() error {
+	if v.Number > mostNumber || v.Epoch > mostNumber || v.Size < 0 || v.Size > MostBytes || len(v.Author) > LongestWhy || len(v.Reason) > LongestWhy {
+		return fmt.Errorf("policy: version %.40s: %w", v, ErrUnsound)
+	}
+	return nil
+}
+
 // Mark is a version as one number that grows with it: what a session's word carries, and what is compared. 0: no version.
 // Epochs are seconds and fit until the year 2159; a number that doesn't fit is never given.
 func (v Version) Mark() uint64 {
--- a/internal/decide/register/register.go
+++ b/internal/decide/register/register.go
@@ -1,6 +1,6 @@
 // Package register decides what the fleet's small state becomes with each entry of the council's log: sessions of
-// processes, duties with their holders, queues and fences, and the steps that an owner noted down. It must never read a
-// clock, draw chance or do I/O: the same entries give the same bytes of snapshot everywhere.
+// processes, duties with their holders, queues and fences, the steps that an owner noted down, and the policy that is in force.
+// It must never read a clock, draw chance or do I/O: the same entries give the same bytes of snapshot everywhere.
 //
 // Time enters only as what the leader put into the log: each entry says how many ms went by on the leader's clock since the
 // one before. A new leader can't know how long the log stood still, so it gives every session its whole length again; a
@@ -17,10 +17,11 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"wayloft/internal/decide/lease"
+	"wayloft/internal/decide/policy"
 )
 
 const (
-	version    = 1
+	version    = 2     // 1 until something is proposed for the first time: what an earlier build can read it gets to read
 	longest    = 256   // bytes of a name or a note
 	mostSteps  = 16    // notes kept of one duty: the latest
 	mostEvents = 1000  // kept for those who watch; who is further behind reads the whole state again
@@ -45,7 +46,9 @@
 	Ascend Kind = "ascend" // an operator began a new epoch
 	Beats  Kind = "beats"  // all of Names are heard from
 	Order  Kind = "order"  // an operator asks the owner of Duty for something: Text
-	Did    Kind = "did"    // Session ended order Number of Duty, under Fence; Text says how
+	// Propose asks for a change of the policy: Proposal. Builds before it stop at one: all of the council must know it first.
+	Propose Kind = "propose"
+	Did     Kind = "did" // Session ended order Number of Duty, under Fence; Text says how
 )
 
 // Entry is one entry of the log; only the fields of its kind are set.
@@ -62,10 +65,14 @@
 	Text        string      `cbor:"10,keyasint,omitempty"`
 	Epoch       uint64      `cbor:"11,keyasint,omitempty"`
 	Address     string      `cbor:"12,keyasint,omitempty"` // where Session hears the fleet's orders
-	Policy      uint64      `cbor:"13,keyasint,omitempty"` // the version of the policy that Session goes by
+	Policy      uint64      `cbor:"13,keyasint,omitempty"` // mark of the policy's version that Session goes by
 	Number      uint64      `cbor:"14,keyasint,omitempty"`
 	Names       []Name      `cbor:"15,keyasint,omitempty"`
 	Refused     uint64      `cbor:"16,keyasint,omitempty"` // acts that Session turned away for their fence, since its start
+
+	Proposal *policy.Proposal `cbor:"17,keyasint,omitempty"`
+	Wont     uint64           `cbor:"18,keyasint,omitempty"` // mark of a version that Session couldn't take
+	Why      string           `cbor:"19,keyasint,omitempty"` // for what reason
 }
 
 // Name is one incarnation of a session.
@@ -73,6 +80,9 @@
 	Session     string `cbor:"1,keyasint"`
 	Incarnation uint64 `cbor:"2,keyasint"`
 	Refused     uint64 `cbor:"3,keyasint,omitempty"`
+	Policy      uint64 `cbor:"4,keyasint,omitempty"`
+	Wont        uint64 `cbor:"5,keyasint,omitempty"`
+	Why         string `cbor:"6,keyasint,omitempty"`
 }
 
 // Session is a process as the council knows it.
@@ -82,8 +92,10 @@
 	Length      uint64 `cbor:"3,keyasint"`
 	Heard       uint64 `cbor:"4,keyasint"` // on the register's time
 	Address     string `cbor:"5,keyasint"`
-	Policy      uint64 `cbor:"6,keyasint"`
+	Policy      uint64 `cbor:"6,keyasint"` // mark of the version that it goes by, as it last said
 	Refused     uint64 `cbor:"7,keyasint"`
+	Wont        uint64 `cbor:"8,keyasint,omitempty"` // mark of a version that it couldn't take
+	Why         string `cbor:"9,keyasint,omitempty"`
 }
 
 // Duty is something that one process at a time does for the fleet.
@@ -118,6 +130,7 @@
 	Duty    string      `cbor:"4,keyasint,omitempty"`
 	Fence   lease.Fence `cbor:"5,keyasint,omitzero"`
 	Why     string      `cbor:"6,keyasint,omitempty"` // silent, anew, left: how a session ended
+	Policy  uint64      `cbor:"7,keyasint,omitempty"` // mark of the version that is in force now
 }
 
 type state struct {
@@ -129,7 +142,8 @@
 	Sessions map[string]*Session `cbor:"6,keyasint"`
 	Duties   map[string]*Duty    `cbor:"7,keyasint"`
 	Events   []Event             `cbor:"8,keyasint"`
-	Refused  uint64              `cbor:"9,keyasint"` // by sessions that are over
+	Refused  uint64              `cbor:"9,keyasint"`            // by sessions that are over
+	Policy   *policy.Book        `cbor:"10,keyasint,omitempty"` // nil: nothing was ever proposed
 }
 
 // Register is the state after the entries so far.
@@ -137,7 +151,7 @@
 
 // New makes an empty one in the first epoch.
 func New(fleet string) *Register {
-	return &Register{state{Version: version, Fleet: fleet, Epoch: 1, Sessions: map[string]*Session{}, Duties: map[string]*Duty{}}}
+	return &Register{state{Version: 1, Fleet: fleet, Epoch: 1, Sessions: map[string]*Session{}, Duties: map[string]*Duty{}}}
 }
 
 // Unbegun makes one that grants nothing until its first leader has said in which epoch it begins. Guards against a council
@@ -193,18 +207,26 @@
 		return e, fmt.Errorf("entry: %w: %w", ErrUnsound, err)
 	}
 	switch e.Kind {
-	case Lead, Tick, Open, Beat, End, Take, Free, Pass, Note, Told, Ascend, Beats, Order, Did:
+	case Lead, Tick, Open, Beat, End, Take, Free, Pass, Note, Told, Ascend, Beats, Order, Did, Propose:
 	default:
 		return e, fmt.Errorf("entry: %w: kind %.32q", ErrUnknown, e.Kind)
 	}
-	for _, text := range []string{e.Session, e.Is, e.Duty, e.To, e.Text, e.Address} {
+	for _, text := range []string{e.Session, e.Is, e.Duty, e.To, e.Text, e.Address, e.Why} {
 		if len(text) > longest {
 			return e, fmt.Errorf("entry: %w: a text of %d bytes, %d at most", ErrUnsound, len(text), longest)
 		}
 	}
 	for _, n := range e.Names {
-		if len(n.Session) > longest {
-			return e, fmt.Errorf("entry: %w: a text of %d bytes, %d at most", ErrUnsound, len(n.Session), longest)
+		if n := max(len(n.Session), len(n.Why)); n > longest {
+			return e, fmt.Errorf("entry: %w: a text of %d bytes, %d at most", ErrUnsound, n, longest)
+		}
+	}
+	if (e.Kind == Propose) != (e.Proposal != nil) {
+		return e, fmt.Errorf("entry: %w: %q with or without a proposal", ErrUnsound, e.Kind)
+	}
+	if e.Proposal != nil {
+		if err := e.Proposal.Check(); err != nil {
+			return e, fmt.Errorf("entry: %w: %w", ErrUnsound, err)
 		}
 	}
 	if e.Passed > mostPassed || e.Length > mostPassed {
@@ -251,6 +273,11 @@
 			return nil, fmt.Errorf("snapshot: %w: session %q is empty", ErrUnsound, name)
 		}
 	}
+	if b := r.s.Policy; b != nil {
+		if err := b.Check(); err != nil {
+			return nil, fmt.Errorf("snapshot: %w: %w", ErrUnsound, err)
+		}
+	}
 	return r, nil
 }
 
@@ -287,8 +314,11 @@
 		for _, n := range e.Names {
 			if s := r.s.Sessions[n.Session]; s != nil && s.Incarnation == n.Incarnation {
 				s.Heard, s.Refused = r.s.Now, max(s.Refused, n.Refused)
+				r.goesBy(s, n.Policy, n.Wont, n.Why)
 			}
 		}
+	case Propose:
+		return r.propose(e)
 	case Order:
 		return r.order(e)
 	case Told:
@@ -301,10 +331,44 @@
 		for _, name := range slices.Sorted(maps.Keys(r.s.Duties)) {
 			r.free(name)
 		}
+		if r.s.Policy != nil && r.s.Policy.Ascend(e.Epoch) {
+			r.tell(Event{Policy: r.s.Policy.Version.Mark()})
+		}
 	}
 	return Answer{}
 }
 
+// propose takes in a change of the policy. Whether its fields may change is asked before it gets into the log (Policy.Judge): a
+// build with another table would make another state of the same entry.
+func (r *Register) propose(e Entry) Answer {
+	b := r.book()
+	was := b.Version
+	v, why := b.Propose(r.s.Epoch, *e.Proposal)
+	if why != "" {
+		return Answer{Why: why, Number: was.Number}
+	}
+	if v != was {
+		r.tell(Event{Policy: v.Mark()})
+	}
+	return Answer{Held: true, Number: v.Number}
+}
+
+// book gives what is kept of policies. From the first on that concerns them, the snapshot is one that earlier builds refuse.
+func (r *Register) book() *policy.Book {
+	if r.s.Policy == nil {
+		r.s.Policy, r.s.Version = &policy.Book{}, version
+	}
+	return r.s.Policy
+}
+
+// goesBy notes down by which version a session goes. Nobody is told: hundreds would hear of hundreds; who wants to know looks.
+func (r *Register) goesBy(s *Session, mark, wont uint64, why string) {
+	s.Policy, s.Wont, s.Why = mark, wont, why
+	if mark > 0 {
+		r.book().Acknowledged(mark)
+	}
+}
+
 // expire ends the sessions that have been silent for longer than their length.
 func (r *Register) expire() {
 	var over []string
@@ -340,12 +404,14 @@
 		return Answer{Why: "a later incarnation has this name"}
 	case s != nil && e.Incarnation == s.Incarnation:
 		s.Heard = r.s.Now // the same request once more
+		r.goesBy(s, e.Policy, e.Wont, e.Why)
 		return Answer{Held: true}
 	case s != nil:
 		r.end(e.Session, "anew") // its process started anew and knows nothing of what it held
 	}
-	r.s.Sessions[e.Session] = &Session{Incarnation: e.Incarnation, Is: e.Is, Length: e.Length, Heard: r.s.Now, Address: e.Address,
-		Policy: e.Policy}
+	s = &Session{Incarnation: e.Incarnation, Is: e.Is, Length: e.Length, Heard: r.s.Now, Address: e.Address}
+	r.s.Sessions[e.Session] = s
+	r.goesBy(s, e.Policy, e.Wont, e.Why)
 	r.tell(Event{Session: e.Session})
 	return Answer{Held: true}
 }
@@ -359,10 +425,7 @@
 	s.Heard, s.Refused = r.s.Now, max(s.Refused, e.Refused)
 	switch e.Kind {
 	case Beat:
-		if e.Policy != s.Policy {
-			s.Policy = e.Policy
-			r.tell(Event{Session: e.Session})
-		}
+		r.goesBy(s, e.Policy, e.Wont, e.Why)
 		return Answer{Held: true}
 	case End:
 		r.end(e.Session, "left")
@@ -557,6 +620,14 @@
 	return stands
 }
 
+// Policy gives what is kept of policies; it must not be changed, nor kept. Before the first proposal it is empty.
+func (r *Register) Policy() *policy.Book {
+	if r.s.Policy == nil {
+		return &policy.Book{}
+	}
+	return r.s.Policy
+}
+
 func (r *Register) Session(name string) (Session, bool) {
 	s := r.s.Sessions[name]
 	if s == nil {
--- a/internal/decide/register/register_test.go
+++ b/internal/decide/register/register_test.go
@@ -169,7 +169,7 @@
 // Beats of many come as one entry; those of other incarnations count for nothing.
 func TestBeats(t *testing.T) {
 	f := begin("a", "b")
-	f.do(Entry{Kind: Beats, Passed: 90, Names: []Name{{"a", 1, 3}, {"b", 2, 0}, {"z", 1, 0}}})
+	f.do(Entry{Kind: Beats, Passed: 90, Names: []Name{{Session: "a", Incarnation: 1, Refused: 3}, {Session: "b", Incarnation: 2}, {Session: "z", Incarnation: 1}}})
 	left, any := f.Left()
 	want(t, "left", left, uint64(10))
 	want(t, "any", any, true)
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -30,6 +30,8 @@
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
 	lead  string // address of who led when it was last heard
+
+	watched string // address of who is watched, or was last
 }
 
 // NewClient makes one; via gives other ways to processes, by name.
@@ -215,12 +217,13 @@
 const quiet = 4 * time.Second
 
 // Watch hears of what changes from some process of the council, until ctx ends or it falls silent. What it tells first is all
-// there is.
-func (c *Client) Watch(ctx context.Context, deliver func(*fleetpb.Update)) error {
+// there is; without sessions, those of others are left out.
+func (c *Client) Watch(ctx context.Context, without bool, deliver func(*fleetpb.Update)) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c.mu.Lock()
 	addr := c.addrs[rand.IntN(len(c.addrs))]
+	c.watched = addr
 	c.mu.Unlock()
 	conn, err := c.conn(addr)
 	if err != nil {
@@ -228,7 +231,7 @@
 	}
 	silent := time.AfterFunc(quiet, cancel)
 	defer silent.Stop()
-	s, err := fleetpb.NewCouncilClient(conn).Watch(ctx, &fleetpb.WatchFrom{})
+	s, err := fleetpb.NewCouncilClient(conn).Watch(ctx, &fleetpb.WatchFrom{WithoutSessions: without})
 	for err == nil {
 		var u *fleetpb.Update
 		if u, err = s.Recv(); err == nil {
--- a/internal/fleet/handover.go
+++ b/internal/fleet/handover.go
@@ -154,6 +154,9 @@
 		h.ctx, h.cancel = context.WithCancel(l.ctx)
 		l.set.Record.Add("order", record.Fields{"duty": duty, "fence": h.fence.String(), "number": h.number, "text": d.Open.Text, "steps": len(d.Steps)})
 	}
+	if !l.agent.Others() { // who are to hear of it isn't known yet
+		return
+	}
 	var names []string
 	for _, s := range l.agent.Sessions("router") {
 		names = append(names, s.Name)
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -11,6 +11,7 @@
 	"net"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,7 @@
 	"wayloft/internal/decide/agent"
 	"wayloft/internal/decide/handover"
 	"wayloft/internal/decide/lease"
+	"wayloft/internal/decide/policy"
 	"wayloft/internal/decide/register"
 	"wayloft/internal/decide/sight"
 	"wayloft/internal/faults"
@@ -51,6 +53,10 @@
 	Sighted(r sight.Report)                  // what another's check told
 	Hold(group int, until float64)           // writes wait until then, Unix ms; 0: they don't
 	Writes(group int) (running, waiting int) // of a group
+
+	// Policy has the router go by a document from now on, in place of the one before: what it doesn't name is the router's own
+	// file's to say. An error: it can't, for this reason, and goes on as it was; operators are shown it.
+	Policy(v policy.Version, d policy.Document) error
 }
 
 // Member is one of a group's.
@@ -74,6 +80,8 @@
 	Bound             float64 // the most that writes wait here for one handover
 	Ahead             float64 // ms that this process's clock is ahead, for tests
 	Record            *record.Record
+	PolicyRate        float64 // bytes a second that fetching the policy may take; 0: 4096
+	Store             Store   // of the policy; nil: none
 }
 
 // Link is one process's way to its fleet.
@@ -86,6 +94,10 @@
 	inbox   chan func()
 	ctx     context.Context
 	ended   chan struct{}
+	follow  *following
+	owns    atomic.Bool        // a duty: it needs the sessions of those whom it gives orders
+	rewatch context.CancelFunc // ends the watch that leaves them out; under mu
+	mu      sync.Mutex
 	groups  map[int][]Member
 	lookAt  float64
 	wanted  map[string]bool           // duties that it would own, of groups that are listed
@@ -114,8 +126,10 @@
 	l := &Link{set: set, router: router, client: NewClient(set.Fleet, set.Council, set.Via), inbox: make(chan func(), inbox),
 		ended: make(chan struct{}), groups: map[int][]Member{}, wanted: map[string]bool{}, desks: map[string]*handover.Desk{}, looks: map[string]*looker{},
 		hands: map[string]*handing{}, guests: handover.NewGuests(set.Bound), ways: map[string]*grpc.ClientConn{}, hosted: make(chan func(), inbox)}
+	seed := h.Sum64() ^ wire.Draw()
+	l.follow = follow(set, seed)
 	l.agent = agent.New(agent.Settings{Name: set.Name, Kind: set.Kind, Address: set.Address, Length: set.Length, Margin: set.Margin,
-		Incarnation: uint64(time.Now().UnixMilli()), Seed: h.Sum64() ^ wire.Draw()})
+		Incarnation: uint64(time.Now().UnixMilli()), Seed: seed})
 	return l
 }
 
@@ -138,6 +152,7 @@
 			w.Close()
 		}
 	}()
+	l.remember()
 	go l.watch()
 	go func() {
 		for {
@@ -204,7 +219,10 @@
 
 // due is when something may have to be done next if nothing comes in.
 func (l *Link) due() float64 {
-	due := min(l.agent.Due(), l.lookAt)
+	due := min(l.agent.Due(), l.lookAt, l.follow.follower.Due())
+	if l.follow.adopt != nil {
+		due = min(due, l.now()+20)
+	}
 	for _, k := range l.looks {
 		due = min(due, k.owner.Due())
 	}
@@ -225,6 +243,7 @@
 			go l.post(func() { l.listed(g) })
 		})
 	}
+	l.goBy(now)
 	for d, more := l.agent.Next(); more; d, more = l.agent.Next() {
 		l.do(d)
 	}
@@ -284,6 +303,7 @@
 	case agent.Start:
 		l.set.Record.Add("start", record.Fields{"duty": d.Duty, "fence": d.Fence.String()})
 		logrus.WithFields(logrus.Fields{"duty": d.Duty, "fence": d.Fence}).Info("owns")
+		l.others()
 		var group int
 		if _, err := fmt.Sscanf(d.Duty, "sight/%d", &group); err == nil {
 			k := &looker{group: group, fence: d.Fence, owner: sight.NewOwner(l.set.Sight), busy: map[string]bool{}}
@@ -305,6 +325,20 @@
 			h.cancel()
 		}
 		delete(l.hands, d.Duty)
+		l.owns.Store(len(l.looks)+len(l.hands) > 0)
+	}
+}
+
+// others has the watch tell the sessions of others from now on, since this process gives orders. The next watch leaves them out
+// again, if it owns nothing by then.
+func (l *Link) others() {
+	if l.owns.Store(true); l.agent.Others() {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.rewatch != nil {
+		l.rewatch()
 	}
 }
 
@@ -341,13 +375,29 @@
 func (l *Link) watch() {
 	told := ""
 	for l.ctx.Err() == nil {
-		err := l.client.Watch(l.ctx, func(u *fleetpb.Update) {
+		ctx, cancel := context.WithCancel(l.ctx)
+		l.mu.Lock()
+		without := !l.owns.Load()
+		if l.rewatch = nil; without {
+			l.rewatch = cancel
+		}
+		l.mu.Unlock()
+		err := l.client.Watch(ctx, without, func(u *fleetpb.Update) {
 			told = ""
 			l.post(func() {
 				l.agent.At(l.now())
-				l.agent.Watched(wire.FromUpdate(u))
+				in := wire.FromUpdate(u)
+				l.agent.Watched(in)
+				l.follow.follower.At(l.now())
+				for _, p := range in.Policies {
+					l.follow.follower.Told(p.Version, p.Difference)
+				}
 			})
 		})
+		ended := ctx.Err() != nil
+		if cancel(); ended && l.ctx.Err() == nil { // by ourselves
+			continue
+		}
 		if text := err.Error(); l.ctx.Err() == nil && text != told {
 			told = text
 			logrus.WithError(err).Warn("the council is out of reach; the router serves on, the fleet's duties may rest")
--- /dev/null
+++ b/internal/fleet/policy.go
@@ -0,0 +1,210 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc/status"
+
+	"wayloft/internal/decide/policy"
+	"wayloft/internal/decide/register"
+	"wayloft/internal/faults"
+	"wayloft/internal/fleetpb"
+	"wayloft/internal/record"
+	"wayloft/internal/wire"
+)
+
+// Of what is fetched of the policy. Together with beats and the watch it must stay within what a router may spend on control.
+const (
+	policyRate  = 4096     // bytes a second, where the settings don't say
+	policyPart  = 2 << 10  // bytes of one part
+	policyEach  = 300      // bytes that a request and its answer take besides, with their headers
+	mostHistory = 16 << 20 // bytes of a history, unpacked
+)
+
+// Store keeps a policy at a router from one start to the next. Both are called off the router's loop, one call at a time.
+type Store interface {
+	// Load gives what was saved last; nothing, or nothing that can be trusted, is the zero Version and no error. An error is
+	// logged, and counts as nothing.
+	Load() (policy.Version, policy.Document, error)
+	// Save keeps a version in place of the one before. An error is logged; the router goes by the version all the same.
+	Save(policy.Version, policy.Document) error
+}
+
+// Policies are what a council keeps of the policy: the version in force with its document, and the latest changes, it last.
+type Policies struct {
+	Version  policy.Version // Number 0: nothing was ever proposed
+	Document policy.Document
+	History  []policy.Change
+}
+
+// Propose asks for a change of the policy: Held with the Number that it has, or Why not, one line for each reason. A proposal
+// is taken only while the version that it was made from is in force. Asking again for the same is harmless.
+func (c *Client) Propose(ctx context.Context, p policy.Proposal) (register.Answer, error) {
+	if err := p.Check(); err != nil {
+		return register.Answer{}, err
+	}
+	return c.Do(ctx, register.Entry{Kind: register.Propose, Proposal: &p})
+}
+
+// Policy gives the policy in force and its history, by the word of a majority.
+func (c *Client) Policy(ctx context.Context) (all Policies, err error) {
+	var got *fleetpb.PolicyBook
+	err = c.ask(ctx, func(ctx context.Context, to fleetpb.CouncilClient) (bool, string, string, error) {
+		var err error
+		if got, err = to.Policies(ctx, &fleetpb.Empty{}); err != nil {
+			return false, "", "", err
+		}
+		return got.Moved, got.Leader, got.Address, nil
+	})
+	if err != nil {
+		return all, err
+	}
+	if all.Version, _, err = wire.FromPolicy(got.Version); err != nil {
+		return all, err
+	}
+	text, err := wire.Unpack(got.Document, policy.MostBytes)
+	if err != nil {
+		return all, fmt.Errorf("policy: %w", err)
+	}
+	if all.Document, err = policy.Decode(text); err != nil {
+		return all, err
+	}
+	if all.Version.Number > 0 && all.Document.Hash() != all.Version.Hash {
+		return all, policy.ErrMismatch
+	}
+	if text, err = wire.Unpack(got.History, mostHistory); err != nil {
+		return all, fmt.Errorf("policy: history: %w", err)
+	}
+	all.History, err = policy.DecodeChanges(text)
+	return all, err
+}
+
+// part asks one process of the council for a part of the policy: the one that is watched first, since what it told it has.
+func (c *Client) part(ctx context.Context, q policy.Request, first bool) (p policy.Part, err error) {
+	c.mu.Lock()
+	addr := c.watched
+	if !first || addr == "" {
+		addr = c.addrs[rand.IntN(len(c.addrs))]
+	}
+	c.mu.Unlock()
+	conn, err := c.conn(addr)
+	if err != nil {
+		return p, err
+	}
+	a, err := fleetpb.NewCouncilClient(conn).Policy(ctx, &fleetpb.PolicyFrom{Have: q.Have, Hash: q.Hash[:], Want: q.Want, Whole: q.Whole,
+		Offset: uint64(q.Offset), Most: uint64(q.Most)})
+	if err != nil {
+		return p, fmt.Errorf("council at %s: %s", addr, status.Convert(err).Message())
+	}
+	v, _, err := wire.FromPolicy(a.Version)
+	if err != nil {
+		return p, fmt.Errorf("council at %s: %w", addr, err)
+	}
+	if a.Offset > 1<<30 || a.Total > 1<<30 {
+		return p, errors.New("unsound")
+	}
+	return policy.Part{Version: v, Whole: a.Whole, Offset: int(a.Offset), Total: int(a.Total), Bytes: a.Bytes}, nil
+}
+
+// following is a router's part in the policy.
+type following struct {
+	follower *policy.Follower
+	adopt    *policy.Decision // what the router's loop had no room for yet
+	save     *policy.Decision // what is to be kept once the one before is
+	saving   bool
+	failed   bool // the latest request has: the next goes to any process
+}
+
+func follow(set Settings, seed uint64) *following {
+	rate := set.PolicyRate
+	if rate == 0 {
+		rate = policyRate
+	}
+	return &following{follower: policy.NewFollower(policy.Settings{Rate: rate, Part: policyPart, Each: policyEach, Spread: 500, Retry: 200,
+		Longest: 2000, Seed: seed, Unpack: wire.Unpack})}
+}
+
+// remember begins with what was kept.
+func (l *Link) remember() {
+	l.follow.follower.At(l.now())
+	if l.set.Store == nil {
+		return
+	}
+	v, d, err := l.set.Store.Load()
+	if err != nil {
+		logrus.WithError(err).Warn("no policy of an earlier start")
+		return
+	}
+	l.follow.follower.Stored(v, d)
+}
+
+// goBy does what is decided of the policy.
+func (l *Link) goBy(now float64) {
+	f := l.follow
+	f.follower.At(now)
+	for d, more := f.follower.Next(); more; d, more = f.follower.Next() {
+		switch d.Verb {
+		case policy.Fetch:
+			go l.fetch(d.Request, !f.failed)
+		case policy.Adopt:
+			f.adopt = &d
+		case policy.Acknowledge:
+			l.set.Record.Add("goes by", record.Fields{"version": policy.MarkString(d.Mark), "wont": policy.MarkString(d.Wont), "why": d.Why})
+			l.agent.GoBy(d.Mark, d.Wont, d.Why)
+		case policy.Store:
+			f.save = &d
+		}
+	}
+	if d := f.adopt; d != nil && l.host(func() { l.adopt(*d) }) {
+		f.adopt = nil
+	}
+	if d := f.save; d != nil && !f.saving && l.set.Store != nil {
+		f.save, f.saving = nil, true
+		go func() {
+			err := l.set.Store.Save(d.Version, d.Document)
+			l.post(func() {
+				if f.saving = false; err != nil {
+					logrus.WithError(err).WithField("version", d.Version).Error("the policy is not kept for the next start")
+				}
+			})
+		}()
+	}
+}
+
+// adopt has the router go by a version, on its loop.
+func (l *Link) adopt(d policy.Decision) {
+	faults.Point("policy.adopt")
+	err := l.router.Policy(d.Version, d.Document)
+	go l.post(func() {
+		l.follow.follower.At(l.now())
+		line := logrus.WithFields(logrus.Fields{"version": d.Version, "author": d.Version.Author, "reason": d.Version.Reason})
+		if err != nil {
+			line.WithError(err).Error("a policy that this router can't take")
+			l.follow.follower.Couldnt(d.Version, err.Error())
+			return
+		}
+		line.Info("goes by policy")
+		l.follow.follower.Took(d.Version)
+	})
+}
+
+func (l *Link) fetch(q policy.Request, first bool) {
+	ctx, cancel := context.WithTimeout(l.ctx, time.Duration(l.set.Length/2*float64(time.Millisecond)))
+	defer cancel()
+	p, err := l.client.part(ctx, q, first)
+	l.post(func() {
+		f := l.follow
+		f.follower.At(l.now())
+		if f.failed = err != nil; err != nil {
+			logrus.WithError(err).Debug("no part of the policy")
+			f.follower.Failed()
+			return
+		}
+		f.follower.Got(p)
+	})
+}
--- a/internal/lab/fleet/twin/twin.go
+++ b/internal/lab/fleet/twin/twin.go
@@ -519,7 +519,7 @@
 	c := w.Council[w.rand.IntN(len(w.Council))]
 	life, since := p.life, p.watch
 	w.send(p, c, 16, func() {
-		u, index := agent.Changes(c.node.Register(), since)
+		u, index := agent.Changes(c.node.Register(), since, false)
 		w.send(c, p, 16+48*(len(u.Sessions)+len(u.Duties)), func() {
 			if p.life == life && p.watch == since {
 				p.watch = index
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -6,10 +6,12 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"fmt"
 	mrand "math/rand/v2"
 	"strconv"
 	"time"
 
+	"github.com/klauspost/compress/zstd"
 	"golang.org/x/sys/unix"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
@@ -21,6 +23,7 @@
 
 	"wayloft/internal/decide/agent"
 	"wayloft/internal/decide/lease"
+	"wayloft/internal/decide/policy"
 	"wayloft/internal/decide/register"
 	"wayloft/internal/fleetpb"
 )
@@ -126,7 +129,10 @@
 }
 
 func Update(u agent.Update) *fleetpb.Update {
-	out := &fleetpb.Update{Whole: u.Whole}
+	out := &fleetpb.Update{Whole: u.Whole, WithoutSessions: u.WithoutSessions}
+	for _, p := range u.Policies {
+		out.Policies = append(out.Policies, Policy(p.Version, p.Difference))
+	}
 	for _, s := range u.Sessions {
 		out.Sessions = append(out.Sessions, &fleetpb.Session{Name: s.Name, Kind: s.Kind, Address: s.Address, Incarnation: s.Incarnation,
 			Policy: s.Policy, Ended: s.Ended})
@@ -141,8 +147,14 @@
 	return out
 }
 
+// FromUpdate passes over a version whose form is not sound, as if it had not been told.
 func FromUpdate(in *fleetpb.Update) agent.Update {
-	u := agent.Update{Whole: in.Whole}
+	u := agent.Update{Whole: in.Whole, WithoutSessions: in.WithoutSessions}
+	for _, p := range in.Policies {
+		if v, x, err := FromPolicy(p); err == nil {
+			u.Policies = append(u.Policies, agent.Policy{Version: v, Difference: x})
+		}
+	}
 	for _, s := range in.Sessions {
 		u.Sessions = append(u.Sessions, agent.Session{Name: s.Name, Kind: s.Kind, Address: s.Address, Incarnation: s.Incarnation,
 			Policy: s.Policy, Ended: s.Ended})
@@ -157,6 +169,53 @@
 	return u
 }
 
+// Policy and FromPolicy turn a version, and what led to it if that is told.
+func Policy(v policy.Version, x *policy.Difference) *fleetpb.Policy {
+	p := &fleetpb.Policy{Epoch: v.Epoch, Number: v.Number, Hash: v.Hash[:], Base: v.Base, Size: uint64(v.Size), Author: v.Author, Reason: v.Reason}
+	if x != nil {
+		p.Told, p.Difference = true, x.Encode()
+	}
+	return p
+}
+
+func FromPolicy(p *fleetpb.Policy) (v policy.Version, x *policy.Difference, err error) {
+	v = policy.Version{Epoch: p.GetEpoch(), Number: p.GetNumber(), Base: p.GetBase(), Size: int(p.GetSize()), Author: p.GetAuthor(), Reason: p.GetReason()}
+	if copy(v.Hash[:], p.GetHash()) != len(v.Hash) || len(p.GetHash()) != len(v.Hash) {
+		return v, nil, fmt.Errorf("policy: a hash of %d bytes", len(p.GetHash()))
+	}
+	if err := v.Check(); err != nil {
+		return v, nil, err
+	}
+	if p.GetTold() {
+		d, err := policy.DecodeDifference(p.GetDifference())
+		if err != nil {
+			return v, nil, err
+		}
+		x = &d
+	}
+	return v, x, nil
+}
+
+// Pack and Unpack are zstd (RFC 8878). What comes of Unpack is at most so many bytes, or an error: a few bytes may unpack to a
+// great many.
+func Pack(b []byte) []byte {
+	e, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(1<<20), zstd.WithLowerEncoderMem(true))
+	if err != nil {
+		panic(err) // of its options alone
+	}
+	defer e.Close()
+	return e.EncodeAll(b, nil)
+}
+
+func Unpack(b []byte, most int) ([]byte, error) {
+	d, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(uint64(most)))
+	if err != nil {
+		return nil, err
+	}
+	defer d.Close()
+	return d.DecodeAll(b, nil)
+}
+
 func wish(w register.Wish) *fleetpb.Wish { return &fleetpb.Wish{Number: w.Number, Text: w.Text} }
 
 func fromWish(w *fleetpb.Wish) register.Wish {
