--- a/internal/decide/agent/changes.go
+++ b/internal/decide/agent/changes.go
@@ -8,8 +8,8 @@
 	"wayloft/internal/decide/register"
 )
 
-// inline is the most that differences take in one word of the watch, in bytes: a third of what a router may spend in a second.
-const inline = 2 << 10
+// inline is the most that differences take in one word of the watch, in bytes.
+const inline = 1 << 10
 
 // Changes gives what a watcher who has heard of everything up to an entry has to hear now: what has changed, or the whole
 // state where that is no longer kept or the watcher is ahead, since this state is an older one. Without sessions, what becomes of
--- a/internal/decide/policy/book.go
+++ b/internal/decide/policy/book.go
@@ -8,8 +8,8 @@
 // A history is kept for those who are a few versions behind, and for operators.
 const (
 	mostHistory = 64
-	mostKept    = 512 << 10           // bytes of all differences of a history
-	mostChanges = 2*mostKept + 64<<10 // bytes of them encoded, with their versions
+	mostKept    = 512 << 10                      // bytes of all differences of a history
+	MostChanges = mostKept + mostHistory*(1<<10) // bytes of a history, encoded
 )
 
 // Book is what the register keeps of policies: the version in force with its document, and how it came to it. Its methods give
--- a/internal/decide/policy/document.go
+++ b/internal/decide/policy/document.go
@@ -102,6 +102,9 @@
 	if err := decode(b, &d); err != nil {
 		return nil, fmt.Errorf("policy: %w", err)
 	}
+	if d == nil {
+		return nil, fmt.Errorf("policy: %w: no document", ErrUnsound)
+	}
 	return d, d.Check()
 }
 
--- a/internal/decide/policy/follower.go
+++ b/internal/decide/policy/follower.go
@@ -60,7 +60,7 @@
 }
 
 // mostPacked are the bytes of all parts together: packing must not make the most that is packed longer than this.
-const mostPacked = 2 * mostChanges
+const mostPacked = 2 * MostChanges
 
 // Follower is one router's account of the policy: which version it goes by, which it was told of, and what it has yet to fetch.
 // It never goes back to an older version of an epoch, whoever tells it, and never has a document adopted whose hash isn't
@@ -79,8 +79,9 @@
 	target  Version
 	whole   bool // what is fetched must be the whole
 	asked   bool
-	reading Part // the parts so far
-	at      float64
+	reading Part    // the parts so far
+	at      float64 // of the next request
+	paid    float64 // when the allowance has room for another
 	wait    float64
 	anew    bool // offered may be offered again: its document is another now
 	store   bool
@@ -152,10 +153,16 @@
 // begin has the first part asked for, at a drawn time, unless something is on its way already.
 func (f *Follower) begin() {
 	if !f.asked && math.IsInf(f.at, 1) {
-		f.at = f.now + f.set.Spread*f.chance.Next()
+		f.at = math.Max(f.now+f.set.Spread*f.chance.Next(), f.paid)
 	}
 }
 
+// needs tells whether the document that is in force, as far as is known, isn't here.
+func (f *Follower) needs() bool {
+	mark, known := f.target.Mark(), f.known.Mark()
+	return mark > known || mark == known && f.target.Hash != f.known.Hash || f.set.Planted.Backward && mark != known
+}
+
 // verified takes over a document whose hash fits.
 func (f *Follower) verified(v Version, d Document) {
 	if v.Mark() < f.known.Mark() && !f.set.Planted.Backward {
@@ -165,9 +172,8 @@
 		f.anew = true
 	}
 	f.known, f.doc, f.sure, f.whole = v, d, true, false
-	if f.target.Mark() <= v.Mark() {
+	if f.reading, f.at, f.wait = (Part{}), math.Inf(1), 0; f.target.Mark() <= v.Mark() {
 		f.target = v
-		f.reading, f.at, f.wait = Part{}, math.Inf(1), 0
 	} else {
 		f.begin()
 	}
@@ -202,7 +208,8 @@
 		f.target = p.Version
 	}
 	f.wait = 0
-	f.at = f.now + float64(len(p.Bytes)+f.set.Each)/f.set.Rate*1000
+	f.paid = f.now + float64(len(p.Bytes)+f.set.Each)/f.set.Rate*1000
+	f.at = f.paid
 	if len(f.reading.Bytes) == f.reading.Total {
 		f.complete()
 	}
@@ -222,7 +229,7 @@
 }
 
 func (f *Follower) make(r Part) (Document, bool) {
-	raw, err := f.set.Unpack(r.Bytes, mostChanges)
+	raw, err := f.set.Unpack(r.Bytes, MostChanges)
 	if err != nil {
 		return nil, false
 	}
@@ -253,8 +260,12 @@
 
 // again puts the next try off, twice as far each time, by a part that is drawn.
 func (f *Follower) again() {
+	if !f.needs() {
+		f.reading, f.at, f.wait = Part{}, math.Inf(1), 0
+		return
+	}
 	f.wait = math.Min(math.Max(2*f.wait, f.set.Retry), f.set.Longest)
-	f.at = f.now + f.wait*(1-f.chance.Next()/2)
+	f.at = math.Max(f.now+f.wait*(1-f.chance.Next()/2), f.paid)
 }
 
 // Took says that the router goes by a version that it was to adopt.
@@ -289,7 +300,7 @@
 			f.here, f.word = f.known, true
 		}
 		return Decision{Verb: Adopt, Version: f.known, Document: f.doc}, true
-	case f.word:
+	case f.word && (f.sure || f.here != f.known || f.set.Planted.StoredWins): // what was stored is not yet known to be of this version
 		f.word = false
 		return Decision{Verb: Acknowledge, Mark: f.here.Mark(), Wont: f.wont, Why: f.why}, true
 	case f.store:
--- a/internal/decide/policy/version.go
+++ b/internal/decide/policy/version.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"errors"
 	"fmt"
 	"unicode/utf8"
 )
@@ -114,15 +113,19 @@
 
 // DecodeChanges reads them; they are bounded as a history is.
 func DecodeChanges(b []byte) (all []Change, err error) {
-	if len(b) > 4*MostBytes {
-		return nil, fmt.Errorf("policy: changes: %w: %d bytes", ErrTooLarge, len(b))
+	if len(b) > MostChanges {
+		return nil, fmt.Errorf("policy: changes: %w: %d bytes, %d at most", ErrTooLarge, len(b), MostChanges)
 	}
 	if err := decode(b, &all); err != nil {
 		return nil, fmt.Errorf("policy: changes: %w", err)
 	}
-	var wrong error
+	if len(all) > mostHistory {
+		return nil, fmt.Errorf("policy: changes: %w: %d, %d at most", ErrTooLarge, len(all), mostHistory)
+	}
 	for _, c := range all {
-		wrong = errors.Join(wrong, c.Difference.Check())
+		if err := cmp.Or(c.Version.Check(), c.Difference.Check()); err != nil {
+			return nil, err
+		}
 	}
-	return all, cmp.Or(wrong)
+	return all, nil
 }
--- a/internal/fleet/policy.go
+++ b/internal/fleet/policy.go
@@ -20,10 +20,9 @@
 
 // Of what is fetched of the policy. Together with beats and the watch it must stay within what a router may spend on control.
 const (
-	policyRate  = 4096     // bytes a second, where the settings don't say
-	policyPart  = 2 << 10  // bytes of one part
-	policyEach  = 300      // bytes that a request and its answer take besides, with their headers
-	mostHistory = 16 << 20 // bytes of a history, unpacked
+	policyRate = 3072    // bytes a second, where the settings don't say
+	policyPart = 1 << 10 // bytes of one part
+	policyEach = 300     // bytes that a request and its answer take besides, with their headers
 )
 
 // Store keeps a policy at a router from one start to the next. Both are called off the router's loop, one call at a time.
@@ -77,7 +76,7 @@
 	if all.Version.Number > 0 && all.Document.Hash() != all.Version.Hash {
 		return all, policy.ErrMismatch
 	}
-	if text, err = wire.Unpack(got.History, mostHistory); err != nil {
+	if text, err = wire.Unpack(got.History, policy.MostChanges); err != nil {
 		return all, fmt.Errorf("policy: history: %w", err)
 	}
 	all.History, err = policy.DecodeChanges(text)
