--- a/internal/decide/policy/follower.go
+++ b/internal/decide/policy/follower.go
@@ -6,14 +6,19 @@
 	"wayloft/internal/decide/chance"
 )
 
-// Settings of a Follower are given once. Times are ms.
+// Times are ms, sizes bytes.
+const (
+	rate    = 3072.0  // a second, where the settings don't say: half of what a router may spend on control
+	part    = 1 << 10 // packed: small, so that a second in which parts come together isn't far above any other
+	each    = 300     // that a request and its answer take besides, with their headers; assumed
+	spread  = 500.0   // over which a first request is drawn: what starts, or hears of a change, together must not ask together
+	retry   = 200.0   // until the first retry of what failed; doubled each time
+	longest = 2000.0  // between two retries
+)
+
+// Settings of a Follower are given once.
 type Settings struct {
-	Rate    float64 // bytes a second that what is fetched may take, with what each request costs
-	Part    int     // bytes of one part, packed
-	Each    int     // bytes that a request costs besides
-	Spread  float64 // over which a first request is drawn: what starts, or hears of a change, together must not ask together
-	Retry   float64 // until the first retry of what failed; doubled each time, up to Longest
-	Longest float64
+	Rate    float64 // bytes a second that what is fetched may take, with what each request costs; 0: 3072
 	Seed    uint64
 	Unpack  func(b []byte, most int) ([]byte, error) // undoes the packing of all parts together; at most so many bytes may come of it
 	Planted Planted
@@ -92,6 +97,9 @@
 
 // NewFollower makes one that knows nothing.
 func NewFollower(set Settings) *Follower {
+	if set.Rate == 0 {
+		set.Rate = rate
+	}
 	return &Follower{set: set, chance: chance.Source{Seed: set.Seed}, at: math.Inf(1)}
 }
 
@@ -153,7 +161,7 @@
 // begin has the first part asked for, at a drawn time, unless something is on its way already.
 func (f *Follower) begin() {
 	if !f.asked && math.IsInf(f.at, 1) {
-		f.at = math.Max(f.now+f.set.Spread*f.chance.Next(), f.paid)
+		f.at = math.Max(f.now+spread*f.chance.Next(), f.paid)
 	}
 }
 
@@ -186,7 +194,7 @@
 	}
 	f.asked = false
 	mark := p.Version.Mark()
-	sound := mark > 0 && p.Total > 0 && p.Total <= mostPacked && len(p.Bytes) > 0 && p.Offset+len(p.Bytes) <= p.Total && len(p.Bytes) <= f.set.Part
+	sound := mark > 0 && p.Total > 0 && p.Total <= mostPacked && len(p.Bytes) > 0 && p.Offset+len(p.Bytes) <= p.Total && len(p.Bytes) <= part
 	old := mark < f.known.Mark() || mark == f.known.Mark() && p.Version.Hash == f.known.Hash
 	if f.set.Planted.Backward {
 		old = false
@@ -208,7 +216,7 @@
 		f.target = p.Version
 	}
 	f.wait = 0
-	f.paid = f.now + float64(len(p.Bytes)+f.set.Each)/f.set.Rate*1000
+	f.paid = f.now + float64(len(p.Bytes)+each)/f.set.Rate*1000
 	f.at = f.paid
 	if len(f.reading.Bytes) == f.reading.Total {
 		f.complete()
@@ -264,7 +272,7 @@
 		f.reading, f.at, f.wait = Part{}, math.Inf(1), 0
 		return
 	}
-	f.wait = math.Min(math.Max(2*f.wait, f.set.Retry), f.set.Longest)
+	f.wait = math.Min(math.Max(2*f.wait, retry), longest)
 	f.at = math.Max(f.now+f.wait*(1-f.chance.Next()/2), f.paid)
 }
 
@@ -312,7 +320,7 @@
 	case !f.asked && f.at <= f.now:
 		f.asked, f.at = true, math.Inf(1)
 		q := Request{Have: f.known.Mark(), Hash: f.known.Hash, Want: f.target.Mark(), Whole: f.whole, Offset: len(f.reading.Bytes),
-			Most: f.set.Part}
+			Most: part}
 		if q.Offset > 0 { // what is begun is read to its end: else changes that come faster than it does would starve it
 			q.Want, q.Whole = f.reading.Version.Mark(), f.reading.Whole
 		}
--- a/internal/fleet/policy.go
+++ b/internal/fleet/policy.go
@@ -18,13 +18,6 @@
 	"wayloft/internal/wire"
 )
 
-// Of what is fetched of the policy. Together with beats and the watch it must stay within what a router may spend on control.
-const (
-	policyRate = 3072    // bytes a second, where the settings don't say
-	policyPart = 1 << 10 // bytes of one part
-	policyEach = 300     // bytes that a request and its answer take besides, with their headers
-)
-
 // Store keeps a policy at a router from one start to the next. Both are called off the router's loop, one call at a time.
 type Store interface {
 	// Load gives what was saved last; nothing, or nothing that can be trusted, is the zero Version and no error. An error is
@@ -120,12 +113,7 @@
 }
 
 func follow(set Settings, seed uint64) *following {
-	rate := set.PolicyRate
-	if rate == 0 {
-		rate = policyRate
-	}
-	return &following{follower: policy.NewFollower(policy.Settings{Rate: rate, Part: policyPart, Each: policyEach, Spread: 500, Retry: 200,
-		Longest: 2000, Seed: seed, Unpack: wire.Unpack})}
+	return &following{follower: policy.NewFollower(policy.Settings{Rate: set.PolicyRate, Seed: seed, Unpack: wire.Unpack})}
 }
 
 // remember begins with what was kept.
