--- a/internal/decide/policy/follower.go
+++ b/internal/decide/policy/follower.go
@@ -321,6 +321,9 @@
 		f.asked, f.at = true, math.Inf(1)
 		q := Request{Have: f.known.Mark(), Hash: f.known.Hash, Want: f.target.Mark(), Whole: f.whole, Offset: len(f.reading.Bytes),
 			Most: part}
+		if f.set.Planted.Backward && q.Want < q.Have {
+			q.Have, q.Whole = 0, true
+		}
 		if q.Offset > 0 { // what is begun is read to its end: else changes that come faster than it does would starve it
 			q.Want, q.Whole = f.reading.Version.Mark(), f.reading.Whole
 		}
