--- a/internal/decide/agent/changes.go
+++ b/internal/decide/agent/changes.go
@@ -8,8 +8,12 @@
 	"wayloft/internal/decide/register"
 )
 
-// inline is the most that differences take in one word of the watch, in bytes.
-const inline = 1 << 10
+// inline is the most that versions and their differences take in one word of the watch, in bytes; versionSize is a version's, with
+// its hash, but without its texts.
+const (
+	inline      = 1 << 10
+	versionSize = 80
+)
 
 // Changes gives what a watcher who has heard of everything up to an entry has to hear now: what has changed, or the whole
 // state where that is no longer kept or the watcher is ahead, since this state is an older one. Without sessions, what becomes of
@@ -60,7 +64,7 @@
 	left := inline
 	for n := len(b.History) - 1; n >= max(0, len(b.History)-versions); n-- {
 		c := b.History[n]
-		if left -= c.Difference.Size(); left < 0 {
+		if left -= c.Difference.Size() + len(c.Version.Author) + len(c.Version.Reason) + versionSize; left < 0 {
 			break
 		}
 		all = append(all, Policy{c.Version, &c.Difference})
--- a/internal/lab/fleet/twin/twin.go
+++ b/internal/lab/fleet/twin/twin.go
@@ -19,18 +19,21 @@
 	"wayloft/internal/decide/council"
 	"wayloft/internal/decide/handover"
 	"wayloft/internal/decide/lease"
+	"wayloft/internal/decide/policy"
 	"wayloft/internal/decide/register"
 )
 
 // Planted are defects, each to be found by a checker; the program has none of them.
 type Planted struct {
-	Council   council.Planted
-	Unchecked bool // receivers take whatever comes
-	Forgets   bool // a receiver that restarted takes orders without having asked where their fences stand
-	Overstays bool // a lease is counted from the answer on, not from the request
-	SameEpoch bool // a council that lost its state begins again in the same epoch
-	Unguarded bool // members take steps whatever their guard rows say
-	Unsaved   bool // a process of the council answers before its disk does
+	Council    council.Planted
+	Unchecked  bool // receivers take whatever comes
+	Forgets    bool // a receiver that restarted takes orders without having asked where their fences stand
+	Overstays  bool // a lease is counted from the answer on, not from the request
+	SameEpoch  bool // a council that lost its state begins again in the same epoch
+	Unguarded  bool // members take steps whatever their guard rows say
+	Policy     policy.Planted
+	Uncompared bool // a proposal is taken whatever is in force
+	Unsaved    bool // a process of the council answers before its disk does
 }
 
 // Options say what is played.
@@ -44,6 +47,7 @@
 	Planted  Planted
 	Schedule func(*World) // events of its own in place of drawn ones
 	Handover bool         // planned changes of a group's primary, under writes
+	Policy   *Ruling      // changes of the policy; nil: none
 	Owners   int          // of the routers, how many would hold duties; 0: all
 }
 
@@ -68,7 +72,8 @@
 	Messages  int
 	Ops       []Op
 	Ended     float64
-	Stuck     []string // duties without an owner long after the last fault
+	Ruled
+	Stuck []string // duties without an owner long after the last fault
 }
 
 // Op is one request at the council as its client saw it.
@@ -135,12 +140,22 @@
 	handing *handing
 	desk    handover.Desk
 	member  *member
+
+	ruled    *ruled // a router's part in the policy, and its disk
+	kept     kept
+	tampered bool
+	watchers []*watcher // of a process of the council
+	pushed   uint64
+	pushing  bool
+	broken   bool
+	pieces   []piece
 }
 
 type asker struct {
 	proc   *Proc
 	life   int
 	number uint64
+	done   func(council.Decision) // of a request that is not an agent's
 }
 
 // call is a request without an answer yet.
@@ -171,6 +186,8 @@
 	owner   map[string]string      // by duty: who acts, as the world sees it
 	since   map[string]float64     // when it last had none
 	planned *planned
+	ruling  *ruling
+	streams int
 	log     *logrus.Logger
 }
 
@@ -213,9 +230,14 @@
 	if o.Handover {
 		w.plan()
 	}
+	if o.Policy != nil {
+		w.rule()
+	}
 	switch {
 	case o.Schedule != nil:
 		o.Schedule(w)
+	case !o.Quiet && o.Policy != nil:
+		w.drawRuling()
 	case !o.Quiet:
 		w.draw()
 	}
@@ -259,6 +281,10 @@
 func (w *World) send(from, to *Proc, bytes int, do func()) {
 	w.Messages++
 	w.Bytes += bytes
+	if w.ruling != nil {
+		w.spend(from, bytes)
+		w.spend(to, bytes)
+	}
 	life := to.life
 	w.After(0.2+w.rand.ExpFloat64()*0.8, func() {
 		if w.cut[[2]string{from.Name, to.Name}] || w.rand.Float64() < w.loss || !to.up || to.life != life {
@@ -329,6 +355,9 @@
 	if p.node != nil {
 		p.settleCouncil()
 	} else if p.agent != nil {
+		if p.ruled != nil {
+			p.goBy()
+		}
 		if p.settleRouter(); p.handing != nil {
 			p.hand()
 			p.settleRouter()
@@ -338,7 +367,7 @@
 
 // Kill ends a process at once.
 func (p *Proc) Kill() {
-	p.up, p.asleep, p.waits, p.node, p.agent, p.carrier, p.handing = false, false, nil, nil, nil, nil, nil
+	p.up, p.asleep, p.waits, p.node, p.agent, p.carrier, p.handing, p.ruled = false, false, nil, nil, nil, nil, nil, nil
 	p.desk = handover.Desk{}
 	for _, d := range p.duties {
 		p.w.stopped(p, d)
@@ -366,6 +395,7 @@
 
 func (p *Proc) startCouncil() {
 	p.waiting, p.read = map[uint64]asker{}, map[uint64]string{}
+	p.watchers, p.pushed, p.pushing, p.pieces = nil, 0, false, nil
 	var peers []council.Peer
 	for _, o := range p.w.Council {
 		if !o.joins && !p.joins {
@@ -383,7 +413,9 @@
 		p.store(*fresh)
 	}
 	p.node = node
-	node.At(p.clock())
+	if node.At(p.clock()); p.w.opt.Policy != nil {
+		p.later(1000, p.empty)
+	}
 }
 
 // epoch is the time at which a council would begin, as the program takes it; a defect has it stand still.
@@ -470,6 +502,10 @@
 	if err := p.node.Failed(); err != nil {
 		w.wrong("%s: %v", p.Name, err)
 		p.Kill()
+		return
+	}
+	if w.ruling != nil {
+		p.push()
 	}
 }
 
@@ -488,6 +524,10 @@
 	}
 	to := who.proc
 	p.w.send(p, to, 64, func() {
+		if who.done != nil {
+			who.done(d)
+			return
+		}
 		if to.life == who.life && to.agent != nil {
 			to.heard(who.number, d.Verb, ans, d.Leader.Name)
 		}
@@ -507,6 +547,10 @@
 	for d := range p.w.opt.Duties {
 		p.agent.Learn(duty(d))
 	}
+	if p.w.opt.Policy != nil {
+		p.startRuled()
+		return
+	}
 	if p.look(); p.w.planned != nil {
 		p.agent.Learn(handover.Duty(0))
 		p.carries()
@@ -586,7 +630,7 @@
 	life := p.life
 	w.send(p, c, 96, func() {
 		w.number++
-		c.waiting[w.number] = asker{p, life, d.Number}
+		c.waiting[w.number] = asker{proc: p, life: life, number: d.Number}
 		c.node.At(c.clock())
 		if d.Verb == agent.Stand {
 			c.read[w.number] = d.Duty
@@ -756,4 +800,7 @@
 	if w.planned != nil {
 		w.Wrong = append(w.Wrong, w.writesWell()...)
 	}
+	if w.ruling != nil && len(w.Wrong) == 0 {
+		w.Wrong = w.ruledWell()
+	}
 }
