--- a/internal/lab/fleet/twin/twin.go
+++ b/internal/lab/fleet/twin/twin.go
@@ -43,7 +43,8 @@
 	Routers  int
 	Duties   int
 	Quiet    bool    // no faults
-	For      float64 // ms with faults; as long again without
+	For      float64 // ms with faults
+	Rest     float64 // ms without, after them; 0: as long again
 	Planted  Planted
 	Schedule func(*World) // events of its own in place of drawn ones
 	Handover bool         // planned changes of a group's primary, under writes
@@ -242,6 +243,9 @@
 		w.draw()
 	}
 	end := 2 * o.For
+	if o.Rest > 0 {
+		end = o.For + o.Rest
+	}
 	w.After(end, func() {})
 	for len(w.queue) > 0 && len(w.Wrong) == 0 {
 		e := heap.Pop(&w.queue).(event)
@@ -340,6 +344,9 @@
 	due := tick
 	if p.agent != nil {
 		due = min(max(p.agent.Due()-p.clock(), 1), 100)
+		if p.ruled != nil { // nothing else looks at the clock for it
+			due = min(max(p.agent.Due()-p.clock(), 1), 1000)
+		}
 	}
 	p.later(due, func() {
 		if p.node != nil {
