--- a/internal/decide/policy/follower.go
+++ b/internal/decide/policy/follower.go
@@ -215,11 +215,12 @@
 	if mark > f.target.Mark() {
 		f.target = p.Version
 	}
-	f.wait = 0
 	f.paid = f.now + float64(len(p.Bytes)+each)/f.set.Rate*1000
 	f.at = f.paid
 	if len(f.reading.Bytes) == f.reading.Total {
 		f.complete()
+	} else {
+		f.wait = 0
 	}
 }
 
--- /dev/null
+++ b/internal/decide/policy/policy_test.go
@@ -0,0 +1,342 @@
+package policy
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"pgregory.net/rapid"
+)
+
+var fields = rapid.OneOf(
+	rapid.Just("over_share_value"),
+	rapid.Map(rapid.StringMatching(`[a-z.]{1,8}`), func(name string) string { return "txn_types." + name + ".value" }),
+	rapid.Map(rapid.StringMatching(`[a-z]{1,4}`), func(name string) string { return "tenants." + name + ".rate" }),
+)
+
+var documents = rapid.Custom(func(t *rapid.T) Document {
+	return rapid.MapOfN(fields, rapid.Map(rapid.IntRange(0, 1), func(n int) string { return Number(float64(n)) }), 0, 12).Draw(t, "document")
+})
+
+// What leads from one document to another leads there, in the form that others read; and nothing else has its hash.
+func TestDifferences(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := documents.Draw(t, "a"), documents.Draw(t, "b")
+		x, err := DecodeDifference(Between(a, b).Encode())
+		if err != nil {
+			t.Fatal(err)
+		}
+		before := maps.Clone(a)
+		c, err := a.With(x)
+		if err != nil || !maps.Equal(c, b) || c.Hash() != b.Hash() || !maps.Equal(a, before) {
+			t.Fatalf("%v with %v is %v, %v", a, x, c, err)
+		}
+		if x.Empty() != maps.Equal(a, b) || (a.Hash() == b.Hash()) != maps.Equal(a, b) {
+			t.Fatal("the hash, or emptiness, doesn't say whether they are the same")
+		}
+		d, err := Decode(b.Encode())
+		if err != nil || !maps.Equal(d, b) {
+			t.Fatal(d, err)
+		}
+		if all := Judge(a, b); len(all) > 0 {
+			t.Fatal(all)
+		}
+	})
+}
+
+// A difference on another document than its own either shows, or leads to another hash than the one that is stated, or to the
+// very document.
+func TestOtherBase(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, other := documents.Draw(t, "a"), documents.Draw(t, "b"), documents.Draw(t, "other")
+		c, err := other.With(Between(a, b))
+		if err == nil && c.Hash() == b.Hash() && !maps.Equal(c, b) {
+			t.Fatal(c)
+		}
+	})
+}
+
+func TestDecodeRefuses(t *testing.T) {
+	sorted := func(v any) []byte { return encode(v) }
+	loose, err := cbor.Marshal(map[string]string{"over_share_value": "1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	many := map[string]string{}
+	for n := range MostFields + 1 {
+		many[fmt.Sprint(n)] = ""
+	}
+	wide := map[string]string{}
+	for n := range 1100 {
+		wide[fmt.Sprintf("%0250d", n)] = ""
+	}
+	for name, c := range map[string]struct {
+		bytes []byte
+		err   error
+	}{
+		"nothing":              {nil, ErrUnsound},
+		"null":                 {[]byte{0xf6}, ErrUnsound},
+		"a list":               {[]byte{0x80}, ErrUnsound},
+		"cut off":              {loose[:len(loose)-1], ErrUnsound},
+		"something behind":     {append(slices.Clone(loose), 0), ErrUnsound},
+		"a key twice":          {[]byte{0xa2, 0x61, 'a', 0x60, 0x61, 'a', 0x60}, ErrUnsound},
+		"out of order":         {[]byte{0xa2, 0x61, 'b', 0x60, 0x61, 'a', 0x60}, ErrUnsound},
+		"a long form":          {[]byte{0xb8, 0x01, 0x61, 'a', 0x60}, ErrUnsound},
+		"no length":            {[]byte{0xbf, 0x61, 'a', 0x60, 0xff}, ErrUnsound},
+		"a number":             {[]byte{0xa1, 0x61, 'a', 0x01}, ErrUnsound},
+		"bytes":                {[]byte{0xa1, 0x61, 'a', 0x41, 'a'}, ErrUnsound},
+		"not UTF-8":            {[]byte{0xa1, 0x61, 0xff, 0x60}, ErrUnsound},
+		"no name":              {sorted(map[string]string{"": "a"}), ErrTooLarge},
+		"a long name":          {sorted(map[string]string{strings.Repeat("a", LongestKey+1): "a"}), ErrTooLarge},
+		"a long value":         {sorted(map[string]string{"a": strings.Repeat("a", LongestVal+1)}), ErrTooLarge},
+		"too many":             {sorted(many), ErrUnsound},
+		"too many bytes":       {sorted(wide), ErrTooLarge},
+		"50 MB of nothing new": {make([]byte, 50<<20), ErrTooLarge},
+	} {
+		if d, err := Decode(c.bytes); !errors.Is(err, c.err) {
+			t.Errorf("%s: %d fields, %v", name, len(d), err)
+		}
+	}
+	if d, err := Decode(loose); err != nil || len(d) != 1 {
+		t.Error(d, err)
+	}
+}
+
+// Whatever bytes come, they are refused or are those that Encode gives for what was read.
+func FuzzDecode(f *testing.F) {
+	f.Add(Document{"over_share_value": "0.2"}.Encode())
+	f.Add(Between(Document{"a": "1"}, Document{"b": "2"}).Encode())
+	f.Add(EncodeChanges([]Change{{Version{1, 2, [32]byte{3}, 4, 5, "a", "b"}, Difference{Gone: []string{"c"}}}}))
+	f.Add([]byte{0xbf, 0xff})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if d, err := Decode(b); err == nil && !slices.Equal(d.Encode(), b) {
+			t.Errorf("%x is read as %v", b, d)
+		}
+		if x, err := DecodeDifference(b); err == nil && !slices.Equal(x.Encode(), b) {
+			t.Errorf("%x is read as %v", b, x)
+		}
+		if all, err := DecodeChanges(b); err == nil && !slices.Equal(EncodeChanges(all), b) {
+			t.Errorf("%x is read as %v", b, all)
+		}
+	})
+}
+
+func TestRandomBytes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := documents.Draw(t, "d").Encode()
+		at := rapid.IntRange(0, len(b)-1).Draw(t, "at")
+		b[at] ^= byte(rapid.IntRange(1, 255).Draw(t, "by"))
+		if d, err := Decode(b); err == nil && !slices.Equal(d.Encode(), b) {
+			t.Fatalf("%x is read as %v", b, d)
+		}
+	})
+}
+
+func TestClassify(t *testing.T) {
+	for field, class := range map[string]Class{
+		"over_share_value": Lenient, "txn_types.order.value": Lenient, "txn_types.order.late_value": Lenient, "tenants.acme.rate": Lenient,
+		"txn_types.a.b.value": Lenient, "txn_types.value.value": Lenient, "tenants.rate.rate": Lenient,
+		"txn_types.order.effect": Strict, "txn_types.order.level": Strict, "txn_types.order.bound": Strict, "txn_types.order.window": Strict,
+		"txn_types.order.expiry": Strict, "txn_types.order.scope": Strict,
+		"": Unknown, "value": Unknown, "txn_types": Unknown, "txn_types.value": Unknown, "txn_types..value": Unknown, "tenants.acme.value": Unknown,
+		"txn_types.order.Value": Unknown, "x.over_share_value": Unknown, "listen": Unknown, "txn_types.order.value.": Unknown,
+	} {
+		if got, reason := Classify(field); got != class || reason == "" {
+			t.Errorf("%q is %v: %s", field, got, reason)
+		}
+	}
+	if table, name, key, known := Name("txn_types.a.b.late_value"); table != "txn_types" || name != "a.b" || key != "late_value" || !known {
+		t.Error(table, name, key, known)
+	}
+}
+
+// All that is wrong is told at once, each with its field.
+func TestJudge(t *testing.T) {
+	old := Document{"txn_types.order.effect": "idempotent", "txn_types.order.value": "1"}
+	got := Judge(old, Document{"txn_types.order.value": "-1", "tenants.a.rate": "1e3", "tenants.b.rate": "NaN", "over_share_value": "1.5", "memory": "1GiB",
+		"tenants.ok.rate": "12.5", "txn_types.order.late_value": "0x1p4"})
+	var named []string
+	for _, f := range got {
+		named = append(named, f.Field)
+		if f.Reason == "" {
+			t.Error(f)
+		}
+	}
+	if want := []string{"memory", "over_share_value", "tenants.a.rate", "tenants.b.rate", "txn_types.order.effect", "txn_types.order.late_value",
+		"txn_types.order.value"}; !slices.Equal(named, want) {
+		t.Errorf("%v, %v", named, got)
+	}
+}
+
+func TestMarks(t *testing.T) {
+	v := Version{Epoch: 94000000, Number: 7}
+	if v.String() != "94000000.7" || (Version{Epoch: 3}).String() != "none" {
+		t.Error(v, Version{Epoch: 3})
+	}
+	if mark, err := ParseMark(v.String()); err != nil || mark != v.Mark() {
+		t.Error(mark, err)
+	}
+	for _, bad := range []string{"", "7", "1.0", "01.2", "1.2 ", "1.2.3", "-1.2", "9999999999.1", "1.4294967296"} {
+		if mark, err := ParseMark(bad); err == nil {
+			t.Errorf("%q is %x", bad, mark)
+		}
+	}
+	if (Version{Epoch: 1, Number: mostNumber}).Mark() >= (Version{Epoch: 2, Number: 1}).Mark() {
+		t.Error("a later epoch must be above all of an earlier one")
+	}
+}
+
+// propose has a book take a change of its document.
+func propose(b *Book, epoch uint64, change Document) (Version, string) {
+	next := maps.Clone(b.Document)
+	if next == nil {
+		next = Document{}
+	}
+	maps.Copy(next, change)
+	return b.Propose(epoch, Propose(b.Version, b.Document, next, "a", fmt.Sprintf("%.100s", fmt.Sprint(change))))
+}
+
+func TestBook(t *testing.T) {
+	b := &Book{}
+	if v, why := propose(b, 5, Document{"over_share_value": "0.2"}); why != "" || v.String() != "5.1" || b.Version != v || v.Size != len(b.Document.Encode()) {
+		t.Fatal(v, why)
+	}
+	first, doc := b.Version, b.Document
+	p := Propose(first, doc, Document{"over_share_value": "0.3"}, "a", "r")
+	other := Propose(first, doc, Document{"over_share_value": "0.4"}, "b", "r")
+	v, why := b.Propose(5, p)
+	if why != "" || v.String() != "5.2" || v.Base != first.Mark() {
+		t.Fatal(v, why)
+	}
+	if again, why := b.Propose(5, p); why != "" || again != v || b.Version != v {
+		t.Error("the same once more:", again, why)
+	}
+	if _, why := b.Propose(5, other); !strings.Contains(why, "5.2 is in force, this was made from 5.1") {
+		t.Error(why)
+	}
+	p.Base = v.Mark()
+	if _, why := b.Propose(5, p); why == "" {
+		t.Error("a difference that was made from another document")
+	}
+	wrong := Propose(v, b.Document, Document{}, "a", "r")
+	wrong.Hash[0]++
+	if _, why := b.Propose(5, wrong); why != ErrMismatch.Error() {
+		t.Error(why)
+	}
+	if _, why := b.Propose(5, Propose(v, b.Document, b.Document, "a", "none")); why != "nothing changes" {
+		t.Error(why)
+	}
+	// After an epoch was begun, what is in force stands above all that was given before.
+	was := b.Version
+	if !b.Ascend(9) || b.Version.String() != "9.3" || b.Version.Hash != was.Hash || b.Version.Base != was.Mark() {
+		t.Error(b.Version)
+	}
+	if (&Book{}).Ascend(9) {
+		t.Error("nothing is in force")
+	}
+}
+
+// A council that was set back without a new epoch takes no proposal: its number would be another document's.
+func TestBarred(t *testing.T) {
+	b := &Book{}
+	propose(b, 5, Document{"over_share_value": "0.2"})
+	b.Acknowledged(b.Version.Mark())
+	if b.Barred != 0 {
+		t.Error("that is what it gave")
+	}
+	b.Acknowledged(Version{Epoch: 5, Number: 4}.Mark())
+	if _, why := propose(b, 5, Document{"over_share_value": "0.3"}); !strings.Contains(why, "5.4") {
+		t.Error(why)
+	}
+	if !b.Ascend(6) {
+		t.Fatal()
+	}
+	if v, why := propose(b, 6, Document{"over_share_value": "0.3"}); why != "" || v.String() != "6.3" {
+		t.Error(v, why)
+	}
+	lost := &Book{}
+	lost.Acknowledged(Version{Epoch: 5, Number: 4}.Mark())
+	if v, why := propose(lost, 8, Document{"over_share_value": "0.3"}); why != "" || v.String() != "8.1" {
+		t.Error("a council that began anew, in a later epoch:", v, why)
+	}
+}
+
+// The history is bounded in count and bytes; what it no longer leads from is served whole.
+func TestHistory(t *testing.T) {
+	b := &Book{}
+	for n := range 100 {
+		propose(b, 1, Document{"over_share_value": Number(float64(n) / 100)})
+	}
+	if len(b.History) != mostHistory {
+		t.Fatal(len(b.History))
+	}
+	if _, kept := b.After(Version{Epoch: 1, Number: 100 - mostHistory - 1}.Mark()); kept {
+		t.Error("that is gone")
+	}
+	all, kept := b.After(Version{Epoch: 1, Number: 90}.Mark())
+	if !kept || len(all) != 10 || all[9].Version != b.Version {
+		t.Error(len(all), kept)
+	}
+	for n := range 5 {
+		large := Document{}
+		for m := range 5000 {
+			large[fmt.Sprintf("tenants.%05d.rate", m)] = fmt.Sprint(100000000000 + n*5000 + m)
+		}
+		if _, why := propose(b, 1, large); why != "" {
+			t.Fatal(why)
+		}
+	}
+	if kept := b.kept(); kept > mostKept || len(b.History) > 4 {
+		t.Error(kept, len(b.History))
+	}
+	if n := len(EncodeChanges(b.History)); n > MostChanges {
+		t.Error(n)
+	}
+	if _, whole, known := b.Serve(Request{Have: Version{Epoch: 1, Number: 90}.Mark(), Want: b.Version.Mark()}); !whole || !known {
+		t.Error(whole, known)
+	}
+	if _, _, known := b.Serve(Request{Want: b.Version.Mark() + 1}); known {
+		t.Error("it is behind that")
+	}
+}
+
+// Entries alone decide: whatever is proposed, each number is one document, numbers grow, and each follows from the one before.
+func TestBookOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, docs, epoch := &Book{}, map[uint64]Document{}, uint64(1)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			was := b.Version
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0:
+				epoch++
+				b.Ascend(epoch)
+			default:
+				base := b.Version
+				from := b.Document
+				if marks := slices.Sorted(maps.Keys(docs)); len(marks) > 0 && rapid.Bool().Draw(t, "stale") {
+					mark := rapid.SampledFrom(marks).Draw(t, "base")
+					base.Epoch, base.Number = Marked(mark)
+					from = docs[mark]
+				}
+				v, why := b.Propose(epoch, Propose(base, from, documents.Draw(t, "next"), "a", "r"))
+				if why == "" && v != was && base.Mark() != was.Mark() {
+					t.Fatalf("made from %s, taken though %s was in force", base, was)
+				}
+			}
+			mark := b.Version.Mark()
+			if mark < was.Mark() || b.Check() != nil {
+				t.Fatal(b.Version, was, b.Check())
+			}
+			if had, known := docs[mark]; known && had.Hash() != b.Document.Hash() {
+				t.Fatalf("%s is two documents", b.Version)
+			}
+			if docs[mark] = b.Document; mark == 0 {
+				delete(docs, mark)
+			}
+		}
+	})
+}
