--- a/internal/decide/agent/agent_test.go
+++ b/internal/decide/agent/agent_test.go
@@ -1,9 +1,11 @@
 package agent
 
 import (
+	"fmt"
 	"testing"
 
 	"wayloft/internal/decide/lease"
+	"wayloft/internal/decide/policy"
 	"wayloft/internal/decide/register"
 )
 
@@ -160,3 +162,92 @@
 		t.Error("who is ahead of this state must hear all of it")
 	}
 }
+
+// propose has the register take a document of one field.
+func (s *table) propose(share string) policy.Version {
+	b := s.r.Policy()
+	p := policy.Propose(b.Version, b.Document, policy.Document{"over_share_value": share}, "a", "to "+share)
+	if a := s.apply(register.Entry{Kind: register.Propose, Proposal: &p}); !a.Held {
+		s.t.Fatal(a)
+	}
+	return s.r.Policy().Version
+}
+
+// Versions are told with what led to them, as far as that is short; what sessions say of them is told to nobody, and who wants no
+// sessions hears of none.
+func TestTellsPolicies(t *testing.T) {
+	s := sit(t)
+	s.to(500, true)
+	_, at := Changes(s.r, 0, true)
+	first := s.propose("0.2")
+	second := s.propose("0.3")
+	u, next := Changes(s.r, at, true)
+	if len(u.Policies) != 2 || u.Policies[0].Version != first || u.Policies[1].Version != second || u.Policies[1].Difference.Set["over_share_value"] != "0.3" {
+		t.Fatalf("%+v", u)
+	}
+	s.a.GoBy(second.Mark(), 0, "")
+	s.to(1000, true)
+	s.apply(register.Entry{Kind: register.Open, Session: "q", Incarnation: 1, Length: 60000})
+	if one, _ := s.r.Session("p"); one.Policy != second.Mark() {
+		t.Error("the council doesn't know of it:", one)
+	}
+	if u, _ := Changes(s.r, next, true); len(u.Sessions)+len(u.Policies) != 0 || !u.WithoutSessions {
+		t.Errorf("%+v", u)
+	}
+	if u, _ := Changes(s.r, next, false); len(u.Sessions) != 1 || u.Sessions[0].Name != "q" {
+		t.Errorf("only the new session is news: %+v", u)
+	}
+	if u, _ := Changes(s.r, 0, true); !u.Whole || len(u.Sessions) != 0 || len(u.Policies) != 1 || u.Policies[0].Version != second {
+		t.Errorf("%+v", u)
+	}
+	at = s.r.Index()
+	b := s.r.Policy()
+	wide := policy.Document{}
+	for n := range 100 {
+		wide[fmt.Sprintf("tenants.%03d.rate", n)] = "1"
+	}
+	p := policy.Propose(b.Version, b.Document, wide, "a", "wide")
+	s.apply(register.Entry{Kind: register.Propose, Proposal: &p})
+	if u, _ := Changes(s.r, at, true); len(u.Policies) != 1 || u.Policies[0].Difference != nil || u.Policies[0].Version != s.r.Policy().Version {
+		t.Errorf("too long to be told: %+v", u)
+	}
+}
+
+// What a process goes by is said with the next beat, at once, and again when its session begins anew.
+func TestGoesBy(t *testing.T) {
+	s := sit(t)
+	s.to(500, true)
+	v := s.propose("0.2")
+	s.log = nil
+	s.a.GoBy(0, v.Mark(), "no memory")
+	s.to(s.now+11, true)
+	if one, _ := s.r.Session("p"); one.Wont != v.Mark() || one.Why != "no memory" || s.count(register.Beat) != 1 {
+		t.Fatal(one, s.log)
+	}
+	s.a.GoBy(v.Mark(), 0, "")
+	s.to(s.now+11, true)
+	if one, _ := s.r.Session("p"); one.Policy != v.Mark() || one.Wont != 0 || one.Why != "" {
+		t.Fatal(one)
+	}
+	s.to(s.now+4000, false)
+	if _, open := s.r.Session("p"); open {
+		t.Fatal("its session was to end")
+	}
+	s.to(s.now+6000, true)
+	if one, _ := s.r.Session("p"); one.Policy != v.Mark() || s.a.Reopened != 1 {
+		t.Error(one, s.a.Reopened)
+	}
+}
+
+// A watch that leaves sessions out says nothing of who there is.
+func TestOthers(t *testing.T) {
+	s := sit(t)
+	s.a.Watched(Update{Whole: true, Sessions: []Session{{Name: "q", Kind: "router"}}})
+	if !s.a.Others() || len(s.a.Sessions("router")) != 1 {
+		t.Error("it was told of all")
+	}
+	s.a.Watched(Update{Whole: true, WithoutSessions: true})
+	if s.a.Others() || len(s.a.Sessions("router")) != 0 {
+		t.Error("it was told of none")
+	}
+}
--- a/internal/decide/council/council_test.go
+++ b/internal/decide/council/council_test.go
@@ -8,6 +8,7 @@
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
+	"wayloft/internal/decide/policy"
 	"wayloft/internal/decide/register"
 )
 
@@ -267,3 +268,42 @@
 	m.Forget(map[string]bool{})
 	hello("after it left", other, true, "")
 }
+
+// A proposal of fields that can't be changed gets into no log, and hears all that is wrong at once; one that may comes back after a
+// restart; beats that carry what a session goes by are still one entry for many.
+func TestPolicy(t *testing.T) {
+	a := one(t, Stored{})
+	a.pass(500)
+	propose := func(d policy.Document) register.Answer {
+		b := a.n.Register().Policy()
+		p := policy.Propose(b.Version, b.Document, d, "a", "r")
+		return a.do(register.Entry{Kind: register.Propose, Proposal: &p})
+	}
+	at := a.n.Applied()
+	got := propose(policy.Document{"txn_types.order.effect": "idempotent", "memory": "1", "over_share_value": "0.2"})
+	if got.Held || !strings.Contains(got.Why, "txn_types.order.effect: can't be changed yet") || !strings.Contains(got.Why, "memory: no field") || a.n.Applied() != at {
+		t.Fatal(got, a.n.Applied(), at)
+	}
+	if got = propose(policy.Document{"over_share_value": "0.2"}); !got.Held || got.Number != 1 {
+		t.Fatal(got)
+	}
+	version := a.n.Register().Policy().Version
+	if version.Epoch != 7 {
+		t.Error(version)
+	}
+	a.do(register.Entry{Kind: register.Open, Session: "s", Incarnation: 1, Length: 60000})
+	at = a.n.Applied()
+	for range 20 {
+		a.number++
+		a.n.Do(a.number, register.Entry{Kind: register.Beat, Session: "s", Incarnation: 1, Policy: version.Mark()})
+	}
+	a.pass(20)
+	if s, _ := a.n.Register().Session("s"); s.Policy != version.Mark() || a.n.Applied() > at+2 {
+		t.Errorf("%+v, %d entries", s, a.n.Applied()-at)
+	}
+	b := one(t, a.disk)
+	b.pass(500)
+	if p := b.n.Register().Policy(); p.Version != version || p.Document["over_share_value"] != "0.2" {
+		t.Error(p)
+	}
+}
--- a/internal/decide/register/register_test.go
+++ b/internal/decide/register/register_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"wayloft/internal/decide/lease"
+	"wayloft/internal/decide/policy"
 )
 
 // fleet is a register with the index of its log.
@@ -213,12 +214,103 @@
 
 func draw(t *rapid.T) Entry {
 	name := rapid.SampledFrom([]string{"a", "b", "c"})
-	return Entry{Kind: rapid.SampledFrom([]Kind{Lead, Tick, Open, Beat, End, Take, Free, Pass, Note, Told, Ascend, Beats, Order, Did}).Draw(t, "kind"),
+	e := Entry{Kind: rapid.SampledFrom([]Kind{Lead, Tick, Open, Beat, End, Take, Free, Pass, Note, Told, Ascend, Beats, Order, Did, Propose}).Draw(t, "kind"),
 		Passed: uint64(rapid.IntRange(0, 60).Draw(t, "passed")), Session: name.Draw(t, "session"), To: name.Draw(t, "to"),
 		Incarnation: uint64(rapid.IntRange(1, 3).Draw(t, "incarnation")), Length: 100,
 		Duty:  rapid.SampledFrom([]string{"d", "e"}).Draw(t, "duty"),
 		Fence: fence(uint64(rapid.IntRange(1, 3).Draw(t, "epoch")), uint64(rapid.IntRange(0, 4).Draw(t, "count"))),
 		Epoch: uint64(rapid.IntRange(1, 4).Draw(t, "to epoch")), Text: "x", Number: uint64(rapid.IntRange(0, 2).Draw(t, "number"))}
+	mark := policy.Version{Epoch: uint64(rapid.IntRange(1, 3).Draw(t, "of")), Number: uint64(rapid.IntRange(0, 3).Draw(t, "version"))}.Mark()
+	if e.Kind != Propose {
+		e.Policy = mark
+		return e
+	}
+	next := policy.Document{"over_share_value": rapid.SampledFrom([]string{"0.1", "0.2"}).Draw(t, "share")}
+	e.Proposal = &policy.Proposal{Base: mark, Difference: policy.Difference{Set: next}, Hash: next.Hash()}
+	return e
+}
+
+// change proposes a document of one field.
+func (f *fleet) change(share string) Answer {
+	now := f.Policy()
+	p := policy.Propose(now.Version, now.Document, policy.Document{"over_share_value": share}, "a", "to "+share)
+	return f.do(Entry{Kind: Propose, Proposal: &p})
+}
+
+// A change is compared and set; what it says is told to those who watch, what sessions say of it to nobody, and a new epoch
+// gives it a number above all before.
+func TestPolicy(t *testing.T) {
+	f := begin("a", "b")
+	before := f.Snapshot()
+	f.do(Entry{Kind: Beats, Names: []Name{{Session: "a", Incarnation: 1}}})
+	var head struct {
+		Version uint64 `cbor:"1,keyasint"`
+	}
+	if err := cbor.Unmarshal(before, &head); err != nil || head.Version != 1 {
+		t.Fatal("without a policy an earlier build must be able to read it:", head, err)
+	}
+	want(t, "first", f.change("0.2"), Answer{Held: true, Number: 1})
+	if err := cbor.Unmarshal(f.Snapshot(), &head); err != nil || head.Version != 2 {
+		t.Fatal("with one it must refuse it:", head, err)
+	}
+	at := f.Index()
+	events, _ := f.Since(at - 1)
+	if len(events) != 1 || events[0].Policy != f.Policy().Version.Mark() {
+		t.Fatal(events)
+	}
+	stale := policy.Propose(policy.Version{}, nil, policy.Document{"over_share_value": "0.5"}, "b", "")
+	if a := f.do(Entry{Kind: Propose, Proposal: &stale}); a.Held || a.Number != 1 || !strings.Contains(a.Why, "1.1 is in force, this was made from none") {
+		t.Error(a)
+	}
+	mark := f.Policy().Version.Mark()
+	f.do(Entry{Kind: Beat, Session: "a", Incarnation: 1, Policy: mark})
+	f.do(Entry{Kind: Beats, Names: []Name{{Session: "b", Incarnation: 1, Wont: mark, Why: "no memory"}}})
+	if events, _ := f.Since(at); len(events) != 0 {
+		t.Error("hundreds would hear of hundreds:", events)
+	}
+	a, _ := f.Session("a")
+	b, _ := f.Session("b")
+	if a.Policy != mark || b.Policy != 0 || b.Wont != mark || b.Why != "no memory" {
+		t.Error(a, b)
+	}
+	r, err := Restore("f", f.Snapshot())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(r.Snapshot(), f.Snapshot()) || r.Policy().Version != f.Policy().Version {
+		t.Error("it doesn't come back")
+	}
+	f.do(Entry{Kind: Ascend, Epoch: 4})
+	want(t, "above all before", f.Policy().Version.String(), "4.2")
+	want(t, "the next", f.change("0.3"), Answer{Held: true, Number: 3})
+	f.do(Entry{Kind: Beat, Session: "a", Incarnation: 1, Policy: policy.Version{Epoch: 4, Number: 9}.Mark()})
+	if a := f.change("0.4"); a.Held || !strings.Contains(a.Why, "4.9") {
+		t.Error("a router knows more than this council:", a)
+	}
+	f.s.Policy.Document = policy.Document{"over_share_value": "0.9"}
+	if _, err := Restore("f", f.Snapshot()); !errors.Is(err, ErrUnsound) {
+		t.Error("a document of another hash:", err)
+	}
+}
+
+// What a proposal holds is bounded before it gets into the log.
+func TestPolicyBounds(t *testing.T) {
+	large := map[string]string{}
+	for n := range 1100 {
+		large[strings.Repeat("x", 240)+strings.Repeat("y", n%16)+string(rune('a'+n%26))+strings.Repeat("z", n/100)] = strings.Repeat("v", 250)
+	}
+	p := &policy.Proposal{Difference: policy.Difference{Set: map[string]string{"a": "b"}}}
+	for name, e := range map[string]Entry{"none": {Kind: Propose}, "of another kind": {Kind: Tick, Proposal: p},
+		"a long reason": {Kind: Propose, Proposal: &policy.Proposal{Reason: strings.Repeat("x", 201)}},
+		"too large":     {Kind: Propose, Proposal: &policy.Proposal{Difference: policy.Difference{Set: large}}},
+		"why":           {Kind: Beat, Why: strings.Repeat("x", longest+1)}} {
+		if _, err := Decode(Encode(e)); !errors.Is(err, ErrUnsound) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if _, err := Decode(Encode(Entry{Kind: Propose, Proposal: p})); err != nil {
+		t.Error(err)
+	}
 }
 
 // Whatever the entries: fences of a duty only grow with its holders, a holder has a session, no one is queued twice, a
@@ -228,6 +320,7 @@
 		f, cut := begin("a"), rapid.IntRange(0, 60).Draw(t, "cut")
 		g := begin("a")
 		last, holders := map[string]lease.Fence{}, map[string]string{}
+		docs, mark := map[uint64][32]byte{}, uint64(0)
 		for n := range rapid.IntRange(1, 60).Draw(t, "entries") {
 			e := draw(t)
 			decoded, err := Decode(Encode(e))
@@ -243,6 +336,11 @@
 				}
 				f.Register = r
 			}
+			now := f.Policy().Version
+			if had, known := docs[now.Mark()]; known && had != now.Hash || now.Mark() < mark {
+				t.Fatalf("policy %s after %s", now, policy.MarkString(mark))
+			}
+			docs[now.Mark()], mark = now.Hash, now.Mark()
 			for _, name := range f.Duties() {
 				d, _ := f.Duty(name)
 				if d.Fence.Compare(last[name]) < 0 || d.Fence == last[name] && d.Holder != "" && d.Holder != holders[name] {
@@ -273,6 +371,8 @@
 	r.do(take("a"))
 	r.do(take("b"))
 	f.Add(r.Snapshot())
+	r.change("0.2")
+	f.Add(r.Snapshot())
 	f.Fuzz(func(t *testing.T, b []byte) {
 		if r, err := Restore("f", b); err == nil {
 			r.Apply(r.Index()+1, Entry{Kind: Tick, Passed: 1})
