A client asks a leader again that gave no answer once

A call that the leader left unanswered for 600 ms never asked it again: the others, who answer, went on to name it, and it was passed over until the call's time was over.

--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -77,7 +77,9 @@
 	mu      sync.Mutex
 	moved   chan struct{} // closed when the register has changed
 	index   uint64
-	packed  []packed // what was lately asked for of the policy, the latest last
+	packed  []packed            // what was lately asked for of the policy, the latest last
+	book    *fleetpb.PolicyBook // what was last told of all of it, packed once for each version
+	version policy.Version      // of book
 	ended   error
 }
 
@@ -537,13 +539,16 @@
 
 // Policies is the service's.
 func (c *Council) Policies(ctx context.Context, _ *fleetpb.Empty) (*fleetpb.PolicyBook, error) {
-	out := &fleetpb.PolicyBook{}
-	var document, history []byte
+	var out *fleetpb.PolicyBook
 	d, err := c.ask(ctx, func(number uint64) {
 		then := c.asked[number]
 		c.asked[number] = func(d council.Decision) {
-			b := c.node.Register().Policy()
-			out.Version, document, history = wire.Policy(b.Version, nil), b.Document.Encode(), policy.EncodeChanges(b.History)
+			if b := c.node.Register().Policy(); c.book == nil || c.version != b.Version {
+				c.version = b.Version
+				c.book = &fleetpb.PolicyBook{Version: wire.Policy(b.Version, nil), Document: wire.Pack(b.Document.Encode()),
+					History: wire.Pack(policy.EncodeChanges(b.History))}
+			}
+			out = c.book
 			then(d)
 		}
 		c.node.Read(number)
@@ -554,7 +559,6 @@
 	if d.Verb == council.Moved {
 		return &fleetpb.PolicyBook{Moved: true, Leader: d.Leader.Name, Address: d.Leader.Addr}, nil
 	}
-	out.Document, out.History = wire.Pack(document), wire.Pack(history)
 	return out, nil
 }
 
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -71,16 +71,23 @@
 	return conn, nil
 }
 
-// next gives the address to ask: of who leads, or any but those that just failed.
-func (c *Client) next(failed map[string]bool) string {
+// next gives the address to ask: of who leads, or any but those that just failed. Guards against a leader that gave no answer once
+// and is passed over for good, since the others, who never fail, go on to name it.
+func (c *Client) next(failed map[string]time.Time) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.lead != "" && !failed[c.lead] {
+	for a, at := range failed {
+		if time.Since(at) > oneTry {
+			delete(failed, a)
+		}
+	}
+	out := func(a string) bool { _, is := failed[a]; return is }
+	if c.lead != "" && !out(c.lead) {
 		return c.lead
 	}
 	var left []string
 	for _, a := range c.addrs {
-		if !failed[a] {
+		if !out(a) {
 			left = append(left, a)
 		}
 	}
@@ -111,7 +118,7 @@
 
 // ask calls f with one process after the other until it has answered, or ctx ends.
 func (c *Client) ask(ctx context.Context, f func(context.Context, fleetpb.CouncilClient) (moved bool, name, addr string, err error)) error {
-	failed := map[string]bool{}
+	failed := map[string]time.Time{}
 	var last error
 	for n := 0; ; n++ {
 		addr := c.next(failed)
@@ -142,7 +149,7 @@
 				return err
 			}
 			last = err
-			failed[addr] = true
+			failed[addr] = time.Now()
 			c.leads("", "")
 		}
 		if ctx.Err() != nil {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,6 +9,7 @@
 	"fmt"
 	mrand "math/rand/v2"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/klauspost/compress/zstd"
@@ -198,14 +199,15 @@
 
 // Pack and Unpack are zstd (RFC 8878). What comes of Unpack is at most so many bytes, or an error: a few bytes may unpack to a
 // great many.
-func Pack(b []byte) []byte {
-	e, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(1<<20), zstd.WithLowerEncoderMem(true))
+func Pack(b []byte) []byte { return packer().EncodeAll(b, nil) }
+
+var packer = sync.OnceValue(func() *zstd.Encoder { // a process that only unpacks makes none
+	e, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(256<<10), zstd.WithLowerEncoderMem(true))
 	if err != nil {
 		panic(err) // of its options alone
 	}
-	defer e.Close()
-	return e.EncodeAll(b, nil)
-}
+	return e
+})
 
 func Unpack(b []byte, most int) ([]byte, error) {
 	d, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(uint64(most)))
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math/rand/v2"
 	"testing"
 
 	"wayloft/internal/decide/policy"
@@ -18,6 +19,13 @@
 	if got, err := Unpack(packed, len(long)/2); err == nil {
 		t.Error(len(got), "bytes came of it")
 	}
+	noise := make([]byte, policy.MostChanges) // the most that is ever packed, of what packs worst
+	rand.NewChaCha8([32]byte{1}).Read(noise)
+	for _, n := range []int{1, policy.MostBytes - 1, policy.MostBytes, policy.MostChanges} {
+		if got, err := Unpack(Pack(noise[:n]), max(n, policy.MostBytes)); err != nil || !bytes.Equal(got, noise[:n]) {
+			t.Errorf("%d bytes: %d, %v", n, len(got), err)
+		}
+	}
 	for _, bad := range [][]byte{[]byte("not packed at all"), packed[:len(packed)/2]} {
 		if _, err := Unpack(bad, 1<<20); err == nil {
 			t.Errorf("%d bytes that are not sound are taken", len(bad))
