--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"bytes"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
+
+	"wayloft/internal/decide/agent"
 	"wayloft/internal/decide/policy"
+	"wayloft/internal/decide/register"
 	"wayloft/internal/fleetpb"
 )
 
@@ -50,3 +55,34 @@
 		}
 	}
 }
+
+// What a watch tells at its beginning, in a fleet of 610 routers and 164 groups with two duties each: sessions are two thirds of it,
+// and it is what a router that gives no orders need not hear. The rest has to be heard within a few seconds of an allowance of 6 KB.
+func TestWatchSize(t *testing.T) {
+	r := register.New("f")
+	at := uint64(0)
+	do := func(e register.Entry) {
+		at++
+		if a := r.Apply(at, e); !a.Held {
+			t.Fatal(e, a)
+		}
+	}
+	for n := range 610 {
+		name := fmt.Sprintf("router-%03d", n)
+		do(register.Entry{Kind: register.Open, Session: name, Incarnation: 1764547200000, Length: 2000, Is: "router", Address: "10.20.30.40:7101", Policy: 94000000 << 32})
+		if n < 328 {
+			do(register.Entry{Kind: register.Take, Session: name, Incarnation: 1764547200000, Duty: fmt.Sprint("handover/", n)})
+		}
+	}
+	size := func(since uint64, without bool) int {
+		u, _ := agent.Changes(r, since, without)
+		return proto.Size(Update(u))
+	}
+	all, few := size(0, false), size(0, true)
+	do(register.Entry{Kind: register.Open, Session: "router-007", Incarnation: 1764547300000, Length: 2000, Is: "router", Address: "10.20.30.40:7101"})
+	one, none := size(at-1, false), size(at-1, true)
+	t.Logf("%d bytes with sessions, %d without; a router that restarts: %d, %d", all, few, one, none)
+	if few > 3*6<<10 || all < 2*few || none > one {
+		t.Errorf("%d bytes with sessions, %d without; a restart %d, %d", all, few, one, none)
+	}
+}
