--- a/internal/decide/policy/follower.go
+++ b/internal/decide/policy/follower.go
@@ -8,7 +8,7 @@
 
 // Times are ms, sizes bytes.
 const (
-	rate    = 3072.0  // a second, where the settings don't say: half of what a router may spend on control
+	rate    = 2560.0  // a second, where the settings don't say: at most two parts in any second, so that all else has room within 6 KB
 	part    = 1 << 10 // packed: small, so that a second in which parts come together isn't far above any other
 	each    = 300     // that a request and its answer take besides, with their headers; assumed
 	spread  = 500.0   // over which a first request is drawn: what starts, or hears of a change, together must not ask together
@@ -18,7 +18,7 @@
 
 // Settings of a Follower are given once.
 type Settings struct {
-	Rate    float64 // bytes a second that what is fetched may take, with what each request costs; 0: 3072
+	Rate    float64 // bytes a second that what is fetched may take, with what each request costs; 0: 2560
 	Seed    uint64
 	Unpack  func(b []byte, most int) ([]byte, error) // undoes the packing of all parts together; at most so many bytes may come of it
 	Planted Planted
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -80,7 +80,7 @@
 	Bound             float64 // the most that writes wait here for one handover
 	Ahead             float64 // ms that this process's clock is ahead, for tests
 	Record            *record.Record
-	PolicyRate        float64 // bytes a second that fetching the policy may take; 0: 3072
+	PolicyRate        float64 // bytes a second that fetching the policy may take; 0: 2560
 	Store             Store   // of the policy; nil: none
 }
 
--- a/internal/lab/fleet/twin/policy.go
+++ b/internal/lab/fleet/twin/policy.go
@@ -58,6 +58,7 @@
 	last      uint64                // mark of the latest version that is known
 	lasted    float64               // ms for it from being in force until everywhere
 	took      map[uint64][]float64  // by mark: ms from the proposal, of each router that it reached before the next
+	parted    map[*Proc]bool        // a region that is cut off, whatever else is cut and joined again
 	carried   int                   // bytes on routers' lines
 }
 
@@ -590,10 +591,11 @@
 func (w *World) apart() string {
 	here := w.Council[len(w.Council)-1:]
 	here = append(slices.Clone(here), w.Routers[len(w.Routers)*2/3:]...)
-	there := slices.Concat(w.Council[:len(w.Council)-1], w.Routers[:len(w.Routers)*2/3], w.ruling.operators)
-	for _, a := range here {
-		w.CutOff(a, true, true, there, w.ruling.Apart)
+	w.ruling.parted = map[*Proc]bool{}
+	for _, p := range here {
+		w.ruling.parted[p] = true
 	}
+	w.After(w.ruling.Apart, func() { w.ruling.parted = nil })
 	return "regions apart"
 }
 
--- a/internal/lab/fleet/twin/twin.go
+++ b/internal/lab/fleet/twin/twin.go
@@ -291,6 +291,9 @@
 	}
 	life := to.life
 	w.After(0.2+w.rand.ExpFloat64()*0.8, func() {
+		if w.ruling != nil && w.ruling.parted[from] != w.ruling.parted[to] {
+			return
+		}
 		if w.cut[[2]string{from.Name, to.Name}] || w.rand.Float64() < w.loss || !to.up || to.life != life {
 			return
 		}
