The time of a query that was sent ahead runs from when it came, not from its turn

Cause: a session's queries are handed over one after the other, and each was held for its whole time from its turn on, though its client's time ran since it had sent it.

Change: a message keeps when its last byte came; the txn's expiry counts from there, the time in which an answer is soon and the position from its turn (router.Queued).

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -83,6 +83,7 @@
 
 type item struct {
 	pg.Message
+	at    float64   // when its last byte came: its client's time runs while it waits for its turn
 	fail  *pg.Error // to be answered instead
 	fatal bool
 }
@@ -444,7 +445,7 @@
 	default:
 		s.asked = s.asked || m.Kind == pg.Query
 		s.hold(len(m.Text))
-		s.queue = append(s.queue, item{Message: m})
+		s.queue = append(s.queue, item{Message: m, at: s.all.host.Now()})
 	}
 }
 
@@ -512,7 +513,7 @@
 		s.hold(-len(i.Text))
 		s.conn.Write(pg.AppendReady(pg.AppendEmpty(nil)))
 	default:
-		s.take(i.Text)
+		s.take(i.Text, i.at)
 	}
 }
 
@@ -521,8 +522,8 @@
 }
 
 // take hands a txn over.
-func (s *session) take(text string) {
-	t, err := s.arrive(text)
+func (s *session) take(text string, at float64) {
+	t, err := s.arrive(text, at)
 	var bad *pg.Error
 	switch {
 	case err == nil:
@@ -551,12 +552,12 @@
 	}
 }
 
-func (s *session) arrive(text string) (*exchange.Txn, error) {
+func (s *session) arrive(text string, at float64) (*exchange.Txn, error) {
 	st, err := pg.ParseStatement(text)
 	if err != nil {
 		return nil, err
 	}
-	t := exchange.New(st, s.all.host.Now(), func(a exchange.Answer) { s.deliver(a, len(text)) })
+	t := exchange.New(st, at, func(a exchange.Answer) { s.deliver(a, len(text)) })
 	return t, s.all.host.Arrive(t)
 }
 
--- a/internal/clients/pooled.go
+++ b/internal/clients/pooled.go
@@ -66,15 +66,15 @@
 	txn  *exchange.Txn
 	held exchange.Carrier // the connection that stays with the session
 
-	ops     []decide.Op  // of the unit that is not whole yet
-	queue   []pg.Message // what came while one is on its way
-	size    int          // bytes of both
-	said    int          // bytes of the unit on its way, which may have to be said again
-	asked   bool         // a whole unit is on its way, its readiness has not come
-	open    bool         // a part of one is, after a flush
-	skips   bool         // all up to Sync is passed over
-	copying bool         // the member takes what is copied in
-	lost    *pg.Error    // why a transaction ended while its client said nothing
+	ops     []decide.Op // of the unit that is not whole yet
+	queue   []item      // what came while one is on its way
+	size    int         // bytes of both
+	said    int         // bytes of the unit on its way, which may have to be said again
+	asked   bool        // a whole unit is on its way, its readiness has not come
+	open    bool        // a part of one is, after a flush
+	skips   bool        // all up to Sync is passed over
+	copying bool        // the member takes what is copied in
+	lost    *pg.Error   // why a transaction ended while its client said nothing
 	over    bool
 }
 
@@ -164,10 +164,10 @@
 	case p.asked || len(p.queue) > 0 || p.s.conn.Unsent() >= unread:
 		m.Raw = append([]byte(nil), m.Raw...)
 		m.Tail = tail(m)
-		p.queue = append(p.queue, m)
+		p.queue = append(p.queue, item{Message: m, at: p.s.all.host.Now()})
 		p.grow(len(m.Raw))
 	default:
-		p.handle(m)
+		p.handle(m, p.s.all.host.Now())
 	}
 }
 
@@ -204,9 +204,9 @@
 		p.size -= len(m.Raw)
 		p.s.hold(-len(m.Raw))
 		if p.asked {
-			p.copy(m)
+			p.copy(m.Message)
 		} else {
-			p.handle(m)
+			p.handle(m.Message, m.at)
 		}
 	}
 	if len(p.queue) == 0 && p.queue != nil {
@@ -228,15 +228,15 @@
 func (p *pooled) busy() bool  { return p.asked || p.open || p.txn != nil }
 func (p *pooled) quiet() bool { return !p.busy() && len(p.queue) == 0 && len(p.ops) == 0 }
 
-// handle takes one message while nothing whole is on its way.
-func (p *pooled) handle(m pg.Message) {
+// handle takes one message, which came at that time, while nothing whole is on its way.
+func (p *pooled) handle(m pg.Message, at float64) {
 	switch {
 	case m.Kind == pg.Terminate:
 		p.leave()
 		p.s.finish()
 	case m.Kind == pg.Sync && p.skips:
 		if p.skips = false; p.open {
-			p.dispatch([]decide.Op{{Kind: pg.Sync, Raw: pg.AppendSync(nil)}}, true)
+			p.dispatch([]decide.Op{{Kind: pg.Sync, Raw: pg.AppendSync(nil)}}, true, at)
 			return
 		}
 		p.s.conn.Write(pg.AppendStatus(nil, p.d.Status()))
@@ -251,7 +251,7 @@
 			p.s.conn.Write(answer)
 			return
 		}
-		p.dispatch(ops, true)
+		p.dispatch(ops, true, at)
 	case m.Kind == pg.Function:
 		p.s.conn.Write(pg.AppendStatus(pg.AppendError(nil, &pg.Error{Code: pg.Unsupported, Text: "function calls do not go through a router"},
 			false), p.d.Status()))
@@ -265,7 +265,7 @@
 			ops := p.ops
 			p.ops = nil
 			p.shrink()
-			p.dispatch(ops, m.Kind == pg.Sync)
+			p.dispatch(ops, m.Kind == pg.Sync, at)
 		}
 	}
 }
@@ -280,8 +280,8 @@
 	return true
 }
 
-// dispatch sends a unit, or the part of one that a flush ends.
-func (p *pooled) dispatch(ops []decide.Op, whole bool) {
+// dispatch sends a unit, or the part of one that a flush ends; its last byte came at that time.
+func (p *pooled) dispatch(ops []decide.Op, whole bool, at float64) {
 	if p.txn == nil {
 		switch answer, here := p.d.Here(ops); {
 		case here:
@@ -298,7 +298,7 @@
 			return
 		}
 		p.asked, p.open = whole, !whole
-		p.arrive(append(p.d.Begin(), ops...))
+		p.arrive(append(p.d.Begin(), ops...), at)
 		return
 	}
 	p.asked, p.open = whole, !whole
@@ -322,8 +322,8 @@
 	p.asked, p.open, p.copying = false, false, false
 }
 
-// arrive hands a txn over that begins with these.
-func (p *pooled) arrive(ops []decide.Op) {
+// arrive hands a txn over that begins with these, which came at that time.
+func (p *pooled) arrive(ops []decide.Op, at float64) {
 	a := p.s.all
 	if p.saying(ops); a.held > a.budget {
 		a.Refused++
@@ -349,7 +349,7 @@
 		st.ID, st.Wait, st.Group, st.Session, st.Marked = label.ID, label.Wait, label.Group, label.Session, label.Marked
 		st.After = max(st.After, label.After)
 	}
-	t := exchange.New(st, a.host.Now(), p.deliver)
+	t := exchange.New(st, at, p.deliver)
 	t.Talk = &exchange.Talk{Pool: p.pool.Name, Caller: p, Held: p.held}
 	t.Talk.Say(ops)
 	p.txn, p.held = t, nil // it comes back by Keep
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -18,7 +18,7 @@
 // Txn is one txn on its way.
 type Txn struct {
 	*pg.Statement
-	Arrived, Expiry float64 // ms
+	Arrived, Expiry float64 // ms; Arrived: when its last byte came, which may be before its turn
 	Talk            *Talk   // of a txn that takes more than one question; else nil
 
 	over    bool
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -80,16 +80,19 @@
 		return ErrTxnType
 	}
 	t.Cap(kind.Expiry)
-	age := 0.0
-	if t.After > t.Arrived+Ahead {
+	age, now := 0.0, h.Now()
+	if t.After > now+Ahead {
 		return ErrAfter
 	} else if t.After > 0 {
-		// The module reads 0 as no position, and t.Arrived - age is exactly the position.
-		if age = t.Arrived - t.After; age == 0 {
+		// The module reads 0 as no position, and now - age is exactly the position.
+		if age = now - t.After; age == 0 {
 			age = 1e-300
 		}
 	}
 	h.hear().Arrive(t.ID, t.Tenant, t.Session, t.TxnType, t.Group, age, t.Wait, t.Marked)
+	if t.Arrived < now {
+		h.hear().Queued(t.ID, now-t.Arrived)
+	}
 	if t.Talk != nil && t.Talk.Held != nil {
 		h.hear().Pin(t.ID, t.Talk.Held.Member())
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -374,6 +374,15 @@
 	}
 }
 
+// Queued says that a txn, just arrived, waited so long for its turn behind others of its client's. That is
+// its client's time; an answer may still be soon. Guards against answers that nobody waits for any more.
+func (r *Router) Queued(id string, waited float64) {
+	if t := r.txns[id]; t != nil {
+		t.expiry -= waited
+		t.half = (r.now + t.expiry) / 2
+	}
+}
+
 // Turn says whose turn it is in a submission that takes more than one: the member's, or its client's or the
 // pool's, who make it rest. started: part of the answer is with the client, so it is never sent again.
 func (r *Router) Turn(id string, seq int, rests, started bool) {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -132,6 +132,9 @@
 			marked) {
 			return fmt.Errorf("unknown txn type")
 		}
+		if waited := number(o["waited"], 0); waited > 0 {
+			p.r.Queued(w[1], waited)
+		}
 	case "returned":
 		d, sent := p.last[w[1]]
 		how, known := outcomeWords[w[2]]
