--- a/cmd/wayloft/ahead_test.go
+++ b/cmd/wayloft/ahead_test.go
@@ -4,47 +4,86 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"wayloft/internal/lab"
 	"wayloft/internal/pg"
 	"wayloft/internal/standin"
+	"wayloft/internal/standin/pgserver"
 )
 
-// A query that was sent ahead waits for its turn, and its client's time runs. The one before it waits longer for an answer
-// than the one behind has: at its turn that one is declined, and no member hears of it.
+// passed waits until so many ms have passed by the router's own clock: until it declines a txn of a cluster that isn't there,
+// at half of its time.
+func passed(t *testing.T, addr string, ms int) {
+	t.Helper()
+	c := standin.NewClient(t, addr, true)
+	defer c.Close()
+	c.Ask(fmt.Sprintf("/* id=passed,c=put,t=n,d=%d,cluster=9 */ INSERT x", 2*ms))
+	if got := c.Answer(); got != "53300 ready" {
+		t.Fatalf("a cluster that isn't there: %q", got)
+	}
+}
+
+// A query that was sent ahead waits for its turn, and its client's time runs: the one before it is answered when the time of
+// the one behind is over, which is declined then, and no member hears of it.
 func TestTimeRunsBeforeItsTurn(t *testing.T) {
-	m := member(t)
+	answer := make(chan bool)
+	m := standin.NewMember(t, nil, func(sql string) *standin.Reply {
+		if sql == "SHOW vitals" {
+			return &standin.Reply{Bytes: pg.AppendReady(standin.Rows(fmt.Sprintf("x0=%d,x1=1", time.Now().Unix())))}
+		} else if strings.Contains(sql, "before") {
+			<-answer
+		}
+		return standin.Row("served", "source", "1")
+	})
 	addr, _, _ := start(t, "127.0.0.1:1", 256, m.Addr)
 	c := standin.NewClient(t, addr, true)
-	before := "/* id=b1,c=put,t=n,d=500,cluster=2 */ INSERT hang"
-	behind := "/* id=b2,c=put,t=n,d=300,cluster=2 */ INSERT value"
-	c.Send(string(pg.AppendQuery(pg.AppendQuery(pg.AppendQuery(nil, before), behind), look("b3", "x"))))
-	for n, want := range []string{"08007 ready", "53300 ready", "x ok ready"} {
+	c.Send(string(pg.AppendQuery(pg.AppendQuery(nil, "/* id=b1,c=put,t=n,d=2000,cluster=2 */ INSERT before"),
+		"/* id=b2,c=put,t=n,d=300,cluster=2 */ INSERT behind")))
+	standin.Until(t, "the first is out", func() bool { _, asked := m.Seen(); return strings.Contains(strings.Join(asked, ""), "before") })
+	passed(t, addr, 350)
+	answer <- true
+	for n, want := range []string{"served ok ready", "53300 ready"} {
 		if got := c.Answer(); got != want {
 			t.Errorf("answer %d: got %q, want %q", n, got, want)
 		}
 	}
-	if _, asked := m.Seen(); strings.Contains(strings.Join(asked, "\n"), "value") {
+	if _, asked := m.Seen(); strings.Contains(strings.Join(asked, "\n"), "behind") {
 		t.Error("a member heard of the query whose time was over")
 	}
 }
 
 // The same in a pool, for one statement and for a pipeline.
 func TestTimeRunsBeforeItsTurnInAPool(t *testing.T) {
-	addr, cluster := pooledRouter(t, 1, lab.Pool{PerMember: 2}, nil)
+	out, answer := make(chan bool, 1), make(chan bool)
+	addr, _ := pooledRouter(t, 1, lab.Pool{PerMember: 2}, func(s *pgserver.Server) {
+		s.Fail = func(_ int, m *pg.Message) *pgserver.Fault {
+			if strings.Contains(m.Text, "before") {
+				out <- true
+				<-answer
+			}
+			return nil
+		}
+	})
 	c := standin.NewClient(t, addr, true)
 	query := func(sql string) string { return string(pg.AppendQuery(nil, sql)) }
-	labelled := func(n, d int, sql string) string { return fmt.Sprintf("/* id=q%d,c=write,t=n,d=%d */ %s", n, d, sql) }
-	pipeline := func(sql string) string {
-		return string(pg.AppendParse(nil, "", []byte(sql+"\x00\x00\x00"))) +
-			string(pg.AppendExecute(pg.AppendBind(nil, "", "", []byte{0, 0, 0, 0, 0, 0}), "")) + string(pg.AppendSync(nil))
+	labelled := func(n, d int, sql string) string {
+		return fmt.Sprintf("/* id=q%d,c=write,t=n,d=%d,cluster=0 */ %s", n, d, sql)
+	}
+	pipeline := string(pg.AppendParse(nil, "", []byte(labelled(3, 300, insert("late", "2"))+"\x00\x00\x00"))) +
+		string(pg.AppendExecute(pg.AppendBind(nil, "", "", []byte{0, 0, 0, 0, 0, 0}), "")) + string(pg.AppendSync(nil))
+	c.Send(query(labelled(1, 2000, insert("before", "1"))) + query(labelled(2, 300, insert("late", "1"))) + pipeline +
+		query("SELECT blob FROM rows WHERE handle = 'late'"))
+	<-out
+	other := standin.NewClient(t, addr, true)
+	other.Ask("/* id=passed,c=write,t=n,d=700,cluster=9 */ " + insert("none", "1"))
+	if got := other.Answer(); got != "53300 ready" {
+		t.Fatalf("a cluster that isn't there: %q", got)
 	}
-	c.Send(query(labelled(1, 500, "SELECT pg_sleep(60)")) + query(labelled(2, 300, insert("late", "1"))) +
-		pipeline(labelled(3, 300, insert("late", "2"))) + query("SELECT blob FROM rows WHERE handle = 'late'"))
-	for n, want := range []string{"08007 ready", "53300 ready", "53300 ready", "ok ready"} {
+	answer <- true
+	for n, want := range []string{"1 ok ready", "53300 ready", "53300 ready", "ok ready"} {
 		if got := c.Answer(); got != want {
 			t.Errorf("answer %d: got %q, want %q", n, got, want)
 		}
 	}
-	standin.Until(t, "what was given up is over", func() bool { return cluster.Servers[0].Counts().Inside == 0 })
 }
