--- a/cmd/wayloft/ahead_test.go
+++ b/cmd/wayloft/ahead_test.go
@@ -18,7 +18,7 @@
 	t.Helper()
 	c := standin.NewClient(t, addr, true)
 	defer c.Close()
-	c.Ask(fmt.Sprintf("/* id=passed,c=put,t=n,d=%d,cluster=9 */ INSERT x", 2*ms))
+	c.Ask(fmt.Sprintf("/* id=passed,c=look,t=n,d=%d,cluster=9 */ SELECT x", 2*ms))
 	if got := c.Answer(); got != "53300 ready" {
 		t.Fatalf("a cluster that isn't there: %q", got)
 	}
@@ -38,6 +38,12 @@
 	})
 	addr, _, _ := start(t, "127.0.0.1:1", 256, m.Addr)
 	c := standin.NewClient(t, addr, true)
+	for n := range 20 { // so that one slow answer doesn't count for much
+		c.Ask(put(fmt.Sprint("q", n), "quick"))
+		if got := c.Answer(); got != "served ok ready" {
+			t.Fatal(got)
+		}
+	}
 	c.Send(string(pg.AppendQuery(pg.AppendQuery(nil, "/* id=b1,c=put,t=n,d=2000,cluster=2 */ INSERT before"),
 		"/* id=b2,c=put,t=n,d=300,cluster=2 */ INSERT behind")))
 	standin.Until(t, "the first is out", func() bool { _, asked := m.Seen(); return strings.Contains(strings.Join(asked, ""), "before") })
