What a peer says or ends before its connection is handled is heard of

A connection that was made is with the poller before the loop is told of it. What its peer said in between was dropped, and its end was noted with nobody to tell: a member that is killed right behind its accept, or turns a connection away at once, looked like one that never lets in, and the submission waited for the whole time of a dial. Conn.gone and the poller's closure in Conn.receive found no handler; Write on the ended connection returned silently.

Handle now hears of both, in their order. TestPeerIsFasterThanItsConnection holds the dial between the poller and the loop (host.dialled) until the end has come to the loop (host.gone): without the change it fails in its three cases, each after 20 s.

--- a/internal/host/crossing_test.go
+++ b/internal/host/crossing_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"testing"
+	"time"
 
 	"wayloft/internal/faults"
 )
@@ -133,3 +134,62 @@
 		t.Errorf("the peer read %d bytes: %v", n, err)
 	}
 }
+
+// A peer takes a connection and at once says something, or ends it: both cross the moment in which the loop is told that
+// the connection is up. Whoever handles it hears of them all the same, in their order, and doesn't wait for a time-out.
+func TestPeerIsFasterThanItsConnection(t *testing.T) {
+	for _, c := range []struct {
+		name, says string
+		reset      bool
+	}{{"ends", "", false}, {"resets", "", true}, {"speaks and ends", "no room", false}} {
+		t.Run(c.name, func(t *testing.T) {
+			l, _, _, _ := pair(t, 1<<20)
+			front, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer front.Close()
+			gone := make(chan bool, 10)
+			defer faults.At("host.gone", func() { gone <- true })()
+			defer faults.At("host.dialled", func() { // it is with the poller, and the loop has not heard of it
+				peer, err := front.Accept()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				peer.Write([]byte(c.says))
+				if c.reset {
+					peer.(*net.TCPConn).SetLinger(0)
+				}
+				peer.Close()
+				<-gone // what befell it has come to the loop
+			})()
+			h := &ends{make(chan string, 10), make(chan bool)}
+			l.Post(func() {
+				l.Dial(front.Addr().String(), 10000, func(one *Conn, err error) {
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					one.Handle(h)
+					one.Write([]byte("hello"))
+				})
+			})
+			select {
+			case <-h.closed:
+			case <-time.After(20 * time.Second):
+				t.Fatal("its end was never heard of")
+			}
+			if c.says != "" {
+				select {
+				case got := <-h.data:
+					if got != c.says {
+						t.Errorf("heard %q", got)
+					}
+				default:
+					t.Error("what it said was not heard")
+				}
+			}
+		})
+	}
+}
--- a/internal/host/loop.go
+++ b/internal/host/loop.go
@@ -58,6 +58,7 @@
 	after   atomic.Int64 // end once so many bytes are written; 0: don't
 	deaf    atomic.Bool  // what still comes is thrown away by the poller, uncopied
 	closed  bool
+	early   [][]byte // what came before anyone handled it; the mailbox bounds it
 }
 
 // NewLoop makes a loop that can hold this many descriptors.
@@ -198,6 +199,7 @@
 func (l *Loop) Dial(addr string, ms float64, done func(*Conn, error)) {
 	go func() {
 		c, err := l.dial(addr, time.Duration(ms*float64(time.Millisecond)))
+		faults.Here("host.dialled")
 		l.Post(func() { done(c, err) })
 	}()
 }
@@ -236,7 +238,9 @@
 			data := append([]byte(nil), buf[:n]...)
 			c.loop.Post(func() {
 				c.handled += int64(len(data))
-				if !c.closed && c.handler != nil {
+				if c.handler == nil {
+					c.early = append(c.early, data)
+				} else if !c.closed {
 					c.handler.Data(data)
 				}
 			})
@@ -282,8 +286,23 @@
 	return errors.Join(raw.Control(func(fd uintptr) { inner = f(int(fd)) }), inner)
 }
 
-// Handle names who hears of the connection from now on.
-func (c *Conn) Handle(h Handler) { c.handler = h }
+// Handle names who hears of the connection from now on, and of what has come so far. Guards against a peer that speaks, or
+// ends the connection, before whoever had it made is told of it: it would wait for either until its time-out.
+func (c *Conn) Handle(h Handler) {
+	early, ended := c.early, c.closed
+	c.handler, c.early = h, nil
+	if early == nil && !ended {
+		return
+	}
+	c.loop.Soon(func() {
+		for _, data := range early {
+			h.Data(data)
+		}
+		if ended {
+			h.Closed()
+		}
+	})
+}
 
 // Write sends b, now or as the peer takes it. If it can't, Closed follows.
 func (c *Conn) Write(b []byte) {
@@ -353,6 +372,7 @@
 			c.handler.Closed()
 		}
 	}
+	faults.Here("host.gone")
 }
 
 // Close ends the connection at once, by way of the poller; Closed does not follow.
