Between two calls for the list that end at once 0.3 s pass at most, not 0.75 s

An agent on the router's own machine answers at no cost, and what it has counts as told whether or not a watch is open. Where calls had ended at once several times (refused, reset), discovery.Keep waited up to 0.75 s for the next, longer than a drain may go unseen. The longest backoff is 200 ms now. TestTheLongestUntilTold fails with the old one.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -25,11 +25,12 @@
 // PROTOCOL: a heartbeat, an empty line, comes every 2 s at least, and a change counts as told 6 s after discovery had it and
 // could be reached. The longest that a change can take here, from a watch that falls silent, is its heartbeat's timeout, a
 // pause, a call that is never answered (the timeout once more) and a pause: 2 x (2.5 + 0.15) s; from the return of
-// discovery, half of it after a call that hangs, or the longest backoff and a half after one that was refused.
+// discovery, half of it after a call that hangs. What an agent has counts as told while no watch is open, too, so that the
+// pause between two calls that end at once stays short, at one and a half of the longest backoff.
 const (
 	heartbeatTimeout = 2500 * time.Millisecond
 	leastBackoff     = 100 * time.Millisecond
-	mostBackoff      = 500 * time.Millisecond
+	mostBackoff      = 200 * time.Millisecond
 	longest          = 4 << 20 // bytes of one list
 )
 
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -275,6 +275,9 @@
 			t.Errorf("%s: told after %v, %v are allowed", what, longest, allowed)
 		}
 	}
+	if gap, spare := time.Duration(most*float64(mostBackoff)), 400*time.Millisecond; gap > spare {
+		t.Errorf("between two calls that end at once up to %v pass, in which what the agent has is not known", gap)
+	}
 	if heartbeatTimeout <= beat {
 		t.Errorf("a watch is given up after %v, and has a line every %v", heartbeatTimeout, beat)
 	}
