Where lists are asked for, a second silence in a row is through within 6 s, not 8

A watch that fell silent is given up after 2.5 s, and ListFailed then had the next call wait for up to 1.5 s, whatever had gone before: two in a row took 8 s, the limit that crossings named, and a call to a new address that hung took the 4 s that a move may take by itself. The pause is there to spread many routers' calls; one that hung has done so. After a call of 2 s and more it is 125 to 375 ms now, so that two take 5.75 s at most; quick failures wait as before.

--- a/router/router.go
+++ b/router/router.go
@@ -31,6 +31,8 @@
 	lostAfter  = 5.5    // expected waits; one healthy txn in 250 takes longer (e^-5.5)
 	firstLimit = 1.0    // submissions at once to a member not yet known: all routers may start together
 	reserve    = 1.5    // of the chance to be taken on, so that a few slow answers in a row change nothing
+	paced      = 2000.0 // ms after which a call for the list has paced the next: a beat of the watch
+	pacedPause = 250.0  // ms until that one, by half more or less
 	leastLimit = 0.2    // a fifth of the time, so that a member that recovers is still noticed
 )
 
@@ -172,6 +174,7 @@
 	least                float64  // the shortest check period
 	late                 fade.Sum // how late the alarm rang at most: pauses of this router's own
 	wantWatch, alarmAt   float64  // when to ask for the list again; the alarm that is out
+	watched              float64  // when it was asked for last
 }
 
 func New(set *Settings, seed uint64) *Router {
@@ -289,11 +292,17 @@
 	}
 }
 
-// ListFailed says that a call failed or the subscription broke. Many must not ask again at once, nor late.
+// ListFailed says that a call failed or the subscription broke. Many must not ask again at once, nor late: one that took
+// its time, a silence or a call that hung, has paced them already, and another may follow.
 func (r *Router) ListFailed() {
-	if r.set.Ask {
-		r.wantWatch = math.Min(r.wantWatch, r.now+math.Min(r.set.AskWithin/8, restCheck)*(0.5+r.chance.Next()))
+	if !r.set.Ask {
+		return
+	}
+	pause := math.Min(r.set.AskWithin/8, restCheck)
+	if r.now-r.watched >= paced {
+		pause = math.Min(pause, pacedPause)
 	}
+	r.wantWatch = math.Min(r.wantWatch, r.now+pause*(0.5+r.chance.Next()))
 }
 
 // Arrive takes a txn; false: its txn type is not in the settings. marked: its client says it is a repeat.
@@ -672,7 +681,7 @@
 		r.look()
 	}
 	if r.wantWatch <= r.now {
-		r.wantWatch = r.now + r.set.AskWithin/2 // unless something is heard before
+		r.watched, r.wantWatch = r.now, r.now+r.set.AskWithin/2 // unless something is heard before
 		return Decision{Verb: Watch}, true
 	}
 	// Guards against full connection tables: idle connections here keep other routers out. Costs a handshake.
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -362,6 +362,49 @@
 	}
 }
 
+// Where lists are asked for, what a watch that fell silent misses is asked for within 6 s, also where the next call hangs too;
+// and within 4 s of a call that was made by itself, at a move, and hangs. Each hangs for the 2.5 s after which it is given up.
+func TestTwoSilencesInARow(t *testing.T) {
+	const hang = 2500
+	for _, within := range []float64{2000, 10000, 40000} {
+		for seed := uint64(1); seed <= 200; seed++ {
+			r := New(&Settings{Ask: true, AskWithin: within, Routers: 1}, seed)
+			now := 0.0
+			watch := func() float64 {
+				for ; ; now += beat {
+					r.At(now)
+					r.Rang()
+					for d, more := r.Next(); more; d, more = r.Next() {
+						if d.Verb == Watch {
+							return now
+						}
+					}
+				}
+			}
+			fail := func() {
+				now += hang
+				r.At(now)
+				r.ListFailed()
+			}
+			watch()
+			now = 50
+			r.At(now)
+			r.ListStart()
+			r.ListEnd(false) // the first is answered
+			now = 30000
+			silent := now
+			fail()
+			if asked := watch(); asked-silent > 4000-beat {
+				t.Errorf("within %.0f, seed %d: asked %.0f ms after the first silence", within, seed, asked-silent)
+			}
+			fail()
+			if asked := watch(); asked-silent > 6000-beat {
+				t.Errorf("within %.0f, seed %d: asked %.0f ms after two silences", within, seed, asked-silent)
+			}
+		}
+	}
+}
+
 // What a submission rests on holds for a time, which goes with it: a position known of a member ages, and the window for
 // repeats closes, while its connection comes up.
 func TestUntilWhenASubmissionHolds(t *testing.T) {
