--- a/cmd/wayloft/serve_test.go
+++ b/cmd/wayloft/serve_test.go
@@ -126,7 +126,7 @@
 			"ready, x ok ready, y ok ready, z ok ready"},
 		{"no comment", hello + query("SELECT 1") + query(look("b1", "x")), "ready, 08P01 ready, x ok ready"},
 		{"unknown txn type", hello + query("/* id=c1,c=what,d=5 */ SELECT 1"), "ready, 22023 ready"},
-		{"id in use", hello + query(put("d1", "hang")) + query(strings.Replace(put("d1", "x"), "d=400", "d=2000", 1)),
+		{"id in use", hello + query(put("d1", "hang")) + query(strings.Replace(put("d1", "x"), "d=400", "d=3000", 1)),
 			"ready, 08007 ready, x ok ready"},
 		{"an error of a once-only txn", hello + query(put("e1", "error")), "ready, 08007 ready"},
 		{"expired", hello + query("/* id=f1,c=look,d=0,cluster=2 */ SELECT x"), "ready, 53300 ready"},
