A check that was never made, for want of a connection, marks no member down

Where the pool has no connection for a check (all of this router's, or of the few that a member said it holds, are busy) it is refused at once and comes back as moot. Router.Checked took every outcome but three for a sign that the member is not there: a primary that serves was marked down, its writes were held, and a check half a second later took it for one that had started anew, cold. That also lets a router turn away all that it gets while members are there. A moot check tells nothing now, and is asked for again. router/testdata/unmade_check.txt fails without: the write is not submitted.

--- a/router/router.go
+++ b/router/router.go
@@ -601,6 +601,12 @@
 	if how == Full {
 		return // too crowded to be checked: it is there, and nothing else is told
 	}
+	if how == Moot { // never made, since no connection was left here: nothing is told
+		if !m.down {
+			m.ask()
+		}
+		return
+	}
 	// Guards against checks that fail where members serve: an answer since is the better evidence, and an error
 	// shows that it is there. The txns themselves then ask (fit, pick).
 	if m.mum = how == Errored; m.mum {
