Members are told what is left when their query is written, not when its batch began

Loop.Now is the time at which a batch of events began; a batch may take long where the processor is short. link.take told the member the time left by it, and Members.begin set the time-out of a submission from it, so that both were late by as long as the batch had taken: a further attempt told more than its client had left, and an answer that never came was given up that much after the client's time. Both ask the clock now. TestWhatIsLeftAfterALongBatch holds a batch for 1.5 s: without the change it tells 2,000 ms where 500 are left, and the time-outs come in the wrong order. The module's alarm stays by the batch's time: else a batch longer than a beat would be followed by the next at once.

--- a/internal/members/crossing_test.go
+++ b/internal/members/crossing_test.go
@@ -200,3 +200,50 @@
 		t.Errorf("%d connections, asked %q", accepted, asked)
 	}
 }
+
+// A batch of events takes long, and a submission is decided at its end: its member is told no more than what is left by
+// then, and it is given up when its client's time is over, not that much later.
+func TestWhatIsLeftAfterALongBatch(t *testing.T) {
+	const lag, left, later = 1500.0, 2000.0, 750.0
+	e, side := start(t, 4)
+	told := make(chan string, 10)
+	m := standin.NewMember(t, nil, func(sql string) *standin.Reply {
+		told <- sql
+		if strings.Contains(sql, "id=warm") {
+			return standin.Row("v", "source", "1")
+		}
+		return nil
+	})
+	e.do(func() {
+		side.List(list(m.Addr, router.Up))
+		side.Submit(txn(e, "warm", 60000), 0, "a", 0, math.Inf(1))
+	})
+	if got := e.hear(t); got != "0 committed 1 1 true" {
+		t.Fatalf("got %q", got)
+	}
+	<-told
+	var began float64
+	e.do(func() {
+		began = e.Now()
+		for e.Clock() < began+lag {
+			runtime.Gosched()
+		}
+		side.Submit(txn(e, "first", left), 0, "a", 0, math.Inf(1))
+	})
+	e.do(func() { side.Submit(txn(e, "second", began+left+later-e.Now()), 1, "a", 0, math.Inf(1)) })
+	for range 2 {
+		var d float64
+		sql := <-told
+		if _, err := fmt.Sscanf(sql[strings.Index(sql, ",d="):], ",d=%f", &d); err != nil {
+			t.Fatal(err)
+		}
+		if strings.Contains(sql, "id=first") && d > left-lag {
+			t.Errorf("%.0f ms are told, %.0f at most are left", d, left-lag)
+		}
+	}
+	for _, want := range []string{"0 timed out 0 0 false", "1 timed out 0 0 false"} {
+		if got := e.hear(t); got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	}
+}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -304,7 +304,7 @@
 		return
 	}
 	j.to = m
-	j.timer = a.host.After(j.until-j.at, func() { a.end(j, router.TimedOut) })
+	j.timer = a.host.After(j.until-a.host.Clock(), func() { a.end(j, router.TimedOut) }) // the batch may be long
 	if j.txn != nil && j.txn.Talk != nil {
 		a.beginTalk(j)
 		return
@@ -416,7 +416,7 @@
 				}
 			})
 		}
-		out = j.txn.AppendQuery(out, j.until-l.all.host.Now())
+		out = j.txn.AppendQuery(out, j.until-l.all.host.Clock())
 	case l.all.limits.Reports:
 		out = pg.AppendQuery(out, "SHOW vitals")
 	default:
