A client's end is heard with the request before it, so that nothing is sent for one that has gone

A request and its client's end may both be with the system before the poller reads: behind a long batch, or a connection that waited to be taken in. The poller posted the bytes and, a moment later, the end; a batch that fell between submitted the request, later after the client's close than an attempt may begin. Conn.receive reads on for connections that came in until the system has nothing more, and posts an end with the bytes before it; the module's decisions are pulled after both. It costs one more read for each request. TestEndIsHeardWithWhatCameBeforeIt holds the poller behind the request until the batch is over: without the change a batch settles between the two, every time.

--- a/internal/host/crossing_test.go
+++ b/internal/host/crossing_test.go
@@ -193,3 +193,74 @@
 		})
 	}
 }
+
+// order notes what a handler hears, and when its batch is over.
+type order struct {
+	mu     sync.Mutex
+	what   []string
+	over   chan bool
+	closed chan bool
+}
+
+func (o *order) note(what string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.what) > 0 || what != "settled" {
+		o.what = append(o.what, what)
+	}
+	if what == "settled" && len(o.what) == 2 {
+		close(o.over)
+	}
+}
+func (o *order) Data(b []byte) { o.note(string(b)) }
+func (o *order) Closed()       { o.note("closed"); close(o.closed) }
+
+// A request and its client's end have both come before the poller reads. The loop hears of the end in the batch of the
+// request, so that nothing is decided for it in between: the poller is held behind the request until that batch is over.
+func TestEndIsHeardWithWhatCameBeforeIt(t *testing.T) {
+	l := NewLoop(256)
+	front, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, other := &order{over: make(chan bool), closed: make(chan bool)}, &ends{make(chan string, 10), make(chan bool)}
+	accepted := make(chan bool, 2)
+	handlers := []Handler{o, other}
+	if err := l.Listen(front, 1<<20, func(c *Conn) { c.Handle(handlers[0]); handlers = handlers[1:]; accepted <- true }); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan bool)
+	go func() { l.Run(func() { o.note("settled") }); close(ended) }()
+	defer func() { l.Post(l.End); <-ended }()
+	var peers [2]net.Conn
+	for n := range peers {
+		if peers[n], err = net.Dial("tcp", front.Addr().String()); err != nil {
+			t.Fatal(err)
+		}
+		defer peers[n].Close()
+		<-accepted
+	}
+	held, release := make(chan bool), make(chan bool)
+	defer faults.At("host.read", sync.OnceFunc(func() { held <- true; <-release }))()
+	told := 0
+	defer faults.At("host.told", func() {
+		if told++; told == 2 { // the request; the first is the other's
+			<-o.over
+		}
+	})()
+	if _, err := peers[1].Write([]byte("other")); err != nil {
+		t.Fatal(err)
+	}
+	<-held
+	if _, err := peers[0].Write([]byte("request")); err != nil {
+		t.Fatal(err)
+	}
+	peers[0].Close() // both are with this side's system now
+	close(release)
+	<-o.closed
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.what) < 2 || o.what[0] != "request" || o.what[1] != "closed" {
+		t.Errorf("in the order %v", o.what)
+	}
+}
--- a/internal/host/loop.go
+++ b/internal/host/loop.go
@@ -58,6 +58,7 @@
 	after   atomic.Int64 // end once so many bytes are written; 0: don't
 	deaf    atomic.Bool  // what still comes is thrown away by the poller, uncopied
 	closed  bool
+	came    bool     // it came in, and was not made here
 	early   [][]byte // what came before anyone handled it; the mailbox bounds it
 }
 
@@ -153,7 +154,7 @@
 		if nb.Session() != nil {
 			return // dialled
 		}
-		c := l.own(nb)
+		c := l.own(nb, true)
 		l.Post(func() { accept(c) })
 	})
 	e.OnRead(func(nb *nbio.Conn) {
@@ -179,8 +180,8 @@
 
 // own makes the connection's other half, and owner finds it. The lock orders the two for the poller, which learns of
 // a connection by way of the system alone.
-func (l *Loop) own(nb *nbio.Conn) *Conn {
-	c := &Conn{loop: l, nb: nb}
+func (l *Loop) own(nb *nbio.Conn, came bool) *Conn {
+	c := &Conn{loop: l, nb: nb, came: came}
 	nb.Lock()
 	nb.SetSession(c)
 	nb.Unlock()
@@ -214,7 +215,7 @@
 		std.Close()
 		return nil, err
 	}
-	c := l.own(nb)
+	c := l.own(nb, false)
 	_, err = l.engine.AddConn(nb)
 	return c, err
 }
@@ -229,21 +230,21 @@
 	return nb, nil
 }
 
-// receive takes in what has come, a bounded part of it at once. On the poller.
+// receive takes in what has come, a bounded part of it at once. On the poller. Of a connection that came in, bytes are told
+// with the end that is there behind them: guards against a request that waited to be read for longer than its client did,
+// and goes on before the loop hears that the client has gone.
 func (c *Conn) receive() {
 	buf := c.loop.buf
+	var data []byte // read, and not told yet
+	defer func() { c.tell(data, false) }()
 	for range reads {
 		n, heard, err := c.take(buf)
+		if data != nil {
+			c.tell(data, n == 0 && err == nil || err != nil && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR))
+			data = nil
+		}
 		if heard {
-			data := append([]byte(nil), buf[:n]...)
-			c.loop.Post(func() {
-				c.handled += int64(len(data))
-				if c.handler == nil {
-					c.early = append(c.early, data)
-				} else if !c.closed {
-					c.handler.Data(data)
-				}
-			})
+			data = append([]byte(nil), buf[:n]...)
 		}
 		switch {
 		case errors.Is(err, syscall.EINTR):
@@ -252,12 +253,31 @@
 		case err != nil:
 			c.nb.CloseWithError(err)
 			return
-		case n < len(buf):
+		case n == 0 || n < len(buf) && !c.came:
 			return
 		}
 	}
 }
 
+// tell has the loop hear of bytes, if there are any, and of the end behind them.
+func (c *Conn) tell(data []byte, ended bool) {
+	if data == nil {
+		return
+	}
+	c.loop.Post(func() {
+		c.handled += int64(len(data))
+		if c.handler == nil {
+			c.early = append(c.early, data)
+		} else if !c.closed {
+			c.handler.Data(data)
+		}
+		if ended {
+			c.gone()
+		}
+	})
+	faults.Here("host.told")
+}
+
 // take reads and counts in one step, against who asks what is unread. Guards against an end that is decided between the
 // two: bytes that were read before it would be thrown away after it, and their sender can't know.
 func (c *Conn) take(buf []byte) (n int, heard bool, err error) {
