--- a/cmd/wayloft/lab.go
+++ b/cmd/wayloft/lab.go
@@ -16,6 +16,7 @@
 	Owners labOwnersCmd `cmd:"" help:"Print what owners cost and save: time without one, the council's work, checks, service."`
 	Member labMemberCmd `cmd:"" hidden:"" help:"One stand-in member, as a process."`
 	Idle   labIdleCmd   `cmd:"" help:"Print what a resting session costs in memory."`
+	Still  labStillCmd  `cmd:"" help:"Print what a router costs that nothing is asked of, by members listed and sessions resting."`
 	Fast   labFastCmd   `cmd:"" help:"Print what a router costs where members answer fast: direct and through it, in one run."`
 }
 
