A look passes over sessions that rest

A look each 100 ms went over all sessions, and sorted those that rest; makeRoom went over all for each that came in. With 7,050 resting, most of the profile was clients.look. Sessions are now noted by when they fell quiet, and a look goes over those that have said something since the last.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -3,11 +3,9 @@
 package clients
 
 import (
-	"cmp"
 	"errors"
 	"net"
 	"os"
-	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -44,6 +42,7 @@
 	longest  int // bytes of one message
 	held     int
 	sessions map[*session]bool
+	rota     rota
 	room     chan struct{} // holds one for each connection accepted
 	gate     *gate
 	ending   int      // sessions whose connection ends, but has not ended yet
@@ -77,6 +76,7 @@
 	moved float64 // when the client last read something, or had nothing to read
 	skips bool    // an error of the extended protocol: all up to Sync is passed over
 
+	place         place
 	written       int64
 	held, partial int // bytes of statements, and of the one that is not whole yet, which is among them
 }
@@ -96,7 +96,7 @@
 // New makes room for so many sessions, which together hold so many bytes of statements, none longer than longest.
 func New(h *host.Host, most, budget, longest int) *Clients {
 	a := &Clients{host: h, most: most, budget: budget, longest: longest, sessions: map[*session]bool{},
-		keys: map[pg.Key]*pooled{}, room: make(chan struct{}, most+spare)}
+		rota: rota{awake: map[*session]bool{}}, keys: map[pg.Key]*pooled{}, room: make(chan struct{}, most+spare)}
 	h.After(looks, a.look)
 	return a
 }
@@ -191,6 +191,7 @@
 	s := &session{all: a, conn: c, in: pg.NewReader(false, a.longest), since: now, moved: now, until: now + hurry}
 	c.Handle(s)
 	a.sessions[s] = true
+	a.rota.enter(s)
 	if a.gate != nil {
 		a.gate.taken++
 		a.gate.open()
@@ -207,13 +208,7 @@
 // before anyone else.
 func (a *Clients) makeRoom() {
 	for len(a.sessions)-a.ending >= a.most {
-		var first *session
-		for s := range a.sessions {
-			if s.idle() && (first == nil || s.before(first)) && !s.conn.Unread() {
-				first = s
-			}
-		}
-		if first == nil || first.retire() { // others may be waiting
+		if first := a.first(a.host.Now()); first == nil || first.retire() { // others may be waiting
 			return
 		}
 	}
@@ -253,27 +248,18 @@
 	s.conn.Drop()
 }
 
-// before tells which of two sessions goes first.
-func (s *session) before(o *session) bool {
-	rank := func(s *session) int {
-		switch {
-		case s.asked:
-			return 2
-		case s.all.host.Now() < s.since+grace:
-			return 3
-		}
-		return 0
-	}
-	return cmp.Or(cmp.Compare(rank(s), rank(o)), cmp.Compare(s.since, o.since)) < 0
-}
-
 // look ends sessions that have taken too long, whatever they wait for but an answer, and of those that rest all but the
 // latest third of what there is room for. Guards against connections that are never used, statements that never end,
 // answers that are never read, and clients that hold connections which they don't use again until none is left to them.
 func (a *Clients) look() {
+	a.lookOnce()
+	a.host.After(looks, a.look)
+}
+
+func (a *Clients) lookOnce() {
 	now := a.host.Now()
-	var resting []*session
-	for s := range a.sessions {
+	for s := range a.rota.awake {
+		a.rota.looked++
 		if s.spent = 0; s.p != nil || len(s.queue) > 0 {
 			s.next()
 		}
@@ -286,22 +272,16 @@
 			s.drop()
 		case s.deaf || !s.answered() || s.p != nil && s.in.Pending() == 0:
 		case s.asked && s.quiet():
-			resting = append(resting, s)
 		case now > s.until && !s.conn.Unread():
 			a.Late++
 			s.refuse(late)
 		}
+		a.rota.lull(s)
 	}
-	slices.SortFunc(resting, func(s, o *session) int { return cmp.Compare(o.since, s.since) })
-	for n, s := range resting {
-		if n >= a.most/3 || now > s.until {
-			s.retire()
-		}
-	}
+	a.retireLongest(now, a.most/3)
 	if a.leaving {
 		a.sweep()
 	}
-	a.host.After(looks, a.look)
 }
 
 // Drain serves on while connections may come, then ends each session once it is quiet, and the loop after the last.
@@ -387,6 +367,7 @@
 	}
 	s.all.held -= s.held
 	delete(s.all.sessions, s)
+	s.all.rota.leave(s)
 	<-s.all.room
 	faults.Here("clients.closed")
 	s.all.last()
@@ -397,6 +378,7 @@
 	if s.deaf {
 		return
 	}
+	s.all.rota.wake(s, s.all.host.Now())
 	if s.asked && (s.in.Pending() == 0 || s.p != nil) {
 		s.until = s.all.host.Now() + hurry
 	}
