--- a/internal/clients/resting_test.go
+++ b/internal/clients/resting_test.go
@@ -191,9 +191,10 @@
 				d := draws[n]
 				a.rota.leave(s)
 				s.asked, s.ends, s.queue = d.asked, false, nil
-				if s.since = now - 400 + 40*float64(d.noted); !d.asked {
-					a.rota.enter(s)
-				} else if a.rota.awake[s] = true; d.sleep {
+				if s.since = now - 400 + 40*float64(d.noted); !d.asked || !d.sleep {
+					a.rota.enter(s) // and has asked since, if it has
+				} else {
+					a.rota.awake[s] = true
 					a.rota.lull(s)
 				}
 				if s.since = now - 400 + 40*float64(d.since); d.asked && !d.sleep {
