--- a/internal/clients/resting_test.go
+++ b/internal/clients/resting_test.go
@@ -191,14 +191,16 @@
 				d := draws[n]
 				a.rota.leave(s)
 				s.asked, s.ends, s.queue = d.asked, false, nil
-				if s.since = now - 400 + 40*float64(d.noted); !d.asked || !d.sleep {
+				if s.since = now - 800 + 40*float64(d.noted); !d.asked || !d.sleep {
 					a.rota.enter(s) // and has asked since, if it has
 				} else {
 					a.rota.awake[s] = true
 					a.rota.lull(s)
 				}
-				if s.since = now - 400 + 40*float64(d.since); d.asked && !d.sleep {
-					s.since += 500 // it rests since the last look, those that sleep since before
+				if s.since = now - 800 + 40*float64(d.since); d.asked && !d.sleep {
+					s.since += 400 // it rests since the last look, those that sleep since before
+				} else if !d.asked && d.since%2 == 0 {
+					s.since += 760 // a newcomer
 				}
 				if s.ends = d.ends; d.busy && !(d.asked && d.sleep) {
 					s.queue = []item{{}}
