--- a/internal/decide/pool/pool.go
+++ b/internal/decide/pool/pool.go
@@ -7,11 +7,13 @@
 package pool
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
 
 	"wayloft/internal/decide/chance"
+	"wayloft/internal/decide/due"
 )
 
 const (
@@ -123,6 +125,7 @@
 	lastUse     int
 	like        any
 	stale, rest bool // stale: not to be used again
+	inside      due.Item[*conn]
 }
 
 type want struct {
@@ -148,6 +151,9 @@
 
 // place is one member.
 type place struct {
+	member  string
+	stirred bool // something has happened since the last sweep
+	swept   due.Item[*place]
 	up      bool
 	lanes   map[string]*lane
 	all     int // connections, those being opened among them
@@ -173,6 +179,12 @@
 	out     []Decision
 	fresh   bool
 	sweepAt float64
+
+	// What a sweep goes over, so that it costs by what has happened and is due, not by what is there.
+	stirred []*place          // something has happened to them since the last one
+	later   due.Queue[*place] // by when there is something to do
+	resting due.Queue[*conn]  // those kept by clients that ask nothing, by when they have been kept too long
+	visited int               // places and connections gone over so far
 }
 
 // New makes a pool that has no connection yet.
@@ -187,12 +199,22 @@
 func (p *Pool) place(member string) *place {
 	m := p.places[member]
 	if m == nil {
-		m = &place{lanes: map[string]*lane{}, step: firstStep}
+		m = &place{member: member, lanes: map[string]*lane{}, step: firstStep}
+		m.swept.Of = m
 		p.places[member] = m
 	}
+	p.stir(m)
 	return m
 }
 
+// stir has the next sweep look at a member. Whatever changes something of a member, its lanes or connections says so.
+func (p *Pool) stir(m *place) {
+	if !m.stirred {
+		m.stirred = true
+		p.stirred = append(p.stirred, m)
+	}
+}
+
 func (p *Pool) lane(k Key) *lane {
 	m := p.place(k.Member)
 	l := m.lanes[k.Pool]
@@ -245,6 +267,8 @@
 
 func (p *Pool) drop(c *conn) {
 	l := c.lane
+	p.stir(l.place)
+	p.resting.Drop(&c.inside)
 	delete(p.conns, c.id)
 	l.all--
 	l.place.all--
@@ -287,6 +311,7 @@
 
 // take takes a want out of its queue.
 func (p *Pool) take(l *lane, tenant string, n int) *want {
+	p.stir(l.place)
 	list := l.waiting[tenant]
 	w := list[n]
 	w.waits = false
@@ -310,6 +335,7 @@
 		return
 	}
 	m := c.lane.place
+	p.stir(m)
 	c.lane.opening--
 	m.opening--
 	m.tries = 0
@@ -362,6 +388,7 @@
 		return
 	}
 	c.like, c.rest = like, false
+	p.resting.Drop(&c.inside)
 	if c.over(p.now) || p.overfull(c) {
 		p.close(c)
 		return
@@ -370,6 +397,7 @@
 }
 
 func (p *Pool) rest(c *conn) {
+	p.stir(c.lane.place)
 	c.state, c.since = idle, p.now
 	if c.stale || !c.lane.place.up {
 		p.close(c)
@@ -421,6 +449,11 @@
 func (p *Pool) Turn(id int, clients bool) {
 	if c := p.conns[id]; c != nil && c.state == busy {
 		c.rest, c.since = clients, p.now
+		if b := c.lane.bounds; clients && b.IdleInside > 0 {
+			p.resting.Put(&c.inside, p.now+b.IdleInside)
+		} else {
+			p.resting.Drop(&c.inside)
+		}
 	}
 }
 
@@ -584,6 +617,8 @@
 func (p *Pool) open(l *lane, w *want) {
 	p.last++
 	c := &conn{id: p.last, lane: l, state: opening, opened: w}
+	c.inside.Of = c
+	p.stir(l.place)
 	p.conns[c.id] = c
 	l.all++
 	l.opening++
@@ -600,8 +635,16 @@
 // sweep closes what has been idle too long, keeps others warm, ends waits and forgets what is not used.
 func (p *Pool) sweep() {
 	p.fresh = true
-	for _, member := range slices.Sorted(maps.Keys(p.places)) {
-		m := p.places[member]
+	for i := p.later.First(); i != nil && i.At() <= p.now; i = p.later.First() {
+		p.later.Drop(i)
+		p.stir(i.Of)
+	}
+	places := p.stirred
+	p.stirred = nil
+	slices.SortFunc(places, func(m, o *place) int { return cmp.Compare(m.member, o.member) })
+	for _, m := range places {
+		p.visited++
+		m.stirred = false
 		if m.bound > 0 && p.now >= m.raiseAt {
 			m.raiseAt = p.now + m.step
 			if m.bound++; m.bound > m.all+1 && m.bound > 2*m.all {
@@ -615,17 +658,50 @@
 				delete(m.lanes, name)
 			}
 		}
-		if !m.up && len(m.lanes) == 0 {
-			delete(p.places, member)
+		if p.later.Drop(&m.swept); !m.up && len(m.lanes) == 0 {
+			delete(p.places, m.member)
+		} else if at := m.due(p.now); !math.IsInf(at, 1) {
+			p.later.Put(&m.swept, at)
 		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(p.conns)) {
-		c := p.conns[id]
-		if b := c.lane.bounds; c.state == busy && c.rest && b.IdleInside > 0 && p.now-c.since > b.IdleInside {
-			c.rest = false
-			p.out = append(p.out, Decision{Verb: End, Conn: c.id, Key: c.lane.key})
+	var over []*conn
+	for i := p.resting.First(); i != nil && i.At() < p.now; i = p.resting.First() {
+		p.visited++
+		p.resting.Drop(i)
+		over = append(over, i.Of)
+	}
+	slices.SortFunc(over, func(c, o *conn) int { return c.id - o.id })
+	for _, c := range over {
+		c.rest = false
+		p.out = append(p.out, Decision{Verb: End, Conn: c.id, Key: c.lane.key})
+	}
+}
+
+// due is when a sweep has something to do for a member that nothing happens to.
+func (m *place) due(now float64) float64 {
+	at := math.Inf(1)
+	if m.bound > 0 {
+		at = m.raiseAt
+	}
+	for _, l := range m.lanes {
+		for _, c := range l.idle {
+			if l.bounds.Idle > 0 {
+				at = math.Min(at, c.since+l.bounds.Idle)
+			}
+			if l.bounds.Age > 0 {
+				at = math.Min(at, c.born+c.lastAge)
+			}
+		}
+		for _, list := range l.waiting {
+			if l.bounds.Wait > 0 {
+				at = math.Min(at, list[0].at+l.bounds.Wait)
+			}
+		}
+		if l.all < l.bounds.Warm && l.opening == 0 {
+			at = math.Min(at, math.Max(now, m.tryAt))
 		}
 	}
+	return at
 }
 
 func (p *Pool) sweepLane(l *lane) {
