--- a/internal/decide/pool/pool.go
+++ b/internal/decide/pool/pool.go
@@ -251,8 +251,8 @@
 // CloseIdle has the idle connections to a member closed.
 func (p *Pool) CloseIdle(member string) {
 	if m := p.places[member]; m != nil {
-		for _, l := range m.lanes {
-			for _, c := range slices.Clone(l.idle) {
+		for _, name := range slices.Sorted(maps.Keys(m.lanes)) {
+			for _, c := range slices.Clone(m.lanes[name].idle) {
 				p.close(c)
 			}
 		}
@@ -482,8 +482,23 @@
 	return p.set.Member
 }
 
-// Due is when Next may have something although nothing came in.
-func (p *Pool) Due() float64 { return p.sweepAt }
+// Due is when Next may have something although nothing came in; after an input, that may be as early as Sweep.
+func (p *Pool) Due() float64 {
+	if len(p.stirred) > 0 || len(p.hungry) > 0 {
+		return p.sweepAt
+	}
+	at := math.Inf(1)
+	if i := p.later.First(); i != nil {
+		at = i.At()
+	}
+	if i := p.resting.First(); i != nil {
+		at = math.Min(at, i.At())
+	}
+	return math.Max(at, p.sweepAt)
+}
+
+// Sweep is when the next sweep may be at the earliest.
+func (p *Pool) Sweep() float64 { return p.sweepAt }
 
 // Next gives the next decision; false: none is left.
 func (p *Pool) Next() (Decision, bool) {
@@ -643,8 +658,10 @@
 	p.stirred = nil
 	slices.SortFunc(places, func(m, o *place) int { return cmp.Compare(m.member, o.member) })
 	for _, m := range places {
+		if m.stirred = false; p.places[m.member] != m { // forgotten, and perhaps listed anew since
+			continue
+		}
 		p.visited++
-		m.stirred = false
 		if m.bound > 0 && p.now >= m.raiseAt {
 			m.raiseAt = p.now + m.step
 			if m.bound++; m.bound > m.all+1 && m.bound > 2*m.all {
--- /dev/null
+++ b/internal/decide/pool/sweep_test.go
@@ -0,0 +1,178 @@
+package pool
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against a sweep that costs by how many members and connections there are.
+func TestASweepPassesOverWhatRests(t *testing.T) {
+	p := New(Settings{All: 2000, Pools: map[string]Bounds{"x": {Idle: 60000, Age: 90000, Uses: 9, Wait: 500, IdleInside: 70000, Warm: 1}}})
+	pull := func(now float64) (n int) {
+		p.At(now)
+		for _, more := p.Next(); more; _, more = p.Next() {
+			n++
+		}
+		return n
+	}
+	p.At(0)
+	for n := range 820 {
+		p.Listed(strconv.Itoa(n), true)
+	}
+	pull(0)
+	for id := 1; id <= 820; id++ {
+		p.Opened(id)
+	}
+	p.Want(Want{ID: "w", Key: Key{"7", "x"}})
+	pull(100)
+	p.Turn(8, true)
+	pull(200)
+	before := p.visited
+	for n := range 100 {
+		if d := pull(300 + 100*float64(n)); d > 0 {
+			t.Fatalf("%d decisions though nothing happened", d)
+		}
+	}
+	if n := p.visited - before; n != 0 {
+		t.Errorf("100 sweeps over 820 members with a connection each went over %d of them, none was due", n)
+	}
+	if due := p.Due(); due < 60000 {
+		t.Errorf("due at %v, the first that has something to do is idle for too long at 60000", due)
+	}
+	p.At(11000)
+	p.Want(Want{ID: "v", Key: Key{"9", "x"}})
+	if before = p.visited; p.Due() > 11000 || pull(11000) != 1 || p.visited > before+1 {
+		t.Errorf("one member is wanted: %d gone over, due at %v", p.visited-before, p.Due())
+	}
+}
+
+// Whatever happens, in whatever order: sweeps that pass over what they don't expect to be due decide the same as sweeps
+// over everything, and Due is never later than the next of these decisions.
+func TestSweepsMissNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		set := Settings{All: 6, Member: 4, Pools: map[string]Bounds{"x": {PerMember: 3, Wait: 500, Idle: 900, Age: 5000, Uses: 7,
+			IdleInside: 300}, "y": {Wait: 500, Idle: 900, Warm: 1}, "z": {Settle: 2}}}
+		p, all := New(set), New(set)
+		now, ids := 1000.0, 0
+		state, wants := map[int]Verb{}, []string{}
+		pull := func(p *Pool) (out []Decision) {
+			for d, more := p.Next(); more; d, more = p.Next() {
+				out = append(out, d)
+			}
+			return out
+		}
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			by := now + rapid.SampledFrom([]float64{0, 1, 30, 120, 400, 3000}).Draw(t, "ms")
+			for all.sweepAt <= by { // as a host would: at each sweep of the one, at Due of the other
+				now = math.Max(now, all.sweepAt)
+				all.At(now)
+				for _, m := range all.places {
+					all.stir(m)
+				}
+				want := pull(all)
+				var got []Decision
+				if p.Due() <= now {
+					p.At(now)
+					got = pull(p)
+				}
+				if fmt.Sprint(got) != fmt.Sprint(want) {
+					t.Fatalf("at %v: %v, a sweep over everything has %v", now, got, want)
+				}
+				p.sweepAt = all.sweepAt
+				note(got, state)
+			}
+			now = by
+			who := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "member")
+			name := rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "pool")
+			tenant := rapid.SampledFrom([]string{"", "t"}).Draw(t, "tenant")
+			cause := Cause(rapid.IntRange(0, 2).Draw(t, "cause"))
+			yes := rapid.IntRange(0, 3).Draw(t, "yes") > 0
+			some := func(among func(Verb) bool) int {
+				var ids []int
+				for id, v := range state {
+					if among(v) {
+						ids = append(ids, id)
+					}
+				}
+				if slices.Sort(ids); len(ids) == 0 {
+					return 0
+				}
+				return ids[rapid.IntRange(0, len(ids)-1).Draw(t, "which")]
+			}
+			opening, inUse := some(func(v Verb) bool { return v == Open }), some(func(v Verb) bool { return v == Use })
+			step := rapid.IntRange(0, 9).Draw(t, "step")
+			if step == 1 {
+				ids++
+				wants = append(wants, strconv.Itoa(ids))
+			}
+			for _, one := range []*Pool{p, all} {
+				one.At(now)
+				switch step {
+				case 0:
+					one.Listed(who, yes)
+				case 1:
+					one.Want(Want{ID: strconv.Itoa(ids), Key: Key{who, name}, Tenant: tenant})
+				case 2, 3:
+					one.Opened(opening)
+				case 4:
+					one.Failed(opening, cause)
+				case 5, 6:
+					one.Free(inUse, nil)
+				case 7:
+					one.Turn(inUse, yes)
+				case 8:
+					one.Gone(cmp.Or(inUse, opening))
+				case 9:
+					if len(wants) > 0 {
+						one.Leave(wants[0])
+					}
+				}
+			}
+			switch step {
+			case 2, 3:
+				if opening > 0 {
+					state[opening] = Close // up
+				}
+			case 4:
+				delete(state, opening)
+			case 5, 6:
+				if inUse > 0 {
+					state[inUse] = Close
+				}
+			case 8:
+				delete(state, cmp.Or(inUse, opening))
+			case 9:
+				if len(wants) > 0 {
+					wants = wants[1:]
+				}
+			}
+			for _, m := range all.places {
+				all.stir(m)
+			}
+			got, want := pull(p), pull(all)
+			if fmt.Sprint(got) != fmt.Sprint(want) {
+				t.Fatalf("at %v: %v, a sweep over everything has %v", now, got, want)
+			}
+			note(got, state)
+			p.sweepAt = all.sweepAt
+		}
+	})
+}
+
+// note keeps how connections stand: opening, in use, or up.
+func note(ds []Decision, state map[int]Verb) {
+	for _, d := range ds {
+		switch d.Verb {
+		case Open, Use:
+			state[d.Conn] = d.Verb
+		case Close:
+			delete(state, d.Conn)
+		}
+	}
+}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -69,7 +69,8 @@
 	known   map[string]*iradix.Tree[string] // what members of a pool report, as it was heard last
 	asked   int                             // wants so far
 	pulling bool                            // decisions are being pulled
-	armed   bool                            // a timer rings when the pool may decide something by itself
+	armed   float64                         // when the pool may decide something by itself; the alarm then rings
+	alarm   *time.Timer
 
 	Unsent int // submissions and checks for which no connection was left
 	held   int // bytes
@@ -132,7 +133,7 @@
 // New makes the side.
 func New(h Host, l Limits, p *pool.Pool) *Members {
 	m := &Members{host: h, limits: l, pool: p, byID: map[string]*member{}, links: map[int]*link{}, jobs: map[string]*job{},
-		wants: map[string]*job{}, known: map[string]*iradix.Tree[string]{}}
+		wants: map[string]*job{}, known: map[string]*iradix.Tree[string]{}, armed: math.Inf(1)}
 	h.Soon(m.pull)
 	return m
 }
@@ -189,9 +190,27 @@
 // hear gives the pool to be told something.
 func (a *Members) hear() *pool.Pool {
 	a.pool.At(a.host.Now())
+	a.arm(a.pool.Sweep())
 	return a.pool
 }
 
+// arm has decisions pulled at a time, unless they are sooner.
+func (a *Members) arm(at float64) {
+	if at >= a.armed {
+		return
+	}
+	if a.alarm != nil {
+		a.alarm.Stop()
+	}
+	a.armed = at
+	a.alarm = a.host.After(at-a.host.Now(), func() {
+		if a.armed == at { // one that is stopped late may still ring
+			a.armed = math.Inf(1)
+			a.pull()
+		}
+	})
+}
+
 // pull carries out what the pool decides, until it has nothing left.
 func (a *Members) pull() {
 	if a.pulling {
@@ -203,10 +222,7 @@
 		a.do(d)
 	}
 	a.pulling = false
-	if !a.armed {
-		a.armed = true
-		a.host.After(a.pool.Due()-a.host.Now(), func() { a.armed = false; a.pull() })
-	}
+	a.arm(a.pool.Due())
 }
 
 func (a *Members) do(d pool.Decision) {
