--- a/cmd/wayloft/join.go
+++ b/cmd/wayloft/join.go
@@ -68,6 +68,7 @@
 			delete(s.listed, e.ID)
 		}
 	}
+	s.link.Changed()
 }
 
 // started gives a start as it goes between processes: 0 for long ago.
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -43,6 +43,7 @@
 	held     int
 	sessions map[*session]bool
 	rota     rota
+	looking  bool          // a look is due in a moment
 	room     chan struct{} // holds one for each connection accepted
 	gate     *gate
 	ending   int      // sessions whose connection ends, but has not ended yet
@@ -97,7 +98,6 @@
 func New(h *host.Host, most, budget, longest int) *Clients {
 	a := &Clients{host: h, most: most, budget: budget, longest: longest, sessions: map[*session]bool{},
 		rota: rota{awake: map[*session]bool{}}, keys: map[pg.Key]*pooled{}, room: make(chan struct{}, most+spare)}
-	h.After(looks, a.look)
 	return a
 }
 
@@ -192,6 +192,7 @@
 	c.Handle(s)
 	a.sessions[s] = true
 	a.rota.enter(s)
+	a.lookSoon()
 	if a.gate != nil {
 		a.gate.taken++
 		a.gate.open()
@@ -252,8 +253,18 @@
 // latest third of what there is room for. Guards against connections that are never used, statements that never end,
 // answers that are never read, and clients that hold connections which they don't use again until none is left to them.
 func (a *Clients) look() {
-	a.lookOnce()
-	a.host.After(looks, a.look)
+	a.looking = false
+	if a.lookOnce(); a.leaving || len(a.rota.awake)+a.rota.resting.Len() > 0 {
+		a.lookSoon()
+	}
+}
+
+// lookSoon has the next look come, where one is needed. A router whose sessions all sleep wakes for none.
+func (a *Clients) lookSoon() {
+	if !a.looking {
+		a.looking = true
+		a.host.After(looks, a.look)
+	}
 }
 
 func (a *Clients) lookOnce() {
@@ -292,6 +303,7 @@
 	a.draining = true
 	a.host.After(comers, func() {
 		a.leaving, a.left = true, a.host.Now()
+		a.lookSoon()
 		a.sweep()
 	})
 }
@@ -379,6 +391,7 @@
 		return
 	}
 	s.all.rota.wake(s, s.all.host.Now())
+	s.all.lookSoon()
 	if s.asked && (s.in.Pending() == 0 || s.p != nil) {
 		s.until = s.all.host.Now() + hurry
 	}
--- a/internal/clients/resting_test.go
+++ b/internal/clients/resting_test.go
@@ -251,3 +251,36 @@
 		})
 	}
 }
+
+// Guards against a router that wakes ten times a second for sessions of which none has anything to be looked at, and against
+// one that does not wake for the first that has.
+func TestNoLookComesWhereAllSleep(t *testing.T) {
+	f := newFront(t, 30)
+	var of []net.Conn
+	for range 10 {
+		of = append(of, f.dial("pooled", false))
+	}
+	for looking := true; looking; {
+		f.do(func() { looking = f.all.looking })
+	}
+	f.do(func() {
+		if n := len(f.all.rota.awake); n > 0 {
+			t.Errorf("no look is to come, %d sessions are awake", n)
+		}
+	})
+	if _, err := of[3].Write(pg.AppendQuery(nil, "")[:3]); err != nil { // a message whose rest does not come
+		t.Fatal(err)
+	}
+	for looking := false; !looking; {
+		f.do(func() { looking = f.all.looking })
+	}
+	buf := make([]byte, 1<<12)
+	for err := error(nil); err == nil; { // it is sent away
+		_, err = of[3].Read(buf)
+	}
+	f.do(func() {
+		if f.all.Late != 1 {
+			t.Errorf("%d sessions were sent away for their silence, not 1", f.all.Late)
+		}
+	})
+}
--- a/internal/decide/pool/sweep_test.go
+++ b/internal/decide/pool/sweep_test.go
@@ -176,3 +176,51 @@
 		}
 	}
 }
+
+// Guards against a member that was forgotten, whose last sweep forgets the one that has its name by then.
+func TestListedAnewAfterItWasForgotten(t *testing.T) {
+	p := New(Settings{All: 9, Pools: map[string]Bounds{"x": {Wait: 500}}})
+	expect := func(now float64, want ...Verb) {
+		t.Helper()
+		p.At(now)
+		var got []Verb
+		for d, more := p.Next(); more; d, more = p.Next() {
+			got = append(got, d.Verb)
+		}
+		if !slices.Equal(got, want) {
+			t.Fatalf("at %v: %v, not %v", now, got, want)
+		}
+	}
+	expect(0)
+	p.Want(Want{ID: "w", Key: Key{"a", "x"}})
+	expect(600, Refuse)
+	p.Listed("a", true)
+	p.Want(Want{ID: "v", Key: Key{"a", "x"}})
+	expect(610, Open)
+	p.Opened(1)
+	expect(620, Use)
+	expect(800)
+	p.Free(1, nil)
+	p.Listed("a", false)
+	expect(810, Close)
+}
+
+// Guards against somebody who waits for a member that can be tried again, until something else wakes the pool.
+func TestWhoWaitsIsTriedAgainInTime(t *testing.T) {
+	p := New(Settings{All: 9, Pools: map[string]Bounds{"x": {Wait: 60000}}})
+	p.Listed("a", true)
+	p.Want(Want{ID: "w", Key: Key{"a", "x"}})
+	tries, now := 0, 0.0
+	for ; now < 2000; now = p.Due() {
+		p.At(now)
+		for d, more := p.Next(); more; d, more = p.Next() {
+			if d.Verb == Open {
+				tries++
+				p.Failed(d.Conn, Full)
+			}
+		}
+	}
+	if tries < 7 { // at 0, and after 20, 40, 80, 160, 320 and 640 ms more, each with a sweep's gap at most
+		t.Errorf("%d tries by %v", tries, now)
+	}
+}
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"hash/fnv"
 	"maps"
+	"math"
 	"net"
 	"slices"
 	"strings"
@@ -38,7 +39,7 @@
 	longest     = 1 << 20         // bytes of one order
 	connections = 1024            // of those who give orders
 	handshake   = 5 * time.Second // for one of them to begin to speak the protocol
-	groupsEvery = 500.0           // ms between two looks at which groups there are
+	again       = 500.0           // ms until the router is asked again which groups there are, where too much waited for it
 	farewell    = time.Second     // to tell the council that this process leaves
 )
 
@@ -46,7 +47,7 @@
 type Router interface {
 	Post(f func())
 	Now() float64                            // Unix ms
-	Groups() map[int][]Member                // as the list has them
+	Groups() map[int][]Member                // as the list has them; asked at the start and after Changed
 	Look(member string)                      // check it
 	Sighted(r sight.Report)                  // what another's check told
 	Hold(group int, until float64)           // writes wait until then, Unix ms; 0: they don't
@@ -87,7 +88,10 @@
 	ctx     context.Context
 	ended   chan struct{}
 	groups  map[int][]Member
-	lookAt  float64
+	lookAt  float64                   // when the router is asked which groups there are
+	changed chan struct{}             // they have changed
+	asked   int                       // how often it was asked
+	heard   int                       // the latest of these that it has answered
 	wanted  map[string]bool           // duties that it would own, of groups that are listed
 	desks   map[string]*handover.Desk // by duty, while it is wanted
 	looks   map[string]*looker        // by duty, while it is held
@@ -113,7 +117,8 @@
 	h.Write([]byte(set.Name))
 	l := &Link{set: set, router: router, client: NewClient(set.Fleet, set.Council, set.Via), inbox: make(chan func(), inbox),
 		ended: make(chan struct{}), groups: map[int][]Member{}, wanted: map[string]bool{}, desks: map[string]*handover.Desk{}, looks: map[string]*looker{},
-		hands: map[string]*handing{}, guests: handover.NewGuests(set.Bound), ways: map[string]*grpc.ClientConn{}, hosted: make(chan func(), inbox)}
+		hands: map[string]*handing{}, guests: handover.NewGuests(set.Bound), ways: map[string]*grpc.ClientConn{}, hosted: make(chan func(), inbox),
+		changed: make(chan struct{}, 1)}
 	l.agent = agent.New(agent.Settings{Name: set.Name, Kind: set.Kind, Address: set.Address, Length: set.Length, Margin: set.Margin,
 		Incarnation: uint64(time.Now().UnixMilli()), Seed: h.Sum64() ^ wire.Draw()})
 	return l
@@ -163,6 +168,8 @@
 				(<-l.inbox)()
 			}
 		case <-timer.C:
+		case <-l.changed:
+			l.lookAt = 0
 		case <-left:
 			left = nil
 			late = time.After(farewell)
@@ -179,6 +186,14 @@
 // Ended is closed once Run has returned.
 func (l *Link) Ended() <-chan struct{} { return l.ended }
 
+// Changed says that the router's list has changed. It never waits, and may be called on the router's loop.
+func (l *Link) Changed() {
+	select {
+	case l.changed <- struct{}{}:
+	default: // it is yet to be looked at
+	}
+}
+
 func (l *Link) now() float64 { return wire.Boottime() + l.set.Ahead }
 
 // post has the loop do something; it reports false where the loop has ended.
@@ -219,11 +234,19 @@
 	now := l.now()
 	l.agent.At(now)
 	if l.lookAt <= now {
-		l.lookAt = now + groupsEvery
-		l.host(func() {
+		l.asked++
+		n := l.asked
+		if l.lookAt = now + again; l.host(func() {
 			g := l.router.Groups()
-			go l.post(func() { l.listed(g) })
-		})
+			go l.post(func() {
+				if n > l.heard { // guards against a list that overtakes the one after it: nobody would ask again
+					l.heard = n
+					l.listed(g)
+				}
+			})
+		}) {
+			l.lookAt = math.Inf(1) // until they change
+		}
 	}
 	for d, more := l.agent.Next(); more; d, more = l.agent.Next() {
 		l.do(d)
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -435,3 +435,19 @@
 		t.Errorf("after the move: %q", got)
 	}
 }
+
+// Guards against a timer that wakes a router of which nothing is asked, and against one that is late for what the pool has
+// to do by itself.
+func TestNoTimerRingsWhereNothingIsDue(t *testing.T) {
+	e, side := start(t, 10)
+	e.do(func() { side.List(list("127.0.0.1:1", router.Up)) })
+	for rests := false; !rests; { // the sweep after the list
+		e.do(func() { rests = math.IsInf(side.armed, 1) })
+	}
+	e.do(func() {
+		side.hear()
+		if at := side.pool.Sweep(); side.armed != at {
+			t.Errorf("the pool has heard something, its next sweep is at %v and the timer at %v", at, side.armed)
+		}
+	})
+}
