What all clients are told is held once; too few descriptors are an error at the start

With 7,050 sessions at rest, 21 of 33 MB of heap were 7,050 copies of the parameters that clients are told before a member has told any (heap profile). A router whose limits.descriptors the system does not give started all the same, and found out when clients came. TOML alone: the platform's form is bound by the platform.

--- /dev/null
+++ b/cmd/wayloft/enough_test.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"wayloft/internal/lab"
+)
+
+// The size of two years hence is a configuration like any other; where the system gives fewer descriptors the start says so.
+func TestDescriptorsThatTheSystemDoesNotGive(t *testing.T) {
+	text := lab.Still{Members: 820, Groups: 205}.Configuration("127.0.0.1:0", "", "", "")
+	conf, err := load(write(t, filepath.Join(t.TempDir(), "still.toml"), text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if conf.sessions != 7500 || conf.sockets != 16384 || len(conf.known.Entries) != 820 {
+		t.Errorf("%d sessions, %d descriptors, %d members", conf.sessions, conf.sockets, len(conf.known.Entries))
+	}
+	if err := enough(conf, 16384); err != nil {
+		t.Error(err)
+	}
+	err = enough(conf, 4096)
+	if err == nil || !strings.Contains(err.Error(), "limits.descriptors: 16384, the system gives this process 4096") {
+		t.Errorf("got %v", err)
+	}
+	if conf.path = "config.json"; enough(conf, 4096) != nil {
+		t.Error("on the platform its own limit binds")
+	}
+}
--- a/cmd/wayloft/serve.go
+++ b/cmd/wayloft/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"os/signal"
@@ -40,6 +41,9 @@
 	if err != nil {
 		return err
 	}
+	if err := enough(conf, system()); err != nil {
+		return err
+	}
 	debug.SetMemoryLimit(int64(conf.memory) / 10 * 7) // the rest is for stacks, and the system's share
 	listener, err := net.Listen("tcp", conf.listen)
 	if err != nil {
@@ -48,6 +52,32 @@
 	return serve(conf, listener, signals)
 }
 
+// system is how many descriptors the system lets this process have; the runtime has raised that as far as it may.
+func system() uint64 {
+	var r syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r); err != nil {
+		return math.MaxUint64
+	}
+	return r.Cur
+}
+
+// enough tells whether what is configured fits the descriptors that the system gives. Guards against a router that takes what
+// it was told to, and long after its start lets clients wait and loses members. On the platform its own limit is what binds.
+func enough(conf *config, given uint64) error {
+	if !strings.HasSuffix(conf.path, ".toml") {
+		return nil
+	}
+	if given < uint64(conf.sockets) {
+		return fmt.Errorf("%s: limits.descriptors: %d, the system gives this process %d: raise its limit (ulimit -n, LimitNOFILE= of "+
+			"systemd) or lower the setting", conf.path, conf.sockets, given)
+	}
+	if all := conf.sessions + conf.links + ownSockets; all > conf.sockets {
+		logrus.Warnf("limits.descriptors: %d is less than sessions, connections and %d of the router's own, %d: the last of them will not "+
+			"be had", conf.sockets, ownSockets, all)
+	}
+	return nil
+}
+
 // service is the parts of one router.
 type service struct {
 	host    *host.Host
--- a/internal/clients/pooled.go
+++ b/internal/clients/pooled.go
@@ -111,9 +111,7 @@
 		out = pg.AppendVersion(out)
 	}
 	if p.told.Len() == 0 {
-		for _, d := range defaults {
-			p.told, _, _ = p.told.Insert([]byte(d[0]), d[1])
-		}
+		p.told = unheard
 	}
 	out = pg.AppendAuthOK(out)
 	p.told.Root().Walk(func(k []byte, v string) bool {
--- a/internal/clients/resting.go
+++ b/internal/clients/resting.go
@@ -1,6 +1,20 @@
 package clients
 
-import "wayloft/internal/decide/due"
+import (
+	iradix "github.com/hashicorp/go-immutable-radix/v2"
+
+	"wayloft/internal/decide/due"
+)
+
+// unheard is what all clients are told before any member has told more. One for all: each of its own, it took two thirds of
+// what a session that rests holds.
+var unheard = func() *iradix.Tree[string] {
+	t := iradix.New[string]()
+	for _, d := range defaults {
+		t, _, _ = t.Insert([]byte(d[0]), d[1])
+	}
+	return t
+}()
 
 // rota tells which sessions a look has to look at. Guards against looks that cost by how many sessions there are: nearly all
 // rest nearly all the time. A session sleeps once nothing can become of it but by its client, or by being the one that has
--- a/internal/clients/resting_test.go
+++ b/internal/clients/resting_test.go
@@ -93,6 +93,14 @@
 	for range 40 {
 		of = append(of, f.dial("pooled", false), f.dial("plain", true))
 	}
+	f.do(func() {
+		for s := range f.all.sessions {
+			if s.p != nil && s.p.told != unheard {
+				t.Error("a session holds a copy of its own of what all clients are told")
+				return
+			}
+		}
+	})
 	looked := func(looks int) (n int) {
 		f.do(func() {
 			before := f.all.rota.looked
