What is known of a duty is found without going over all others

A beat asks for the highest fence of each duty that the council tells of; with 820 duties whose owners had each acted here, that was 820 times 820 steps.

--- a/internal/decide/lease/lease_test.go
+++ b/internal/decide/lease/lease_test.go
@@ -126,3 +126,21 @@
 		}
 	}
 }
+
+// Guards against a word on one duty that costs by how many others there are: a beat asks for each of them.
+func TestOneDutyIsLookedUpAlone(t *testing.T) {
+	r := NewReceiver()
+	for n := range 820 {
+		duty := fmt.Sprint("sight/", n)
+		r.Learned(duty, Fence{Epoch: 1})
+		r.Take(Scope{Duty: duty, About: duty}, "a", Fence{Epoch: 1, Count: uint64(n)})
+	}
+	for n := range 820 {
+		if fence, holder := r.Highest(fmt.Sprint("sight/", n)); fence.Count != uint64(n) || holder != "a" {
+			t.Fatalf("duty %d: %v of %q", n, fence, holder)
+		}
+	}
+	if r.Looked != 820 {
+		t.Errorf("%d scopes were gone over for 820 duties of one scope each", r.Looked)
+	}
+}
--- a/internal/decide/lease/receiver.go
+++ b/internal/decide/lease/receiver.go
@@ -18,9 +18,10 @@
 // Receiver remembers, for each scope, the highest fence that it has seen. It begins knowing nothing and takes no act of
 // a duty until Learned says where the duty's fences stand: what it saw before it restarted may have been higher.
 type Receiver struct {
-	learned map[string]Fence // by duty
-	seen    map[Scope]seen
-	Late    int // acts refused for their fence, since the start
+	learned map[string]Fence           // by duty
+	seen    map[string]map[string]seen // by duty and what the act was about
+	Late    int                        // acts refused for their fence, since the start
+	Looked  int                        // scopes gone over for what is known of a duty, since the start
 }
 
 type seen struct {
@@ -31,7 +32,7 @@
 
 // NewReceiver makes one that takes nothing yet.
 func NewReceiver() *Receiver {
-	return &Receiver{learned: map[string]Fence{}, seen: map[Scope]seen{}}
+	return &Receiver{learned: map[string]Fence{}, seen: map[string]map[string]seen{}}
 }
 
 // Learned says which fence the council knows to be the latest granted of a duty. It never lowers what is known.
@@ -44,17 +45,15 @@
 // Forget drops what is kept of a duty that the fleet no longer has; until it is learned again nothing of it is taken.
 func (r *Receiver) Forget(duty string) {
 	delete(r.learned, duty)
-	for s := range r.seen {
-		if s.Duty == duty {
-			delete(r.seen, s)
-		}
-	}
+	delete(r.seen, duty)
 }
 
 // Close drops what is kept of a scope that is gone; the duty's own fence still holds for it.
 func (r *Receiver) Close(s Scope) {
-	if was, ok := r.seen[s]; ok {
-		delete(r.seen, s)
+	if was, ok := r.seen[s.Duty][s.About]; ok {
+		if delete(r.seen[s.Duty], s.About); len(r.seen[s.Duty]) == 0 {
+			delete(r.seen, s.Duty)
+		}
 		r.Learned(s.Duty, was.fence)
 	}
 }
@@ -65,7 +64,7 @@
 	if !known {
 		return Unknown, Fence{}
 	}
-	was := r.seen[s]
+	was := r.seen[s.Duty][s.About]
 	if highest = least; was.fence.Compare(least) > 0 {
 		highest = was.fence
 	}
@@ -78,13 +77,20 @@
 		was.broken = true
 	}
 	if was.broken && fence == was.fence {
-		r.seen[s] = was
+		r.see(s, was)
 		return Broken, highest
 	}
-	r.seen[s] = seen{fence: fence, holder: holder}
+	r.see(s, seen{fence: fence, holder: holder})
 	return Taken, fence
 }
 
+func (r *Receiver) see(s Scope, what seen) {
+	if r.seen[s.Duty] == nil {
+		r.seen[s.Duty] = map[string]seen{}
+	}
+	r.seen[s.Duty][s.About] = what
+}
+
 // Knows tells whether anything of a duty may be taken yet.
 func (r *Receiver) Knows(duty string) bool { _, known := r.learned[duty]; return known }
 
@@ -92,8 +98,8 @@
 // knows a lower one, or another holder, must not grant it.
 func (r *Receiver) Highest(duty string) (highest Fence, holder string) {
 	highest = r.learned[duty]
-	for s, was := range r.seen {
-		if s.Duty == duty && was.fence.Compare(highest) >= 0 {
+	for _, was := range r.seen[duty] {
+		if r.Looked++; was.fence.Compare(highest) >= 0 {
 			highest, holder = was.fence, was.holder
 		}
 	}
