--- a/internal/decide/agent/agent.go
+++ b/internal/decide/agent/agent.go
@@ -12,6 +12,7 @@
 	"slices"
 
 	"wayloft/internal/decide/chance"
+	"wayloft/internal/decide/due"
 	"wayloft/internal/decide/lease"
 	"wayloft/internal/decide/register"
 )
@@ -85,6 +86,13 @@
 // retry is something that is asked until it is answered, less and less often.
 type retry struct{ at, wait float64 }
 
+// holder is this process's part in one duty.
+type holder struct {
+	*lease.Holder
+	duty string
+	due  due.Item[*holder]
+}
+
 // Agent is one process's part.
 type Agent struct {
 	set      Settings
@@ -97,7 +105,9 @@
 	beating  retry
 	leaving  bool
 	left     bool
-	holders  map[string]*lease.Holder
+	holders  map[string]*holder
+	soonest  due.Queue[*holder] // by when they may decide something by themselves
+	touched  int                // holders gone over so far because of time alone
 	wants    map[string]float64 // duties that it will ask for, and from when
 	receiver *lease.Receiver
 	stands   map[string]*retry  // duties whose fences this receiver has yet to learn
@@ -113,7 +123,7 @@
 
 // New makes one that has no session yet.
 func New(set Settings) *Agent {
-	a := &Agent{set: set, chance: chance.Source{Seed: set.Seed}, asked: map[uint64]asked{}, holders: map[string]*lease.Holder{}, wants: map[string]float64{},
+	a := &Agent{set: set, chance: chance.Source{Seed: set.Seed}, asked: map[uint64]asked{}, holders: map[string]*holder{}, wants: map[string]float64{},
 		receiver: lease.NewReceiver(), stands: map[string]*retry{}, told: map[string]float64{}, sessions: map[string]Session{},
 		duties: map[string]Duty{}, beating: retry{at: math.Inf(1)}}
 	for _, duty := range set.Duties {
@@ -131,10 +141,13 @@
 }
 
 func (a *Agent) want(duty string) {
-	h := lease.NewHolder(lease.Settings{Length: a.set.Length, Margin: a.set.Margin, Seed: a.set.Seed + uint64(len(a.holders))})
+	h := &holder{Holder: lease.NewHolder(lease.Settings{Length: a.set.Length, Margin: a.set.Margin, Seed: a.set.Seed + uint64(len(a.holders))}),
+		duty: duty}
+	h.due.Of = h
 	h.At(a.now)
 	h.Want()
 	a.holders[duty] = h
+	a.soonest.Put(&h.due, h.Due())
 }
 
 // Unwant gives a duty up, held or not.
@@ -142,10 +155,11 @@
 	delete(a.wants, duty)
 	// What it asked for must not be taken for an answer to what another holder of this duty will ask.
 	maps.DeleteFunc(a.asked, func(_ uint64, of asked) bool { return of.kind == register.Take && of.duty == duty })
-	if h := a.holders[duty]; h != nil {
+	if h := a.holder(duty); h != nil {
 		h.Leave("")
 		a.pull(duty)
 		delete(a.holders, duty)
+		a.soonest.Drop(&h.due)
 	}
 }
 
@@ -158,12 +172,28 @@
 			a.want(duty)
 		}
 	}
-	for _, duty := range slices.Sorted(maps.Keys(a.holders)) {
-		a.holders[duty].At(a.now)
+	var ready []string // of the others time makes nothing: who asks one of them tells it the time first
+	for i := a.soonest.First(); i != nil && i.At() <= a.now; i = a.soonest.First() {
+		a.soonest.Drop(i)
+		ready = append(ready, i.Of.duty)
+	}
+	slices.Sort(ready)
+	for _, duty := range ready {
+		a.touched++
+		a.holder(duty)
 		a.pull(duty)
 	}
 }
 
+// holder gives the part in a duty, which knows the time; nil: there is none.
+func (a *Agent) holder(duty string) *holder {
+	h := a.holders[duty]
+	if h != nil {
+		h.At(a.now)
+	}
+	return h
+}
+
 // again puts the next try off, twice as far each time, by a part that is drawn.
 func (a *Agent) again(r *retry) {
 	r.wait = math.Min(math.Max(2*r.wait, a.set.Length*retryPart), a.set.Length*longest)
@@ -186,6 +216,7 @@
 // pull takes over what a holder decides.
 func (a *Agent) pull(duty string) {
 	h := a.holders[duty]
+	defer func() { a.soonest.Put(&h.due, h.Due()) }()
 	for d, more := h.Next(); more; d, more = h.Next() {
 		switch d.Verb {
 		case lease.Ask:
@@ -228,13 +259,13 @@
 		a.open, a.opening = true, retry{at: math.Inf(1)}
 		a.beaten()
 		for _, duty := range slices.Sorted(maps.Keys(a.holders)) {
-			a.holders[duty].Turn()
+			a.holder(duty).Turn()
 			a.pull(duty)
 		}
 	case register.Beat:
 		a.beaten()
 	case register.Take:
-		h := a.holders[of.duty]
+		h := a.holder(of.duty)
 		if h == nil {
 			return
 		}
@@ -309,7 +340,7 @@
 		if len(a.duties) < mostKnown {
 			a.duties[d.Name] = d
 		}
-		if h := a.holders[d.Name]; h != nil {
+		if h := a.holder(d.Name); h != nil {
 			if d.Holder != a.set.Name {
 				h.Lost(d.Fence)
 			} else if fence, may := h.May(); !may || fence != d.Fence {
@@ -363,7 +394,7 @@
 
 // Refusal says that a receiver turned an act of this process away.
 func (a *Agent) Refusal(duty string, higher lease.Fence) {
-	if h := a.holders[duty]; h != nil {
+	if h := a.holder(duty); h != nil {
 		h.Refused(higher)
 		a.pull(duty)
 	}
@@ -371,7 +402,7 @@
 
 // May tells whether this process may act for a duty now, and the fence that goes with the act. Ask it last, right before.
 func (a *Agent) May(duty string) (lease.Fence, bool) {
-	if h := a.holders[duty]; h != nil {
+	if h := a.holder(duty); h != nil {
 		return h.May()
 	}
 	return lease.Fence{}, false
@@ -379,7 +410,7 @@
 
 // PassTo hands a duty on to the session named, if this process holds it; it wants it no more.
 func (a *Agent) PassTo(duty, name string) {
-	if h := a.holders[duty]; h != nil {
+	if h := a.holder(duty); h != nil {
 		h.Leave(name)
 		a.pull(duty)
 	}
@@ -400,7 +431,7 @@
 	a.leaving = true
 	clear(a.wants)
 	for _, duty := range slices.Sorted(maps.Keys(a.holders)) {
-		a.holders[duty].Leave("")
+		a.holder(duty).Leave("")
 		for d, more := a.holders[duty].Next(); more; d, more = a.holders[duty].Next() {
 			if d.Verb == lease.Stop { // the session's end gives all back at once
 				a.out = append(a.out, Decision{Verb: Stop, Duty: duty, Fence: d.Fence})
@@ -450,8 +481,8 @@
 // Due is when At must be called again at the latest.
 func (a *Agent) Due() float64 {
 	due := math.Min(a.opening.at, a.beating.at)
-	for _, h := range a.holders {
-		due = math.Min(due, h.Due())
+	if i := a.soonest.First(); i != nil {
+		due = math.Min(due, i.At())
 	}
 	for _, at := range a.wants {
 		due = math.Min(due, at)
--- a/internal/decide/agent/agent_test.go
+++ b/internal/decide/agent/agent_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"fmt"
 	"testing"
 
 	"wayloft/internal/decide/lease"
@@ -160,3 +161,21 @@
 		t.Error("who is ahead of this state must hear all of it")
 	}
 }
+
+// Guards against a look at the time that costs by how many duties a process has or would have, and not by what is due.
+func TestTimeTouchesWhatIsDue(t *testing.T) {
+	var duties []string
+	for n := range 200 {
+		duties = append(duties, fmt.Sprint("sight/", n))
+	}
+	s := sit(t, duties...)
+	if starts, _ := s.to(10000, true); starts != len(duties) {
+		t.Fatalf("%d duties of %d began", starts, len(duties))
+	}
+	if asks := s.count(register.Take); s.a.touched > asks+len(duties) || asks < 20*len(duties) {
+		t.Errorf("in 1,000 looks holders were gone over %d times; they asked %d times, which is what time had them do", s.a.touched, asks)
+	}
+	if _, stops := s.to(12000, false); stops != len(duties) || s.a.Due() <= s.now-10 {
+		t.Errorf("without the council %d duties of %d ended in time; due at %v, it is %v", stops, len(duties), s.a.Due(), s.now)
+	}
+}
