A dial that is made while the loop ends gets no poller that ends too

The dial and the stop are ordered by a lock now, and what comes up later is closed. TestDialIsMadeWhileTheLoopEnds holds the dial until the loop has ended: without the change it ends with a bad descriptor.

--- a/internal/host/crossing_test.go
+++ b/internal/host/crossing_test.go
@@ -3,6 +3,7 @@
 package host
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -264,3 +265,37 @@
 		t.Errorf("in the order %v", o.what)
 	}
 }
+
+// A dial is made while the loop ends: the poller does not get its connection any more, and the peer sees its end.
+func TestDialIsMadeWhileTheLoopEnds(t *testing.T) {
+	l := NewLoop(256)
+	front, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Listen(front, 1<<20, func(*Conn) {}); err != nil {
+		t.Fatal(err)
+	}
+	there, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer there.Close()
+	ended, dialled := make(chan bool), make(chan error)
+	defer faults.At("host.connected", func() { <-ended })()
+	go func() { _, err := l.dial(there.Addr().String(), 10*time.Second); dialled <- err }()
+	go func() { l.Run(func() {}); close(ended) }()
+	peer, err := there.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	l.Post(l.End)
+	if err := <-dialled; !errors.Is(err, net.ErrClosed) {
+		t.Errorf("the dial ended with %v", err)
+	}
+	peer.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if _, err := peer.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("the peer saw %v, want the end", err)
+	}
+}
--- a/internal/host/loop.go
+++ b/internal/host/loop.go
@@ -35,6 +35,9 @@
 	ended  bool
 	engine *nbio.Engine
 	buf    []byte // the poller's, for what it reads
+
+	adding  sync.Mutex // held while the poller gets a connection that was dialled
+	stopped bool       // under adding: it gets no more
 }
 
 // Handler hears of its connection's bytes and its end, on the loop.
@@ -128,6 +131,10 @@
 	if l.engine == nil {
 		return
 	}
+	// Guards against a dial that is made just now: the poller must not get another connection while it ends.
+	l.adding.Lock()
+	l.stopped = true
+	l.adding.Unlock()
 	stopped := make(chan struct{})
 	go func() { l.engine.Stop(); close(stopped) }()
 	for late := time.After(lingering); ; {
@@ -215,6 +222,13 @@
 		std.Close()
 		return nil, err
 	}
+	faults.Here("host.connected")
+	l.adding.Lock()
+	defer l.adding.Unlock()
+	if l.stopped {
+		nb.Close()
+		return nil, net.ErrClosed
+	}
 	c := l.own(nb, false)
 	_, err = l.engine.AddConn(nb)
 	return c, err
--- a/internal/host/loop_test.go
+++ b/internal/host/loop_test.go
@@ -42,6 +42,14 @@
 	}
 }
 
+// run runs a loop until the test is over, and its poller with it: a point at which a later test holds a thread must not be
+// met by this one's.
+func run(t *testing.T, l *Loop) {
+	ended := make(chan bool)
+	go func() { l.Run(func() {}); close(ended) }()
+	t.Cleanup(func() { l.Post(l.End); <-ended })
+}
+
 // Guards against taking an interrupted call for the end of a connection: under load the runtime's own signals
 // interrupted one in some thousands, and the session was dropped with its txn while its client went on waiting.
 func TestSignalsAreNoEnd(t *testing.T) {
@@ -54,7 +62,7 @@
 	if err := l.Listen(front, 1<<20, func(c *Conn) { accepted <- c }); err != nil {
 		t.Fatal(err)
 	}
-	go l.Run(func() {})
+	run(t, l)
 	client, err := net.Dial("tcp", front.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -114,7 +122,7 @@
 	}); err != nil {
 		t.Fatal(err)
 	}
-	go l.Run(func() {})
+	run(t, l)
 	dial := func() net.Conn {
 		c, err := net.Dial("tcp", front.Addr().String())
 		if err != nil {
@@ -145,5 +153,4 @@
 	if got := <-heard; got != 1 {
 		t.Errorf("%d bytes were heard, want the first alone", got)
 	}
-	l.Post(l.End)
 }
