--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -263,7 +263,7 @@
 
 // What the page allows between a change that discovery has and can tell, and its being told here.
 func TestTheLongestUntilTold(t *testing.T) {
-	const allowed, beat, most = 6 * time.Second, 2 * time.Second, 1.5
+	const allowed, moved, beat, most = 6 * time.Second, 4 * time.Second, 2 * time.Second, 1.5
 	pause := time.Duration(most * float64(leastBackoff))
 	for what, longest := range map[string]time.Duration{
 		"a watch falls silent, the next call hangs": 2 * (heartbeatTimeout + pause),
@@ -275,6 +275,9 @@
 			t.Errorf("%s: told after %v, %v are allowed", what, longest, allowed)
 		}
 	}
+	if longest := heartbeatTimeout + pause; longest >= moved { // a new address's first call hangs
+		t.Errorf("told %v after a move, %v are allowed", longest, moved)
+	}
 	if gap, spare := time.Duration(most*float64(mostBackoff)), 400*time.Millisecond; gap > spare {
 		t.Errorf("between two calls that end at once up to %v pass, in which what the agent has is not known", gap)
 	}
