--- a/cmd/wayloft/labstill.go
+++ b/cmd/wayloft/labstill.go
@@ -17,6 +17,7 @@
 	Looks    int           `help:"Looks at each." default:"3"`
 	For      time.Duration `help:"Of one look." default:"10s"`
 	Settle   time.Duration `help:"Until the first look." default:"3s"`
+	Memory   string        `help:"The routers' limits.memory." default:"512MiB"`
 	Program  string        `help:"The wayloft to be measured, if not this one." type:"existingfile" placeholder:"FILE"`
 }
 
@@ -40,7 +41,7 @@
 		var cpu, mem line
 		for _, n := range of {
 			s := make(n)
-			s.Program, s.Settle, s.For, s.Looks = c.Program, c.Settle, c.For, c.Looks
+			s.Program, s.Memory, s.Settle, s.For, s.Looks = c.Program, c.Memory, c.Settle, c.For, c.Looks
 			stood, err := s.Run()
 			if err != nil {
 				return fmt.Errorf("%s %d: %w", name, n, err)
--- a/internal/lab/still.go
+++ b/internal/lab/still.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"fmt"
 	"net"
@@ -23,6 +24,7 @@
 	Members, Sessions int
 	Groups            int  // that the members are of
 	Fleet             bool // with a council of one process, of which the router hears
+	Memory            string
 	Settle            time.Duration
 	For               time.Duration // of one look
 	Looks             int
@@ -43,8 +45,8 @@
 // Configuration is the router's, with the bounds of the size that is looked at.
 func (s Still) Configuration(listen, council, orders, record string) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "name = \"still\"\nlisten = %q\nseed = \"8c1f30d27a5be964\"\n\n[limits]\nmemory = \"512MiB\"\ndescriptors = %d\n"+
-		"sessions = %d\nconnections = %d\n\n[fleet]\nreports = true\nwarm_up = \"1s\"\n", listen, stillDescriptors, stillSessions, stillLinks)
+	fmt.Fprintf(&b, "name = \"still\"\nlisten = %q\nseed = \"8c1f30d27a5be964\"\n\n[limits]\nmemory = %q\ndescriptors = %d\n"+
+		"sessions = %d\nconnections = %d\n\n[fleet]\nreports = true\nwarm_up = \"1s\"\n", listen, cmp.Or(s.Memory, "512MiB"), stillDescriptors, stillSessions, stillLinks)
 	if s.Fleet {
 		fmt.Fprintf(&b, "name = \"still\"\ncouncil = [%q]\norders = %q\nrecord = %q\n", council, orders, record)
 	}
