The module takes other values and shares while txns are open

A change of what a txn type is worth, or of a tenant's share, took a restart, which forgets all that was learned. Revalue takes settings that differ in these alone: a txn that is open ends by those it was taken under, what was learned of a txn type or a tenant stays, and what arrived is weighed as it would be worth now, so that values which all grow alike change no decision.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -163,6 +163,9 @@
 // Hold has writes of a group wait until then; an earlier time lets them go.
 func (h *Host) Hold(group int, until float64) { h.hear().Hold(group, until) }
 
+// Revalue conveys settings with other values and tenants; which txn types there are, and what else is fixed of them, stays.
+func (h *Host) Revalue(set *router.Settings) { h.hear().Revalue(set) }
+
 // Writes counts the txns of a group that need its primary: those that are out there, and those that wait.
 func (h *Host) Writes(group int) (out, waiting int) {
 	for _, e := range h.open {
--- a/router/router.go
+++ b/router/router.go
@@ -110,6 +110,7 @@
 // usage is what one txn type has shown of itself.
 type usage struct {
 	took   fade.Mean // until an answer
+	came   fade.Sum  // txns
 	ended  fade.Sum  // tries ended here without success, whose clients may come back
 	habits [2]habit  // what many tries are given
 }
@@ -177,17 +178,13 @@
 func New(set *Settings, seed uint64) *Router {
 	r := &Router{set: set, chance: chance.Source{Seed: seed}, wantWatch: math.Inf(1), alarmAt: math.Inf(1),
 		members: map[string]*member{}, groups: map[int]*group{}, txns: map[string]*txn{},
-		uses: map[*TxnType]*usage{}, shares: map[string]*fade.Sum{},
 		least: restCheck, span: longMemory, admit: map[bool]float64{false: reserve, true: reserve},
 		answers: map[bool]*fade.Mean{false: {}, true: {}}}
 	if set.Ask {
 		r.wantWatch = Never
 	}
-	for name := range set.Tenants {
-		r.shares[name] = &fade.Sum{}
-	}
+	r.Revalue(set)
 	for _, kind := range set.TxnTypes {
-		r.uses[kind] = &usage{}
 		if kind.Level == Bounded {
 			r.least = math.Min(r.least, kind.Bound/3)
 		}
@@ -195,6 +192,24 @@
 	return r
 }
 
+// Revalue takes settings with other values and tenants. A txn that is open ends by those it was taken under;
+// what was learned stays, by name, and what arrived is weighed as it would be worth now.
+func (r *Router) Revalue(set *Settings) {
+	uses, shares, old, worth := map[*TxnType]*usage{}, map[string]*fade.Sum{}, 0.0, 0.0
+	for _, name := range slices.Sorted(maps.Keys(set.TxnTypes)) {
+		kind, was := set.TxnTypes[name], cmp.Or(r.set.TxnTypes[name], set.TxnTypes[name])
+		uses[kind] = cmp.Or(r.uses[was], &usage{})
+		n := uses[kind].came.Read(r.now, longMemory) / kind.SLA
+		old, worth = old+n*was.Value, worth+n*kind.Value
+	}
+	for name := range set.Tenants {
+		shares[name] = cmp.Or(r.shares[name], &fade.Sum{})
+	}
+	if r.set, r.uses, r.shares = set, uses, shares; old > 0 {
+		r.worths.Sum *= worth / old
+	}
+}
+
 // At sets the time; all that follows until the next call happens then.
 func (r *Router) At(now float64) {
 	r.now, r.born = now, cmp.Or(r.born, now)
@@ -320,6 +335,7 @@
 		t.needs = r.now
 	}
 	r.arrived.Add(r.now, longMemory, 1)
+	t.use.came.Add(r.now, longMemory, 1)
 	r.span = math.Max(memory, math.Min(longMemory, sample*longMemory/r.arrived.Sum))
 	g.arrived.Add(r.now, r.span, 1)
 	g.checkAt = r.now
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -24,6 +25,8 @@
 //	gone t1
 //	sighted a started=-5 role=primary gtid=100     another router's check; started: Never unless it says
 //	hold 2000 | hold none                          writes of group 1 wait until then
+//	tenant n rate=10 over=0.1                      its share, and what is over one is worth; before the first "at"
+//	revalue TYPE value=5 late=0.2 | revalue tenant n rate=20 | revalue tenant n gone     later settings
 //	want submit t1 a|b                 a decision that must be among those just pulled; it is used up
 //	never submit t1                    none such may be left among them; a decline tells its wait: decline t1 400
 //
@@ -101,6 +104,9 @@
 			LateValue: number(o["late"], 0), Effect: effectWords[o["effect"]], Scope: scopeWords[o["scope"]],
 			Window: number(o["window"], 5000), Level: levelWords[o["level"]], Bound: number(o["bound"], 0)}
 		return nil
+	case "tenant":
+		p.set.Tenants[w[1]], p.set.OverShareValue = number(o["rate"], 0), number(o["over"], 0)
+		return nil
 	case "at":
 		p.now = number(w[1], 0)
 		if p.r == nil {
@@ -160,6 +166,22 @@
 		p.r.Sighted(w[1], number(o["started"], Never), roleWords[o["role"]], number(o["gtid"], Never))
 	case "hold":
 		p.r.Hold(1, number(w[1], 0))
+	case "revalue":
+		next := *p.r.set
+		next.TxnTypes, next.Tenants = maps.Clone(next.TxnTypes), maps.Clone(next.Tenants)
+		_, gone := o["gone"]
+		if kind := next.TxnTypes[w[1]]; kind != nil {
+			other := *kind
+			other.Value, other.LateValue = number(o["value"], kind.Value), number(o["late"], kind.LateValue)
+			next.TxnTypes[w[1]] = &other
+		} else if w[1] != "tenant" {
+			return fmt.Errorf("unknown txn type")
+		} else if gone {
+			delete(next.Tenants, w[2])
+		} else {
+			next.Tenants[w[2]] = number(o["rate"], 0)
+		}
+		p.r.Revalue(&next)
 	default:
 		return fmt.Errorf("unknown step")
 	}
@@ -412,3 +434,81 @@
 		t.Errorf("a repeat by %v, want %v", by, 1900)
 	}
 }
+
+// Later settings take hold of what comes after them alone, and nothing that was learned is lost: a tenant's traffic and a txn
+// type's times stay, those of a tenant that has no share any more go, and values that all grow alike change no decision.
+func TestRevalue(t *testing.T) {
+	made := func(scale float64, tenants map[string]float64) *Settings {
+		s := &Settings{Routers: 1, Submissions: 6, CanCheck: true, CanRevoke: true, ColdFrom: 0.2, WarmUp: 1, FallMultiple: 2, FallWindow: 1000,
+			RetryAfter: 1000, OverShareValue: 0.1, Tenants: tenants, TxnTypes: map[string]*TxnType{}}
+		for n, name := range []string{"cheap", "fair", "dear"} {
+			s.TxnTypes[name] = &TxnType{SLA: 100, Expiry: 3000, Value: scale * math.Pow(10, float64(n)), LateValue: 0.5, Level: Any}
+		}
+		return s
+	}
+	shares := map[string]float64{"acme": 100, "zeta": 5}
+	play := func(every int, scale float64) (decisions []string, declined int) {
+		r, sent := New(made(1, shares), 7), map[string]int{}
+		r.At(1)
+		r.ListStart()
+		r.Listed("a", "z", 1, Up, Never)
+		r.Listed("b", "z", 1, Up, Never)
+		r.ListEnd(true)
+		for at := 150; at < 60000; at += 150 { // few txns: the chance to be taken on goes by worth
+			r.At(float64(at))
+			r.Rang()
+			if every > 0 && at%every == 0 {
+				factor := math.Pow(scale, float64(at/every))
+				r.Revalue(made(factor, shares))
+			}
+			r.Arrive(fmt.Sprint(at), []string{"acme", "zeta", ""}[at/150%3], "", []string{"dear", "cheap", "fair", "cheap"}[at/150%4], 1, 0, 1000, false)
+			for d, more := r.Next(); more; d, more = r.Next() {
+				decisions = append(decisions, fmt.Sprint(at, d.Verb, d.Txn, d.Member))
+				switch d.Verb {
+				case Check:
+					r.Reported(d.Member, Replica, float64(at))
+					r.Checked(d.Member, Committed)
+				case Submit:
+					how := Committed
+					if at > 20000 && at < 40000 && at%900 != 0 { // a jam
+						how = Full
+					}
+					r.Returned(d.Txn, sent[d.Txn], how, 20, how == Committed, Replica, float64(at))
+					sent[d.Txn]++
+				case Decline:
+					declined++
+				}
+			}
+		}
+		return decisions, declined
+	}
+	want, declined := play(0, 1)
+	if declined == 0 {
+		t.Fatal("there was no jam")
+	}
+	for _, c := range []struct {
+		every int
+		scale float64
+	}{{1500, 1}, {9000, 2}, {6000, 0.5}} {
+		if got, _ := play(c.every, c.scale); !slices.Equal(got, want) {
+			t.Errorf("values times %v each %d ms made other decisions", c.scale, c.every)
+		}
+	}
+
+	set := made(1, shares)
+	r := New(set, 1)
+	r.At(1000)
+	r.Arrive("open", "acme", "", "dear", 1, 0, 1000, false)
+	open, use, share := r.txns["open"], r.uses[set.TxnTypes["dear"]], r.shares["acme"]
+	next := made(3, map[string]float64{"acme": 7, "new": 1})
+	next.TxnTypes["dear"].LateValue = 0
+	r.Revalue(next)
+	r.Arrive("later", "acme", "", "dear", 1, 0, 1000, false)
+	if later := r.txns["later"]; open.value != 100 || open.kind.LateValue != 0.5 || later.value != 300 || later.kind.LateValue != 0 {
+		t.Errorf("the open txn: %v, %v late; the later one: %v, %v", open.value, open.kind.LateValue, later.value, later.kind.LateValue)
+	}
+	if r.uses[next.TxnTypes["dear"]] != use || r.shares["acme"] != share || r.shares["new"] == nil || r.shares["zeta"] != nil ||
+		len(r.uses) != 3 || len(r.shares) != 2 {
+		t.Errorf("uses %v, shares %v", r.uses, r.shares)
+	}
+}
--- a/router/types.go
+++ b/router/types.go
@@ -71,7 +71,8 @@
 	Removed
 )
 
-// Settings are given once, at start. All times are milliseconds.
+// Settings are given at start; Revalue later takes others that differ in values and tenants alone. All times are
+// milliseconds.
 type Settings struct {
 	Routers        int
 	Zone           string
