A router goes by a policy laid over its own settings, and keeps it for the next start

The link's word reaches the module: the policy's fields lie over the router's own file, what this router can't take is refused with all reasons and changes nothing. policy_folder keeps two generations, each written whole, synced and summed; a wrong one is set aside and counts as none, a folder that can't be written costs nothing but the copy. Records carry the document's hash, so that a checker can tell two documents under one version.

--- a/cmd/wayloft/join.go
+++ b/cmd/wayloft/join.go
@@ -3,9 +3,11 @@
 import (
 	"cmp"
 	"context"
-	"errors"
+	"encoding/hex"
 	"fmt"
 	"net"
+	"os/signal"
+	"syscall"
 
 	"wayloft/internal/decide/handover"
 	"wayloft/internal/decide/policy"
@@ -38,6 +40,11 @@
 		set.Hold = handover.Settings{Hold: float64(h.Hold), Wait: float64(h.Wait), Step: float64(h.Step)}
 		set.Adapter = adapter(h)
 	}
+	if f.Policy != "" {
+		signal.Ignore(syscall.SIGXFSZ) // a file that may grow no further is an error of the write, not the end
+		set.Store = &fleet.Folder{Dir: f.Policy, Fleet: f.Name}
+	}
+	s.own, s.record = conf.set, rec
 	s.link = fleet.New(set, s)
 	s.host.Reports(s.report)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -129,10 +136,13 @@
 
 func (s *service) Writes(group int) (running, waiting int) { return s.host.Writes(group) }
 
-// Policy takes none yet but the empty one: a router whose settings can't change while it runs must not say that it goes by them.
-func (s *service) Policy(_ policy.Version, d policy.Document) error {
-	if len(d) > 0 {
-		return errors.New("this build can't change its settings while it runs")
+// Policy has the module go by a policy, laid over the settings of the router's own file; on an error it goes on as it was.
+func (s *service) Policy(v policy.Version, d policy.Document) error {
+	set, err := settings.Overlay(s.own, d)
+	if err != nil {
+		return err
 	}
+	s.host.Revalue(set)
+	s.record.Add("takes", record.Fields{"version": v.String(), "hash": hex.EncodeToString(v.Hash[:])})
 	return nil
 }
--- a/cmd/wayloft/serve.go
+++ b/cmd/wayloft/serve.go
@@ -22,6 +22,7 @@
 	"wayloft/internal/host"
 	"wayloft/internal/members"
 	"wayloft/internal/must"
+	"wayloft/internal/record"
 	"wayloft/internal/settings"
 	"wayloft/router"
 )
@@ -58,6 +59,8 @@
 	link    *fleet.Link
 	resign  func()                     // ends its part in the fleet
 	listed  map[string]discovery.Entry // the list, kept for the fleet's part; nil without one
+	own     *router.Settings           // of the router's own file, over which a policy lies
+	record  *record.Record
 }
 
 // serve runs a router on a listener until a signal but SIGHUP comes and all that was taken is answered.
--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"net"
@@ -258,6 +259,8 @@
 		case council.Past:
 			if leads, _ := c.node.Leads(); leads && d.Event.Duty != "" && !d.Event.Ended {
 				faults.Point("council.granted") // agreed, and not yet answered
+			} else if leads && d.Event.Policy > 0 {
+				faults.Point("council.policy") // the same
 			}
 			c.past(d.Event)
 		}
@@ -279,8 +282,15 @@
 func (c *Council) past(e register.Event) {
 	leads, _ := c.node.Leads()
 	if e.Policy > 0 {
-		v := c.node.Register().Policy().Version
-		c.set.Record.Add("policy", record.Fields{"index": e.Index, "version": policy.MarkString(e.Policy), "author": v.Author, "reason": v.Reason})
+		b := c.node.Register().Policy()
+		v := b.Version
+		for _, was := range b.History { // another may have followed by now
+			if was.Version.Mark() == e.Policy {
+				v = was.Version
+			}
+		}
+		c.set.Record.Add("policy", record.Fields{"index": e.Index, "version": policy.MarkString(e.Policy), "hash": hex.EncodeToString(v.Hash[:]),
+			"author": v.Author, "reason": v.Reason})
 		if leads {
 			logrus.WithFields(logrus.Fields{"version": v, "author": v.Author, "reason": v.Reason}).Info("policy in force")
 		}
--- /dev/null
+++ b/internal/fleet/store.go
@@ -0,0 +1,141 @@
+package fleet
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+
+	"wayloft/internal/decide/policy"
+	"wayloft/internal/faults"
+)
+
+const (
+	storeForm = 1                       // of the bytes; a build that doesn't know it begins with nothing
+	mostStore = policy.MostBytes + 8192 // bytes of one file
+)
+
+// Folder keeps a policy in a folder of this router's own, in two generations: "policy", and the one before it. Each is written
+// whole under another name, synced, and only then given its name, with a sum over all its bytes: a process that ends at any
+// moment, or a disk that fills up, leaves at least one as it was. A file that is wrong is set aside (".wrong") and counts as
+// none. It says what to begin with; what is in force the council says.
+type Folder struct{ Dir, Fleet string }
+
+// kept is what a file holds, after the SHA-256 of its bytes.
+type kept struct {
+	Form     int             `cbor:"1,keyasint"`
+	Fleet    string          `cbor:"2,keyasint"`
+	Version  policy.Version  `cbor:"3,keyasint"`
+	Document policy.Document `cbor:"4,keyasint"`
+}
+
+func (f *Folder) path(name string) string { return filepath.Join(f.Dir, name) }
+
+const (
+	latest = "policy"
+	before = "policy.before"
+	begun  = "policy.new"
+)
+
+// errWrong is of a file that holds no policy of this fleet.
+var errWrong = errors.New("not a policy as it was written")
+
+// read gives what a file holds. fs.ErrNotExist: there is none; errWrong: it can't be trusted.
+func (f *Folder) read(name string) (k kept, err error) {
+	file, err := os.Open(f.path(name))
+	if err != nil {
+		return k, err
+	}
+	defer file.Close()
+	b, err := io.ReadAll(io.LimitReader(file, mostStore+1))
+	if err != nil {
+		return k, err
+	}
+	if len(b) <= sha256.Size || len(b) > mostStore {
+		return k, fmt.Errorf("%s: %w: %d bytes", f.path(name), errWrong, len(b))
+	}
+	if sum := sha256.Sum256(b[sha256.Size:]); !bytes.Equal(sum[:], b[:sha256.Size]) {
+		return k, fmt.Errorf("%s: %w: its sum doesn't fit", f.path(name), errWrong)
+	}
+	if err := cbor.Unmarshal(b[sha256.Size:], &k); err != nil {
+		return k, fmt.Errorf("%s: %w: %w", f.path(name), errWrong, err)
+	}
+	err = errors.Join(k.Version.Check(), k.Document.Check())
+	switch {
+	case k.Form != storeForm:
+		return k, fmt.Errorf("%s: %w: form %d", f.path(name), errWrong, k.Form)
+	case k.Fleet != f.Fleet:
+		return k, fmt.Errorf("%s: %w: it is of the fleet %q", f.path(name), errWrong, k.Fleet)
+	case err != nil:
+		return k, fmt.Errorf("%s: %w: %w", f.path(name), errWrong, err)
+	case k.Document.Hash() != k.Version.Hash:
+		return k, fmt.Errorf("%s: %w: %w", f.path(name), errWrong, policy.ErrMismatch)
+	}
+	return k, nil
+}
+
+// Load gives the latest generation that can be trusted. The error tells of a folder or file that can't be read.
+func (f *Folder) Load() (policy.Version, policy.Document, error) {
+	var wrong error
+	for _, name := range []string{latest, before} {
+		k, err := f.read(name)
+		switch {
+		case err == nil:
+			return k.Version, k.Document, nil
+		case errors.Is(err, os.ErrNotExist):
+		case errors.Is(err, errWrong):
+			logrus.WithError(err).Warn("a stored policy is set aside, and counts as none")
+			wrong = errors.Join(wrong, os.Rename(f.path(name), f.path(name+".wrong")))
+		default:
+			wrong = errors.Join(wrong, err)
+		}
+	}
+	return policy.Version{}, nil, wrong
+}
+
+// Save keeps a version. Whatever becomes of it, what was there before is there, or this.
+func (f *Folder) Save(v policy.Version, d policy.Document) error {
+	body, err := cbor.Marshal(kept{storeForm, f.Fleet, v, d})
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(f.Dir, 0o700); err != nil {
+		return err
+	}
+	sum := sha256.Sum256(body)
+	if err := writeSynced(f.path(begun), append(sum[:], body...)); err != nil {
+		os.Remove(f.path(begun)) // what there is of it takes room on a disk that is full
+		return err
+	}
+	faults.Point("policy.written")
+	if _, err := f.read(latest); err == nil { // else the one before is the better one
+		if err := os.Rename(f.path(latest), f.path(before)); err != nil {
+			return err
+		}
+	}
+	faults.Point("policy.between")
+	if err := os.Rename(f.path(begun), f.path(latest)); err != nil {
+		return err
+	}
+	dir, err := os.Open(f.Dir)
+	if err != nil {
+		return err
+	}
+	defer dir.Close()
+	return dir.Sync()
+}
+
+func writeSynced(path string, b []byte) error {
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = file.Write(b)
+	return errors.Join(err, file.Sync(), file.Close())
+}
--- a/internal/settings/file.go
+++ b/internal/settings/file.go
@@ -67,6 +67,7 @@
 	MostHeld   Duration          `toml:"most_held"` // that writes wait here for a planned change
 	Via        map[string]string `toml:"via"`
 	Record     string            `toml:"record"`
+	Policy     string            `toml:"policy_folder"` // where the policy is kept for the next start; "": nowhere
 	ClockAhead Duration          `toml:"clock_ahead"`
 }
 
@@ -222,8 +223,8 @@
 // fleet fills in what is not given of the fleet's part, and says what is wrong with it.
 func (f *Fleet) check() error {
 	if len(f.Council) == 0 {
-		if f.Orders != "" || f.Sight > 0 || f.Handover != nil || f.Name != "" {
-			return errors.New("fleet.council: must be given where any of name, orders, sight and handover is")
+		if f.Orders != "" || f.Sight > 0 || f.Handover != nil || f.Name != "" || f.Policy != "" {
+			return errors.New("fleet.council: must be given where any of name, orders, sight, handover and policy_folder is")
 		}
 		return nil
 	}
