--- a/cmd/wayloft/main.go
+++ b/cmd/wayloft/main.go
@@ -4,9 +4,11 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"runtime/debug"
+	"strings"
 
 	"github.com/alecthomas/kong"
 	"github.com/sirupsen/logrus"
@@ -49,6 +51,7 @@
 	Check   checkCmd   `cmd:"" help:"Read the configuration and say what is wrong with it."`
 	Council councilCmd `cmd:"" help:"The processes that keep the fleet's small state."`
 	Fleet   fleetCmd   `cmd:"" help:"What processes of the fleet do as one."`
+	Policy  policyCmd  `cmd:"" help:"What all routers agree on: change it, and see who goes by it."`
 	Lab     labCmd     `cmd:"" help:"Try a router out on loopback, with a stand-in cluster."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
@@ -60,7 +63,16 @@
 	logrus.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, DisableColors: true,
 		TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
 	if err := ctx.Run(); err != nil {
-		logrus.Error(err)
-		os.Exit(1)
+		status := 1
+		var e exit
+		if errors.As(err, &e) {
+			status = e.status
+		}
+		for _, line := range strings.Split(err.Error(), "\n") { // a line each, also where several things are wrong
+			if line != "" {
+				logrus.Error(line)
+			}
+		}
+		os.Exit(status)
 	}
 }
--- a/internal/lab/fleet/check.go
+++ b/internal/lab/fleet/check.go
@@ -11,7 +11,7 @@
 
 // Command runs the program once, as an operator would, and gives what it printed.
 func (f *Fleet) Command(args ...string) (string, error) {
-	if len(args) > 1 && (args[0] == "fleet" || args[0] == "council") && !slices.Contains(args, "--config") && !slices.Contains(args, "--council") {
+	if len(args) > 1 && (args[0] == "fleet" || args[0] == "council" || args[0] == "policy" && args[1] != "check") && !slices.Contains(args, "--config") && !slices.Contains(args, "--council") {
 		for _, addr := range f.CouncilAddrs() {
 			args = append(args, "--council", addr)
 		}
--- a/internal/settings/policy.go
+++ b/internal/settings/policy.go
@@ -326,3 +326,53 @@
 	}
 	return &next, nil
 }
+
+// written is a policy as people write it.
+type written struct {
+	OverShare *float64      `toml:"over_share_value,omitempty"`
+	Types     []writtenType `toml:"txn_types,omitempty"`
+	Tenants   []writtenRate `toml:"tenants,omitempty"`
+}
+
+type writtenType struct {
+	Name      string   `toml:"name"`
+	Value     *float64 `toml:"value,omitempty"`
+	LateValue *float64 `toml:"late_value,omitempty"`
+}
+
+type writtenRate struct {
+	Name string  `toml:"name"`
+	Rate float64 `toml:"rate"`
+}
+
+// WritePolicy gives a document in the form that ReadPolicy takes. Its error names a field that the form has no place for.
+func WritePolicy(d policy.Document) ([]byte, error) {
+	var out written
+	types := map[string]*writtenType{}
+	for _, field := range slices.Sorted(maps.Keys(d)) {
+		table, name, key, _ := policy.Name(field)
+		x, err := strconv.ParseFloat(d[field], 64)
+		class, _ := policy.Classify(field)
+		switch {
+		case err != nil || class != policy.Lenient:
+			return nil, fmt.Errorf("%s = %q: this build has no place for it", field, d[field])
+		case table == "tenants":
+			out.Tenants = append(out.Tenants, writtenRate{name, x})
+			continue
+		case table == "":
+			out.OverShare = &x
+			continue
+		case types[name] == nil:
+			types[name] = &writtenType{Name: name}
+		}
+		if key == "value" {
+			types[name].Value = &x
+		} else {
+			types[name].LateValue = &x
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(types)) {
+		out.Types = append(out.Types, *types[name])
+	}
+	return toml.Marshal(out)
+}
--- a/internal/settings/policy_test.go
+++ b/internal/settings/policy_test.go
@@ -35,6 +35,13 @@
 			t.Errorf("%s: got %v, %v", what, d, err)
 		}
 	}
+	text, err := WritePolicy(want)
+	if back, wrong := ReadPolicy(text); err != nil || wrong != nil || !maps.Equal(back, want) {
+		t.Errorf("written %s: %v, read %v: %v", text, err, back, wrong)
+	}
+	if _, err := WritePolicy(policy.Document{"txn_types.order.window": "5s"}); err == nil {
+		t.Error("a strict field was written")
+	}
 	if d, err := ReadPolicy(nil); err != nil || len(d) != 0 {
 		t.Errorf("nothing is said: %v, %v", d, err)
 	}
@@ -125,5 +132,15 @@
 		if err := d.Check(); err != nil {
 			t.Error(err)
 		}
+		if len(policy.Judge(nil, d)) > 0 { // strict ones
+			return
+		}
+		again, err := WritePolicy(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if back, err := ReadPolicy(again); err != nil || !maps.Equal(back, d) {
+			t.Errorf("%v was written %s, which gives %v, %v", d, again, back, err)
+		}
 	})
 }
