A process of the council is heard again after its connections were reset

A process says of its folder what it held at its start; the others compared that with what it has acknowledged since, so that whoever had to connect anew while it ran, after a reset on the way, was taken for an older copy of its folder and shut out for good. Two regions that lose each other would have lost the council with it. What was held is now compared at another start alone. Found by a script that has regions apart and together again; a unit test and a script of its own, both fail without.

--- a/internal/decide/council/council_test.go
+++ b/internal/decide/council/council_test.go
@@ -247,6 +247,7 @@
 	id.Starts = []uint64{10, 11}
 	hello("started again", id, true, "")
 	m.Heard("c2", &raftpb.Message{Type: raftpb.MsgAppResp.Enum(), Index: proto.Uint64(90), Term: proto.Uint64(4)}, 80)
+	hello("by another connection, of the same start", id, false, "")
 	older := id
 	older.Starts = []uint64{10, 12}
 	hello("an older copy, by its starts", older, false, "older copy")
--- a/internal/decide/council/met.go
+++ b/internal/decide/council/met.go
@@ -46,11 +46,11 @@
 	switch {
 	case known && was.Folder != id.Folder:
 		return false, fmt.Errorf("%s has another folder than before: one that was lost can't vote again; remove %s from the council and add a process under a new name", id.Name, id.Name)
+	case known && was.Start == last: // it runs on: what it held at its start is less than what it has said since
+		return false, nil
 	case known && !slices.Contains(id.Starts, was.Start),
 		id.Term < m.term[id.Name], id.Last < m.surely[id.Name]:
 		return false, fmt.Errorf("the folder of %s is an older copy: it has forgotten what it acknowledged; remove %s from the council and add a process under a new name", id.Name, id.Name)
-	case known && was.Start == last:
-		return false, nil
 	case !known && len(m.Known) >= 4*mostPeers:
 		return false, fmt.Errorf("too many processes have been met")
 	}
