--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -91,13 +91,15 @@
 	return left[rand.IntN(len(left))]
 }
 
-func (c *Client) leads(name, addr string) {
+// leads notes who leads, and gives the way to it.
+func (c *Client) leads(name, addr string) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if via := c.via[name]; via != "" {
 		addr = via
 	}
 	c.lead = addr
+	return addr
 }
 
 // final tells whether another try, or another process, can't bring another answer.
@@ -127,10 +129,10 @@
 				c.leads("", addr)
 				return nil
 			case err == nil && name != "":
-				c.leads(name, to)
-				if c.next(nil) == addr { // it is sent to where it was sent from
+				if to = c.leads(name, to); to == addr { // it is sent to where it was sent from
 					c.leads("", "")
 				}
+				delete(failed, to) // else who was slow once would never be asked again, as long as the others name it
 				last = nil
 			case err == nil:
 				err = errors.New("it knows no leader")
