--- a/cmd/wayloft/policy.go
+++ b/cmd/wayloft/policy.go
@@ -103,9 +103,9 @@
 	return nil
 }
 
-// inForce asks for the policy in force.
-func (a *at) inForce(client *fleet.Client) (fleet.Policies, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+// inForce asks for the policy in force; it waits for an answer as long as is said, or what an election may take.
+func (a *at) inForce(client *fleet.Client, wait time.Duration) (fleet.Policies, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), max(patience, wait))
 	defer cancel()
 	all, err := client.Policy(ctx)
 	if err != nil {
@@ -143,7 +143,7 @@
 	}
 	client := c.client()
 	defer client.Close()
-	now, err := c.inForce(client)
+	now, err := c.inForce(client, 0)
 	if err != nil {
 		return err
 	}
@@ -183,7 +183,7 @@
 	}
 	client := c.client()
 	defer client.Close()
-	now, err := c.inForce(client)
+	now, err := c.inForce(client, c.Wait)
 	if err != nil {
 		return err
 	}
@@ -211,7 +211,7 @@
 	if err := p.Check(); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), max(patience, c.Wait))
 	defer cancel()
 	a, err := client.Propose(ctx, p)
 	if err != nil {
@@ -221,7 +221,7 @@
 		return fmt.Errorf("nothing was changed: %s", a.Why)
 	}
 	agreed := time.Now()
-	all, err := c.inForce(client)
+	all, err := c.inForce(client, c.Wait)
 	if err != nil {
 		return exit{fmt.Errorf("it is agreed as number %d: %w", a.Number, err), notEverywhere}
 	}
@@ -365,7 +365,7 @@
 func (c *policyStatusCmd) Run() error {
 	client := c.client()
 	defer client.Close()
-	now, err := c.inForce(client)
+	now, err := c.inForce(client, 0)
 	if err != nil {
 		return err
 	}
@@ -420,7 +420,7 @@
 func (c *policyHistoryCmd) Run() error {
 	client := c.client()
 	defer client.Close()
-	all, err := c.inForce(client)
+	all, err := c.inForce(client, 0)
 	if err != nil {
 		return err
 	}
@@ -458,7 +458,7 @@
 func (c *policyShowCmd) Run() error {
 	client := c.client()
 	defer client.Close()
-	all, err := c.inForce(client)
+	all, err := c.inForce(client, 0)
 	if err != nil {
 		return err
 	}
--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -385,8 +385,12 @@
 		}
 		if e.Kind == register.Take {
 			faults.Point("council.asked") // not yet proposed
+		} else if e.Kind == register.Propose {
+			faults.Point("policy.asked") // the same
+		}
+		if d, err = c.ask(ctx, func(number uint64) { c.node.Do(number, e) }); e.Kind == register.Propose {
+			faults.Point("policy.answers") // agreed and watchers told, and who asked not yet answered
 		}
-		d, err = c.ask(ctx, func(number uint64) { c.node.Do(number, e) })
 	}
 	if err != nil {
 		return nil, err
--- a/internal/fleet/policy.go
+++ b/internal/fleet/policy.go
@@ -138,6 +138,8 @@
 	v, d, err := l.set.Store.Load()
 	if err != nil {
 		logrus.WithError(err).Warn("no policy of an earlier start")
+	}
+	if l.set.Record.Add("begins with", record.Fields{"version": v.String()}); v.Number == 0 {
 		return
 	}
 	l.follow.follower.Stored(v, d)
@@ -170,7 +172,10 @@
 			l.post(func() {
 				if f.saving = false; err != nil {
 					logrus.WithError(err).WithField("version", d.Version).Error("the policy is not kept for the next start")
+					l.set.Record.Add("unsaved", record.Fields{"version": d.Version.String(), "why": err.Error()})
+					return
 				}
+				l.set.Record.Add("stored", record.Fields{"version": d.Version.String()})
 			})
 		}()
 	}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -192,6 +192,9 @@
 
 func (f *Fleet) record(p *Process) string { return filepath.Join(f.Dir, "records", p.Name+".jsonl") }
 
+// policyFolder is where a router keeps the policy.
+func (f *Fleet) policyFolder(p *Process) string { return filepath.Join(f.Dir, "policy-"+p.Name) }
+
 func (f *Fleet) write(p *Process, text string, err error) error {
 	if err != nil {
 		return err
@@ -318,6 +321,7 @@
 			}
 		}
 		more = fmt.Sprintf("name = %q\ncouncil = [%s]\norders = %q\nsession = %q\nrecord = %q\n", f.Fleet, strings.Join(addrs, ", "), p.Orders, f.Session, f.record(p))
+		more += fmt.Sprintf("policy_folder = %q\n", f.policyFolder(p))
 		if f.Sight > 0 {
 			more += fmt.Sprintf("sight = %q\n", f.Sight)
 		}
--- a/internal/lab/fleet/script.go
+++ b/internal/lab/fleet/script.go
@@ -44,10 +44,18 @@
 //	queue DUTY N                until so many wait for it
 //	second                      until the clock has gone on by a second since the council began: the next to begin is above it
 //	barred DUTY                 until the council says that it grants it no more
+//	policy P FIELD=V ...        writes a policy's file; many=N: and so many tenants; {P.policy} is its path
+//	propose P [ARGS]            "policy propose", which must succeed, and sets $P to the version
+//	begin P [ARGS]              the same, not waited for; ends STATUS [WORDS]: until it has ended so, having printed the words
+//	race P Q                    both made from the version in force, sent at once: one is agreed, the other is refused for it
+//	row N                       so many proposals, one after the other, without waiting for any router
+//	everywhere [but X ...]      until each router that runs says by its record that it goes by the version in force
+//	goes X VERSION [anew]       until it says so of a version; anew: since its latest start
+//	spoil X                     a bit of its stored policy, while it is not running
 //	do ARGS                     the program with --council and --fleet, which must succeed; fails WORDS: it failed so
 //	writes                      until clients have had 40 more writes committed
 //
-// A name that begins with $ was set by "as"; other words stand for themselves.
+// A name that begins with $ was set by "as" or "propose", also after k=; other words stand for themselves.
 type Script struct {
 	Name      string            `toml:"name"`
 	Why       string            `toml:"why"`
@@ -63,6 +71,7 @@
 	Clocks    map[string]string `toml:"clocks"`    // by process: how far ahead
 	GoneBack  bool              `toml:"gone_back"` // the council's state does: what its processes write before and after need not agree
 	Late      int               `toml:"late"`      // acts that must have been refused for their fence, at least
+	Extra     []string          `toml:"extra"`     // routers that know a txn type more, "extra"
 	Steps     []string          `toml:"steps"`
 }
 
@@ -97,7 +106,15 @@
 		out string
 		err error
 	}
-	order uint64
+	order  uint64
+	begun  chan ended // of the command that was begun
+	agreed []string   // versions that operators were told are agreed
+}
+
+// ended is how a command ended.
+type ended struct {
+	out    string
+	status int
 }
 
 // Play plays a script in a folder and checks what the processes wrote.
@@ -108,11 +125,14 @@
 		return o, err
 	}
 	opt := Options{Binary: binary, Dir: dir, Council: s.Council, Routers: s.Routers, Members: s.Members, Switches: true, Session: session,
-		Handover: s.Handover, Unguarded: s.Unguarded, Council_: "tick = \"20ms\"\n", Router: func(name string) (string, string) {
+		Handover: s.Handover, Unguarded: s.Unguarded, Council_: "tick = \"20ms\"\n", Router: func(name string) (fleet, top string) {
 			if a := s.Clocks[name]; a != "" {
-				return fmt.Sprintf("clock_ahead = %q\n", a), ""
+				fleet = fmt.Sprintf("clock_ahead = %q\n", a)
+			}
+			if slices.Contains(s.Extra, name) {
+				top = "[[txn_types]]\nname = \"extra\"\nsla = \"1s\"\nexpiry = \"2s\"\n"
 			}
-			return "", ""
+			return fleet, top
 		}}
 	if s.Sight {
 		opt.Sight = 100 * time.Millisecond
@@ -157,7 +177,10 @@
 		p.Wake()
 	}
 	f.healAll()
-	wrong := Check(f, s.GoneBack)
+	if err := f.settle(); err != nil {
+		return o, err
+	}
+	wrong := append(Check(f, s.GoneBack), CheckPolicy(f, r.agreed)...)
 	if r.load != nil {
 		wrong = append(wrong, CheckWrites(filepath.Join(dir, "members"), r.load)...)
 	}
@@ -265,8 +288,11 @@
 
 func (r *run) step(w []string) error {
 	for n := range w {
+		key, value, pair := strings.Cut(w[n], "=")
 		if v, set := r.vars[w[n]]; set {
 			w[n] = v
+		} else if v, set := r.vars[value]; pair && set {
+			w[n] = key + "=" + v
 		} else if strings.HasPrefix(w[n], "$") {
 			return fmt.Errorf("%s is not set", w[n])
 		}
@@ -274,7 +300,9 @@
 	for n := range w { // {c1} is its settings, {c1.addr} its address; a space within a word is written ~
 		if inner, ok := strings.CutPrefix(strings.TrimSuffix(w[n], "}"), "{"); ok {
 			name, addr := strings.CutSuffix(inner, ".addr")
-			if p := r.f.Process(name); p != nil && addr {
+			if policy, is := strings.CutSuffix(inner, ".policy"); is {
+				w[n] = r.f.policyFile(policy)
+			} else if p := r.f.Process(name); p != nil && addr {
 				w[n] = p.Addr
 			} else if p != nil {
 				w[n] = p.Config
@@ -288,7 +316,7 @@
 		p = r.f.Process(w[0])
 	}
 	needs := map[string]bool{"stop": true, "wake": true, "term": true, "kill": true, "start": true, "small": true, "dead": true, "lose": true,
-		"keep": true, "restore": true, "shut": true, "line": true, "none": true, "fault": true, "struck": true}
+		"keep": true, "restore": true, "shut": true, "line": true, "none": true, "fault": true, "struck": true, "goes": true, "spoil": true}
 	if needs[verb] && p == nil {
 		return fmt.Errorf("no process %v", w)
 	}
@@ -502,6 +530,8 @@
 		return r.change("add", w[0]+"="+p.Addr)
 	case "remove":
 		return r.change("remove", w[0])
+	case "policy", "propose", "begin", "ends", "race", "row", "everywhere", "goes", "spoil":
+		return r.policy(verb, w)
 	case "writes":
 		return r.load.More(40)
 	default:
