--- a/cmd/wayloft/labfleet.go
+++ b/cmd/wayloft/labfleet.go
@@ -20,6 +20,7 @@
 	Council int    `help:"Processes of the council: three or five." default:"3"`
 	Routers int    `help:"Routers." default:"4"`
 	Members int    `help:"Stand-in members of the one group; the first is the primary." default:"3"`
+	Policy  string `help:"A policy that it begins under: written to its folder, named, and in force everywhere before it is ready." type:"existingfile" placeholder:"FILE"`
 	Dir     string `help:"Folder for settings, logs, records and what the processes store; a temporary one if not given." type:"path"`
 }
 
@@ -27,6 +28,11 @@
 	if c.Council < 1 || c.Routers < 1 || c.Members < 1 {
 		return errors.New("one process of each kind at least")
 	}
+	if c.Policy != "" { // before anything is started
+		if _, err := (&policyFile{File: c.Policy}).read(); err != nil {
+			return err
+		}
+	}
 	dir := c.Dir
 	if dir == "" {
 		var err error
@@ -52,15 +58,42 @@
 	if err := f.Start(); err != nil {
 		return err
 	}
+	path, err := c.under(f)
+	if err != nil {
+		return err
+	}
 	for _, p := range f.Processes() {
 		fmt.Printf("%s %s %s pid %d\n", p.Kind, p.Name[1:], p.Addr, p.Pid())
 	}
+	if path != "" {
+		fmt.Printf("policy %s\n", path)
+	}
 	fmt.Println("ready")
 	// Members that fail are replaced, as a cluster's own manager would.
 	f.Manage(ctx)
 	return nil
 }
 
+// under puts the policy in force and gives the path of its file; "": there is none.
+func (c *labFleetCmd) under(f *fleet.Fleet) (string, error) {
+	if c.Policy == "" {
+		return "", nil
+	}
+	d, err := (&policyFile{File: c.Policy}).read()
+	if err != nil {
+		return "", err
+	}
+	path, err := f.WritePolicy("policy", d)
+	if err != nil {
+		return "", err
+	}
+	out, err := f.Command("policy", "propose", path, "--reason", "the fleet begins", "--wait", fleet.Limit.String(), "--routers", fmt.Sprint(c.Routers))
+	if err != nil {
+		return "", fmt.Errorf("%s: %w: %s", path, err, out)
+	}
+	return path, nil
+}
+
 type labMemberCmd struct {
 	Folder  string        `help:"The cluster's folder." required:"" type:"path"`
 	Name    string        `help:"The member's name." required:""`
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -164,3 +164,64 @@
 		}
 	}
 }
+
+// A fleet that begins under a policy names its file and is ready once all routers go by it; a file that is wrong starts nothing.
+func TestUnderPolicy(t *testing.T) {
+	binary, err := build()
+	if err != nil {
+		t.Fatal(err)
+	}
+	few <- true
+	defer func() { <-few }()
+	file := filepath.Join(t.TempDir(), "p.toml")
+	write := func(text string) {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("[[txn_types]]\nname = \"write\"\nvalue = -1\nlevel = \"none\"\n")
+	out, err := exec.Command(binary, "lab", "fleet", "--policy", file).CombinedOutput()
+	if err == nil || !strings.Contains(string(out), "line 3: txn_types[0].value") || !strings.Contains(string(out), "line 4: txn_types[0].level") {
+		t.Errorf("%v: %s", err, out)
+	}
+	write("over_share_value = 0.25\n[[txn_types]]\nname = \"write\"\nvalue = 3.5\n")
+	cmd := exec.Command(binary, "lab", "fleet", "--council", "1", "--routers", "2", "--members", "1", "--policy", file)
+	pipe, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	lines, council, path := bufio.NewScanner(pipe), "", ""
+	for lines.Scan() && lines.Text() != "ready" {
+		var n int
+		fmt.Sscanf(lines.Text(), "council %d %s", &n, &council)
+		fmt.Sscanf(lines.Text(), "policy %s", &path)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil || !strings.Contains(string(text), "value = 3.5") {
+		t.Errorf("%q, %v", text, err)
+	}
+	var status struct {
+		Everywhere bool
+		Version    string
+		Fields     int
+		Routers    []struct{ Name, Version, State string }
+	}
+	if out, err := exec.Command(binary, "policy", "status", "--json", "--council", council).Output(); err != nil {
+		t.Error(err)
+	} else if err := json.Unmarshal(out, &status); err != nil || !status.Everywhere || status.Fields != 2 || len(status.Routers) != 2 ||
+		status.Routers[0].Version != status.Version || status.Routers[0].State != "in force" {
+		t.Errorf("%+v, %v", status, err)
+	}
+	if out, err := exec.Command(binary, "policy", "propose", path, "--council", council, "--wait", "30s").CombinedOutput(); err != nil ||
+		!strings.Contains(string(out), "says the same") || !strings.Contains(string(out), "\nin force everywhere since ") {
+		t.Errorf("%v: %s", err, out)
+	}
+	cmd.Process.Signal(os.Interrupt)
+	if err := cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+}
