--- a/cmd/wayloft/policy.go
+++ b/cmd/wayloft/policy.go
@@ -506,7 +506,9 @@
 			}
 		}
 		for _, field := range c.Difference.Gone {
-			delete(d, field)
+			if touched[field] {
+				delete(d, field)
+			}
 		}
 	}
 	if d.Hash() != v.Hash {
--- /dev/null
+++ b/cmd/wayloft/policy_test.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"wayloft/internal/decide/policy"
+	"wayloft/internal/fleet"
+	"wayloft/internal/fleetpb"
+)
+
+// Who a version waits for is told by name and cause; who has no session is known only if it had one, or by how many there must be.
+func TestWhoIsWaitedFor(t *testing.T) {
+	one := func(name string, mark, wont, silent uint64, why string) *fleetpb.Session {
+		return &fleetpb.Session{Name: name, Kind: "router", Policy: mark, Wont: wont, SilentMs: silent, Why: why}
+	}
+	v := func(number uint64) uint64 { return policy.Version{Epoch: 9, Number: number}.Mark() }
+	there := one("r1", v(2), 0, 300, "")
+	for _, c := range []struct {
+		sessions []*fleetpb.Session
+		known    string
+		least    int
+		want     string
+	}{
+		{[]*fleetpb.Session{there}, "", 0, ""},
+		{[]*fleetpb.Session{one("r1", v(3), 0, 0, "")}, "r1", 1, ""}, // a later one
+		{[]*fleetpb.Session{one("r1", v(2), v(1), 5000, "")}, "", 0, ""},
+		{nil, "", 0, "1 more (no session with the council)"},
+		{[]*fleetpb.Session{there, {Name: "x", Kind: "other"}}, "", 3, "2 more (no session with the council)"},
+		{[]*fleetpb.Session{there, one("r0", v(1), 0, 999, "")}, "", 0, "r0 (goes by 9.1)"},
+		{[]*fleetpb.Session{one("r0", 0, 0, 0, ""), there}, "", 0, "r0 (goes by none)"},
+		{[]*fleetpb.Session{there, one("r9", v(1), 0, 1000, "")}, "", 0, "r9 (silent)"},
+		{[]*fleetpb.Session{there, one("r9", v(1), v(2), 4000, "no a\nno b")}, "", 0, "r9 (couldn't: no a; no b)"},
+		{[]*fleetpb.Session{there, one("r9", v(1), v(1), 0, "no a")}, "", 0, "r9 (goes by 9.1)"}, // it was another version that it couldn't take
+		{[]*fleetpb.Session{there}, "r1 r7", 2, "r7 (silent)"},
+	} {
+		known := map[string]bool{}
+		for _, name := range strings.Fields(c.known) {
+			known[name] = true
+		}
+		all := goers(&fleetpb.State{State: &fleetpb.Update{Sessions: c.sessions}}, v(2), known)
+		if got := left(all, c.least); got != c.want {
+			t.Errorf("%v, %s, %d: got %q, want %q", c.sessions, c.known, c.least, got, c.want)
+		}
+	}
+}
+
+// An earlier version is told as it was, or not at all, whatever of the history is kept.
+func TestEarlier(t *testing.T) {
+	told, refused := 0, 0
+	for seed := range uint64(300) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		all := fleet.Policies{Document: policy.Document{}}
+		var docs []policy.Document
+		for number := uint64(1); number < 12; number++ {
+			d := maps.Clone(all.Document)
+			for range 1 + r.IntN(3) {
+				field := fmt.Sprintf("tenants.t%d.rate", r.IntN(6))
+				if d[field] = fmt.Sprint(r.IntN(4)); r.IntN(3) == 0 {
+					delete(d, field)
+				}
+			}
+			v := policy.Version{Epoch: 3, Number: number, Base: all.Version.Mark(), Hash: d.Hash()}
+			all.History = append(all.History, policy.Change{Version: v, Difference: policy.Between(all.Document, d)})
+			all.Version, all.Document = v, d
+			docs = append(docs, d)
+		}
+		cut := r.IntN(len(docs))
+		all.History = all.History[cut:]
+		for n, want := range docs {
+			v, got, err := earlier(all, policy.Version{Epoch: 3, Number: uint64(n + 1)}.Mark())
+			switch {
+			case err != nil:
+				if refused++; cut == 0 || n == len(docs)-1 {
+					t.Fatalf("seed %d: number %d with the history from %d: %v", seed, n+1, cut+1, err)
+				}
+			case n < cut || v.Number != uint64(n+1) || !maps.Equal(got, want):
+				t.Fatalf("seed %d: number %d with the history from %d: got %v, want %v", seed, n+1, cut+1, got, want)
+			default:
+				told++
+			}
+		}
+	}
+	if told == 0 || refused == 0 {
+		t.Errorf("%d told, %d refused", told, refused)
+	}
+}
