--- a/internal/fleet/link_test.go
+++ b/internal/fleet/link_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"testing"
 
+	"wayloft/internal/decide/policy"
 	"wayloft/internal/decide/sight"
 )
 
@@ -20,6 +21,9 @@
 func (r *listing) Sighted(sight.Report)  {}
 func (r *listing) Hold(int, float64)     {}
 func (r *listing) Writes(int) (int, int) { return 0, 0 }
+func (r *listing) Policy(policy.Version, policy.Document) error {
+	return nil
+}
 func (r *listing) Groups() map[int][]Member {
 	r.asked <- true
 	return r.groups
