--- a/router/router.go
+++ b/router/router.go
@@ -314,8 +314,8 @@
 	}
 }
 
-// ListFailed says that a call failed or the subscription broke. Many must not ask again at once, nor late: one
-// that took its time, a silence or a call that hung, has paced them already, and another may follow.
+// ListFailed says that a call failed or the subscription broke. Many must not ask again at once, nor late:
+// one that took its time, a silence or a call that hung, has paced them already, and another may follow.
 func (r *Router) ListFailed() {
 	if !r.set.Ask {
 		return
