--- a/router/router.go
+++ b/router/router.go
@@ -299,8 +299,8 @@
 	}
 }
 
-// ListFailed says that a call failed or the subscription broke. Many must not ask again at once, nor late: one that took
-// its time, a silence or a call that hung, has paced them already, and another may follow.
+// ListFailed says that a call failed or the subscription broke. Many must not ask again at once, nor late: one
+// that took its time, a silence or a call that hung, has paced them already, and another may follow.
 func (r *Router) ListFailed() {
 	if !r.set.Ask {
 		return
@@ -622,6 +622,12 @@
 	if how == Full {
 		return // too crowded to be checked: it is there, and nothing else is told
 	}
+	if how == Moot { // never made, since no connection was left here: nothing is told
+		if !m.down {
+			m.ask()
+		}
+		return
+	}
 	// Guards against checks that fail where members serve: an answer since is the better evidence, and an error
 	// shows that it is there. The txns themselves then ask (fit, pick).
 	if m.mum = how == Errored; m.mum {
