--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"net"
@@ -260,6 +261,8 @@
 		case council.Past:
 			if leads, _ := c.node.Leads(); leads && d.Event.Duty != "" && !d.Event.Ended {
 				faults.Point("council.granted") // agreed, and not yet answered
+			} else if leads && d.Event.Policy > 0 {
+				faults.Point("council.policy") // the same
 			}
 			c.past(d.Event)
 		}
@@ -281,8 +284,15 @@
 func (c *Council) past(e register.Event) {
 	leads, _ := c.node.Leads()
 	if e.Policy > 0 {
-		v := c.node.Register().Policy().Version
-		c.set.Record.Add("policy", record.Fields{"index": e.Index, "version": policy.MarkString(e.Policy), "author": v.Author, "reason": v.Reason})
+		b := c.node.Register().Policy()
+		v := b.Version
+		for _, was := range b.History { // another may have followed by now
+			if was.Version.Mark() == e.Policy {
+				v = was.Version
+			}
+		}
+		c.set.Record.Add("policy", record.Fields{"index": e.Index, "version": policy.MarkString(e.Policy), "hash": hex.EncodeToString(v.Hash[:]),
+			"author": v.Author, "reason": v.Reason})
 		if leads {
 			logrus.WithFields(logrus.Fields{"version": v, "author": v.Author, "reason": v.Reason}).Info("policy in force")
 		}
@@ -377,8 +387,12 @@
 		}
 		if e.Kind == register.Take {
 			faults.Point("council.asked") // not yet proposed
+		} else if e.Kind == register.Propose {
+			faults.Point("policy.asked") // the same
+		}
+		if d, err = c.ask(ctx, func(number uint64) { c.node.Do(number, e) }); e.Kind == register.Propose {
+			faults.Point("policy.answers") // agreed and watchers told, and who asked not yet answered
 		}
-		d, err = c.ask(ctx, func(number uint64) { c.node.Do(number, e) })
 	}
 	if err != nil {
 		return nil, err
--- a/internal/host/crossing_test.go
+++ b/internal/host/crossing_test.go
@@ -3,10 +3,12 @@
 package host
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
 	"testing"
+	"time"
 
 	"wayloft/internal/faults"
 )
@@ -133,3 +135,167 @@
 		t.Errorf("the peer read %d bytes: %v", n, err)
 	}
 }
+
+// A peer takes a connection and at once says something, or ends it: both cross the moment in which the loop is told that
+// the connection is up. Whoever handles it hears of them all the same, in their order, and doesn't wait for a time-out.
+func TestPeerIsFasterThanItsConnection(t *testing.T) {
+	for _, c := range []struct {
+		name, says string
+		reset      bool
+	}{{"ends", "", false}, {"resets", "", true}, {"speaks and ends", "no room", false}} {
+		t.Run(c.name, func(t *testing.T) {
+			l, _, _, _ := pair(t, 1<<20)
+			front, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer front.Close()
+			gone := make(chan bool, 10)
+			defer faults.At("host.gone", func() { gone <- true })()
+			defer faults.At("host.dialled", func() { // it is with the poller, and the loop has not heard of it
+				peer, err := front.Accept()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				peer.Write([]byte(c.says))
+				if c.reset {
+					peer.(*net.TCPConn).SetLinger(0)
+				}
+				peer.Close()
+				<-gone // what befell it has come to the loop
+			})()
+			h := &ends{make(chan string, 10), make(chan bool)}
+			l.Post(func() {
+				l.Dial(front.Addr().String(), 10000, func(one *Conn, err error) {
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					one.Handle(h)
+					one.Write([]byte("hello"))
+				})
+			})
+			select {
+			case <-h.closed:
+			case <-time.After(20 * time.Second):
+				t.Fatal("its end was never heard of")
+			}
+			if c.says != "" {
+				select {
+				case got := <-h.data:
+					if got != c.says {
+						t.Errorf("heard %q", got)
+					}
+				default:
+					t.Error("what it said was not heard")
+				}
+			}
+		})
+	}
+}
+
+// order notes what a handler hears, and when its batch is over.
+type order struct {
+	mu     sync.Mutex
+	what   []string
+	over   chan bool
+	closed chan bool
+}
+
+func (o *order) note(what string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.what) > 0 || what != "settled" {
+		o.what = append(o.what, what)
+	}
+	if what == "settled" && len(o.what) == 2 {
+		close(o.over)
+	}
+}
+func (o *order) Data(b []byte) { o.note(string(b)) }
+func (o *order) Closed()       { o.note("closed"); close(o.closed) }
+
+// A request and its client's end have both come before the poller reads. The loop hears of the end in the batch of the
+// request, so that nothing is decided for it in between: the poller is held behind the request until that batch is over.
+func TestEndIsHeardWithWhatCameBeforeIt(t *testing.T) {
+	l := NewLoop(256)
+	front, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, other := &order{over: make(chan bool), closed: make(chan bool)}, &ends{make(chan string, 10), make(chan bool)}
+	accepted := make(chan bool, 2)
+	handlers := []Handler{o, other}
+	if err := l.Listen(front, 1<<20, func(c *Conn) { c.Handle(handlers[0]); handlers = handlers[1:]; accepted <- true }); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan bool)
+	go func() { l.Run(func() { o.note("settled") }); close(ended) }()
+	defer func() { l.Post(l.End); <-ended }()
+	var peers [2]net.Conn
+	for n := range peers {
+		if peers[n], err = net.Dial("tcp", front.Addr().String()); err != nil {
+			t.Fatal(err)
+		}
+		defer peers[n].Close()
+		<-accepted
+	}
+	held, release := make(chan bool), make(chan bool)
+	defer faults.At("host.read", sync.OnceFunc(func() { held <- true; <-release }))()
+	told := 0
+	defer faults.At("host.told", func() {
+		if told++; told == 2 { // the request; the first is the other's
+			<-o.over
+		}
+	})()
+	if _, err := peers[1].Write([]byte("other")); err != nil {
+		t.Fatal(err)
+	}
+	<-held
+	if _, err := peers[0].Write([]byte("request")); err != nil {
+		t.Fatal(err)
+	}
+	peers[0].Close() // both are with this side's system now
+	close(release)
+	<-o.closed
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.what) < 2 || o.what[0] != "request" || o.what[1] != "closed" {
+		t.Errorf("in the order %v", o.what)
+	}
+}
+
+// A dial is made while the loop ends: the poller does not get its connection any more, and the peer sees its end.
+func TestDialIsMadeWhileTheLoopEnds(t *testing.T) {
+	l := NewLoop(256)
+	front, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Listen(front, 1<<20, func(*Conn) {}); err != nil {
+		t.Fatal(err)
+	}
+	there, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer there.Close()
+	ended, dialled := make(chan bool), make(chan error)
+	defer faults.At("host.connected", func() { <-ended })()
+	go func() { _, err := l.dial(there.Addr().String(), 10*time.Second); dialled <- err }()
+	go func() { l.Run(func() {}); close(ended) }()
+	peer, err := there.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	l.Post(l.End)
+	if err := <-dialled; !errors.Is(err, net.ErrClosed) {
+		t.Errorf("the dial ended with %v", err)
+	}
+	peer.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if _, err := peer.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("the peer saw %v, want the end", err)
+	}
+}
--- a/internal/host/loop.go
+++ b/internal/host/loop.go
@@ -35,6 +35,9 @@
 	ended  bool
 	engine *nbio.Engine
 	buf    []byte // the poller's, for what it reads
+
+	adding  sync.Mutex // held while the poller gets a connection that was dialled
+	stopped bool       // under adding: it gets no more
 }
 
 // Handler hears of its connection's bytes and its end, on the loop.
@@ -58,6 +61,8 @@
 	after   atomic.Int64 // end once so many bytes are written; 0: don't
 	deaf    atomic.Bool  // what still comes is thrown away by the poller, uncopied
 	closed  bool
+	came    bool     // it came in, and was not made here
+	early   [][]byte // what came before anyone handled it; the mailbox bounds it
 }
 
 // NewLoop makes a loop that can hold this many descriptors.
@@ -126,6 +131,10 @@
 	if l.engine == nil {
 		return
 	}
+	// Guards against a dial that is made just now: the poller must not get another connection while it ends.
+	l.adding.Lock()
+	l.stopped = true
+	l.adding.Unlock()
 	stopped := make(chan struct{})
 	go func() { l.engine.Stop(); close(stopped) }()
 	for late := time.After(lingering); ; {
@@ -152,7 +161,7 @@
 		if nb.Session() != nil {
 			return // dialled
 		}
-		c := l.own(nb)
+		c := l.own(nb, true)
 		l.Post(func() { accept(c) })
 	})
 	e.OnRead(func(nb *nbio.Conn) {
@@ -178,8 +187,8 @@
 
 // own makes the connection's other half, and owner finds it. The lock orders the two for the poller, which learns of
 // a connection by way of the system alone.
-func (l *Loop) own(nb *nbio.Conn) *Conn {
-	c := &Conn{loop: l, nb: nb}
+func (l *Loop) own(nb *nbio.Conn, came bool) *Conn {
+	c := &Conn{loop: l, nb: nb, came: came}
 	nb.Lock()
 	nb.SetSession(c)
 	nb.Unlock()
@@ -198,6 +207,7 @@
 func (l *Loop) Dial(addr string, ms float64, done func(*Conn, error)) {
 	go func() {
 		c, err := l.dial(addr, time.Duration(ms*float64(time.Millisecond)))
+		faults.Here("host.dialled")
 		l.Post(func() { done(c, err) })
 	}()
 }
@@ -212,7 +222,14 @@
 		std.Close()
 		return nil, err
 	}
-	c := l.own(nb)
+	faults.Here("host.connected")
+	l.adding.Lock()
+	defer l.adding.Unlock()
+	if l.stopped {
+		nb.Close()
+		return nil, net.ErrClosed
+	}
+	c := l.own(nb, false)
 	_, err = l.engine.AddConn(nb)
 	return c, err
 }
@@ -227,19 +244,21 @@
 	return nb, nil
 }
 
-// receive takes in what has come, a bounded part of it at once. On the poller.
+// receive takes in what has come, a bounded part of it at once. On the poller. Of a connection that came in, bytes are told
+// with the end that is there behind them: guards against a request that waited to be read for longer than its client did,
+// and goes on before the loop hears that the client has gone.
 func (c *Conn) receive() {
 	buf := c.loop.buf
+	var data []byte // read, and not told yet
+	defer func() { c.tell(data, false) }()
 	for range reads {
 		n, heard, err := c.take(buf)
+		if data != nil {
+			c.tell(data, n == 0 && err == nil || err != nil && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR))
+			data = nil
+		}
 		if heard {
-			data := append([]byte(nil), buf[:n]...)
-			c.loop.Post(func() {
-				c.handled += int64(len(data))
-				if !c.closed && c.handler != nil {
-					c.handler.Data(data)
-				}
-			})
+			data = append([]byte(nil), buf[:n]...)
 		}
 		switch {
 		case errors.Is(err, syscall.EINTR):
@@ -248,12 +267,31 @@
 		case err != nil:
 			c.nb.CloseWithError(err)
 			return
-		case n < len(buf):
+		case n == 0 || n < len(buf) && !c.came:
 			return
 		}
 	}
 }
 
+// tell has the loop hear of bytes, if there are any, and of the end behind them.
+func (c *Conn) tell(data []byte, ended bool) {
+	if data == nil {
+		return
+	}
+	c.loop.Post(func() {
+		c.handled += int64(len(data))
+		if c.handler == nil {
+			c.early = append(c.early, data)
+		} else if !c.closed {
+			c.handler.Data(data)
+		}
+		if ended {
+			c.gone()
+		}
+	})
+	faults.Here("host.told")
+}
+
 // take reads and counts in one step, against who asks what is unread. Guards against an end that is decided between the
 // two: bytes that were read before it would be thrown away after it, and their sender can't know.
 func (c *Conn) take(buf []byte) (n int, heard bool, err error) {
@@ -282,8 +320,23 @@
 	return errors.Join(raw.Control(func(fd uintptr) { inner = f(int(fd)) }), inner)
 }
 
-// Handle names who hears of the connection from now on.
-func (c *Conn) Handle(h Handler) { c.handler = h }
+// Handle names who hears of the connection from now on, and of what has come so far. Guards against a peer that speaks, or
+// ends the connection, before whoever had it made is told of it: it would wait for either until its time-out.
+func (c *Conn) Handle(h Handler) {
+	early, ended := c.early, c.closed
+	c.handler, c.early = h, nil
+	if early == nil && !ended {
+		return
+	}
+	c.loop.Soon(func() {
+		for _, data := range early {
+			h.Data(data)
+		}
+		if ended {
+			h.Closed()
+		}
+	})
+}
 
 // Write sends b, now or as the peer takes it. If it can't, Closed follows.
 func (c *Conn) Write(b []byte) {
@@ -353,6 +406,7 @@
 			c.handler.Closed()
 		}
 	}
+	faults.Here("host.gone")
 }
 
 // Close ends the connection at once, by way of the poller; Closed does not follow.
