lab size: hollow routers and databases around the real council, a row for each role

Hollow routers run the real session, watch, agent, list and sight code over real sockets without clients, many to a process, around three processes of the council and some real routers.

--- a/cmd/wayloft/lab.go
+++ b/cmd/wayloft/lab.go
@@ -17,6 +17,8 @@
 	Member labMemberCmd `cmd:"" hidden:"" help:"One stand-in member, as a process."`
 	Idle   labIdleCmd   `cmd:"" help:"Print what a resting session costs in memory."`
 	Fast   labFastCmd   `cmd:"" help:"Print what a router costs where members answer fast: direct and through it, in one run."`
+	Size   labSizeCmd   `cmd:"" help:"Print what each role of an installation costs, at a size: council, routers, sight, discovery, databases."`
+	Hollow labHollowCmd `cmd:"" hidden:"" help:"Many hollow routers or databases, as one process."`
 }
 
 type labUpCmd struct {
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -37,6 +37,8 @@
 	Fleet     string
 	Unguarded string // a member without a guard row
 	Alone     bool   // routers have no [fleet] at all
+	Keep      int    // entries until the council's log is cut; 0: few, so that it is cut in a short play
+	Quiet     bool   // nobody writes a record
 }
 
 // Process is one that was started, or will be.
@@ -75,6 +77,9 @@
 	if o.Hold == 0 {
 		o.Hold = 3 * time.Second
 	}
+	if o.Keep == 0 {
+		o.Keep = 500
+	}
 	f = &Fleet{Options: o, procs: map[string]*Process{}, switches: map[[2]string]*Switch{}}
 	defer func() {
 		if err != nil {
@@ -190,7 +195,12 @@
 	return all
 }
 
-func (f *Fleet) record(p *Process) string { return filepath.Join(f.Dir, "records", p.Name+".jsonl") }
+func (f *Fleet) record(p *Process) string {
+	if f.Quiet {
+		return ""
+	}
+	return filepath.Join(f.Dir, "records", p.Name+".jsonl")
+}
 
 func (f *Fleet) write(p *Process, text string, err error) error {
 	if err != nil {
@@ -222,8 +232,8 @@
 
 func (f *Fleet) council(p *Process, join bool) (string, error) {
 	var b strings.Builder
-	fmt.Fprintf(&b, "[council]\nfleet = %q\nname = %q\nlisten = %q\nfolder = %q\nrecord = %q\nkeep = 500\n%s\n", f.Fleet, p.Name, p.Addr, p.Folder,
-		f.record(p), f.Council_)
+	fmt.Fprintf(&b, "[council]\nfleet = %q\nname = %q\nlisten = %q\nfolder = %q\nrecord = %q\nkeep = %d\n%s\n", f.Fleet, p.Name, p.Addr, p.Folder,
+		f.record(p), f.Keep, f.Council_)
 	p.args = []string{"council", "run", "--config", p.Config}
 	via := ""
 	for _, o := range f.kind("council") {
--- /dev/null
+++ b/internal/lab/size/size.go
@@ -0,0 +1,113 @@
+// Package size measures what each role of an installation costs at which size, on one machine: the real council and some real
+// routers as processes of the program, and around them hollow routers, databases and a discovery service, many to a process, which
+// run the real session, watch, agent, list and sight code over real sockets without clients. It owns the processes that it started and
+// the account of what they did, counted from outside wherever that can be; it must never end what it did not start, go beyond
+// its bounds, or be part of a router.
+package size
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+const (
+	zones         = 8   // hollow routers and databases are spread over so many, a process each
+	councils      = 3   // processes of the council
+	mostProcesses = 300 // in all
+	mostMemory    = 12 << 10
+	mostRouters   = 2000 // hollow ones
+	mostMembers   = 4000
+	mostOwners    = 64
+)
+
+// What a process of each kind may take at most, in MiB, for the bound on all of them; measured ones took less.
+const (
+	councilMiB   = 300
+	realMiB      = 100
+	baseMiB      = 40 // of a process of hollow ones
+	hollowMiB    = 8  // of one of them, and one to which an owner of sight keeps connections
+	memberKiB    = 512
+	discoveryKiB = 512 // for each watcher
+)
+
+// Options say what is started.
+type Options struct {
+	Binary  string // the program
+	Dir     string // for settings, logs and what the council stores
+	Routers int    // hollow
+	Real    int    // routers, processes each
+	Members int    // hollow databases
+	Group   int    // of which so many are a group
+	Owners  int    // of sight, one group each, while sight is looked at; 0: sight is not looked at
+	Sight   time.Duration
+	For     time.Duration // of each look
+	Session time.Duration // of routers with the council
+	Pace    time.Duration // between the starts of two routers
+	Regions bool          // two, with a switch on each link between them
+}
+
+// Check says what is wrong with them, by the flag that has it.
+func (o Options) Check() error {
+	least := func(flag string, x, from, to int) error {
+		if x < from || x > to {
+			return fmt.Errorf("--%s: from %d to %d, not %d", flag, from, to, x)
+		}
+		return nil
+	}
+	span := func(flag string, x, from, to time.Duration) error {
+		if x < from || x > to {
+			return fmt.Errorf("--%s: from %s to %s, not %s", flag, from, to, x)
+		}
+		return nil
+	}
+	if err := errors.Join(least("routers", o.Routers, 0, mostRouters), least("real", o.Real, 0, mostProcesses),
+		least("members", o.Members, 1, mostMembers), least("group", o.Group, 1, 1000), least("owners", o.Owners, 0, mostOwners),
+		span("for", o.For, time.Second, time.Hour), span("session", o.Session, 200*time.Millisecond, time.Minute),
+		span("pace", o.Pace, 0, 10*time.Second)); err != nil {
+		return err
+	}
+	if o.Routers+o.Real == 0 {
+		return errors.New("--routers, --real: one router at least, of either kind")
+	}
+	if o.Owners > 0 {
+		if err := span("sight", o.Sight, 10*time.Millisecond, time.Minute); err != nil {
+			return err
+		}
+	}
+	if groups := o.groups(); o.Owners > groups {
+		return fmt.Errorf("--owners: %d, but there are %d groups", o.Owners, groups)
+	}
+	if n := o.Processes(); n > mostProcesses {
+		return fmt.Errorf("--real: %d processes in all, %d at most", n, mostProcesses)
+	}
+	if mib := o.Memory(); mib > mostMemory {
+		return fmt.Errorf("--routers, --real, --members: would take %d MiB, %d at most", mib, mostMemory)
+	}
+	return nil
+}
+
+func (o Options) groups() int { return (o.Members + o.Group - 1) / o.Group }
+
+// Processes is how many are started, this one among them.
+func (o Options) Processes() int {
+	return 2 + councils + min(zones, o.Routers) + min(zones, o.Members) + o.Real + o.Owners
+}
+
+// Memory is what they may take at most, in MiB.
+func (o Options) Memory() int {
+	kib := o.Members*memberKiB + (o.Routers+o.Real+o.Owners)*discoveryKiB
+	return councils*councilMiB + o.Real*realMiB + o.Processes()*baseMiB + o.Routers*hollowMiB*(1+o.Owners)/max(1, o.Owners) + kib>>10
+}
+
+// zone tells in which zone the nth of so many is, and share how many of them a zone has.
+func zone(n, of int) int { return n * zones / max(of, 1) }
+
+func share(z, of int) (from, to int) {
+	for from < of && zone(from, of) < z {
+		from++
+	}
+	for to = from; to < of && zone(to, of) == z; to++ {
+	}
+	return from, to
+}
