--- a/cmd/wayloft/labsize.go
+++ b/cmd/wayloft/labsize.go
@@ -2,10 +2,16 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"wayloft/internal/lab/size"
 )
 
@@ -17,49 +23,105 @@
 	Owners  int           `help:"Owners of sight, one group each; 0: none." default:"1"`
 	Sight   time.Duration `help:"Between two looks of an owner at a database." default:"250ms"`
 	Session time.Duration `help:"Length of a router's session with the council." default:"2s"`
-	Pace    time.Duration `help:"Between the starts of two routers." default:"30ms"`
+	Pace    time.Duration `help:"Between the starts of two routers; 0: by how much each asks of the council." default:"0s"`
 	For     time.Duration `help:"Length of each look." default:"10s"`
+	Sweep   bool          `help:"One size after the other, up to --routers, and a line through each figure." xor:"what"`
+	Sizes   []int         `help:"Hollow routers of each size of the sweep." placeholder:"N,..."`
+	Paired  bool          `help:"What hollow routers cost the council beside as many real ones." xor:"what"`
+	Plays   int           `help:"Of each kind, with --paired." default:"3"`
+	Event   string        `help:"Have one happen, and tell when it was known everywhere: restart-zone, cut-regions, primary." xor:"what"`
 	JSON    bool          `help:"As JSON."`
 	Dir     string        `help:"Folder for settings, logs and what the council stores; a temporary one if not given." type:"path"`
 }
 
-func (c *labSizeCmd) options() (o size.Options, done func(), err error) {
+func (c *labSizeCmd) options() (o size.Options, err error) {
 	o = size.Options{Dir: c.Dir, Routers: c.Routers, Real: c.Real, Members: c.Members, Group: c.Group, Owners: c.Owners, Sight: c.Sight, For: c.For,
-		Session: c.Session, Pace: c.Pace}
-	if err := o.Check(); err != nil {
-		return o, nil, err
+		Session: c.Session, Pace: c.Pace, Say: func(text string) { logrus.Info(text) }}
+	switch {
+	case len(c.Sizes) > 0 && !c.Sweep:
+		return o, errors.New("--sizes: goes with --sweep")
+	case c.Plays < 1 || c.Plays > 100:
+		return o, fmt.Errorf("--plays: from 1 to 100, not %d", c.Plays)
 	}
-	if o.Binary, err = os.Executable(); err != nil {
-		return o, nil, err
+	if c.Paired {
+		o.Real = 0
 	}
-	done = func() {}
-	if o.Dir == "" {
-		if o.Dir, err = os.MkdirTemp("", "wayloft-size-"); err != nil {
-			return o, nil, err
-		}
-		done = func() { os.RemoveAll(o.Dir) }
+	if err := o.Check(); err != nil {
+		return o, err
 	}
-	return o, done, nil
+	o.Binary, err = os.Executable()
+	return o, err
 }
 
 func (c *labSizeCmd) Run() error {
-	o, done, err := c.options()
+	o, err := c.options()
 	if err != nil {
 		return err
 	}
-	defer done()
+	if o.Dir == "" {
+		if o.Dir, err = os.MkdirTemp("", "wayloft-size-"); err != nil {
+			return err
+		}
+		defer os.RemoveAll(o.Dir)
+	}
+	stop := make(chan struct{})
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		close(stop)
+	}()
+	o.Stop = stop
+	switch {
+	case c.Sweep:
+		sizes := c.Sizes
+		if len(sizes) == 0 {
+			sizes = size.Sizes(c.Routers)
+		}
+		s, err := size.Sweep(o, sizes, func(r *size.Report) {
+			if !c.JSON {
+				c.print(r)
+			}
+		})
+		if err != nil {
+			return err
+		}
+		return c.write(s, func(w io.Writer) { size.PrintSlopes(w, s.Slopes) })
+	case c.Paired:
+		p, err := size.Paired(o, c.Plays)
+		if err != nil {
+			return err
+		}
+		return c.write(p, p.Print)
+	case c.Event != "":
+		h, err := size.Play(c.Event, o)
+		if err != nil {
+			return err
+		}
+		return c.write(h, h.Print)
+	}
 	r, err := size.Measure(o)
 	if err != nil {
 		return err
 	}
+	return c.write(r, func(io.Writer) { c.print(r) })
+}
+
+// write prints what was measured, as the flag says.
+func (c *labSizeCmd) write(v any, table func(io.Writer)) error {
 	if c.JSON {
-		return json.NewEncoder(os.Stdout).Encode(r)
+		return json.NewEncoder(os.Stdout).Encode(v)
 	}
-	fmt.Printf("%d hollow and %d real routers, %d databases in %d groups; settled after %.1f s\n", r.Routers, r.Real, r.Members, r.Groups, r.StartS)
-	size.Print(os.Stdout, r.Rows)
+	table(os.Stdout)
 	return nil
 }
 
+func (c *labSizeCmd) print(r *size.Report) {
+	fmt.Printf("%d hollow and %d real routers, %d databases in %d groups; settled after %.1f s, looked at for %.1f s\n", r.Routers, r.Real, r.Members,
+		r.Groups, r.StartS, r.Seconds)
+	size.Print(os.Stdout, r.Rows)
+}
+
 type labHollowCmd struct{}
 
 func (labHollowCmd) Run() error { return size.Hollow(os.Stdin, os.Stdout) }
--- a/internal/lab/size/count.go
+++ b/internal/lab/size/count.go
@@ -24,7 +24,8 @@
 	standing = iota // asks where a duty stands
 	calling         // brings the council an entry
 	answering
-	whole // a watch's first word
+	moving // an answer that names another process to ask
+	whole  // a watch's first word
 	change
 	alive // an empty word
 	ordering
@@ -32,7 +33,7 @@
 	kinds
 )
 
-var kindNames = [kinds]string{"stand", "call", "answer", "whole", "change", "alive", "order", "verdict"}
+var kindNames = [kinds]string{"stand", "call", "answer", "moved", "whole", "change", "alive", "order", "verdict"}
 
 func kindOf(v any) int {
 	switch m := v.(type) {
@@ -42,6 +43,9 @@
 		}
 		return calling
 	case *fleetpb.Answer:
+		if m.Moved {
+			return moving
+		}
 		return answering
 	case *fleetpb.Update:
 		switch {
--- /dev/null
+++ b/internal/lab/size/events.go
@@ -0,0 +1,341 @@
+package size
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"wayloft/internal/lab/fleet"
+)
+
+// Part is one thing that had to get everywhere after an event.
+type Part struct {
+	What     string  `json:"what"`
+	Expected int     `json:"expected"` // hearings
+	Heard    int     `json:"heard"`
+	Median   float64 `json:"median_ms"` // from the event until heard
+	Worst    float64 `json:"worst_ms"`
+}
+
+// Happened is one event.
+type Happened struct {
+	Event   string             `json:"event"`
+	Seconds float64            `json:"seconds"` // until all parts were everywhere, or it was given up
+	Parts   []Part             `json:"parts"`
+	Bytes   map[string]float64 `json:"bytes"` // that it cost a router, by whom; what the same time costs without it is taken off
+	Calls   map[string]int64   `json:"calls"` // of hollow routers meanwhile, all together
+	Said    []string           `json:"said,omitempty"`
+}
+
+// everywhere is how long an event may take before it is given up.
+const everywhere = 2 * time.Minute
+
+// event plays one on an installation that has settled, with what a router's bytes a second are meanwhile without it.
+type event struct {
+	prepare func(*Options)
+	play    func(in *Installation, calm between) (*Happened, error)
+}
+
+// events are those that there are. One more is one more line here.
+var events = map[string]event{
+	"restart-zone": {func(o *Options) { o.Owners = 0 }, restartZone},
+	"cut-regions":  {func(o *Options) { o.Owners, o.Regions = 0, true }, cutRegions},
+	"primary":      {func(o *Options) { o.Owners = max(1, o.Owners) }, changePrimary},
+}
+
+// Events names them.
+func Events() []string { return sortedKeys(events) }
+
+// Play has an event happen to an installation that it starts and ends.
+func Play(name string, o Options) (*Happened, error) {
+	e, known := events[name]
+	if !known {
+		return nil, fmt.Errorf("--event: %s, not %q", strings.Join(Events(), ", "), name)
+	}
+	if e.prepare(&o); o.Routers < 2*zones {
+		return nil, fmt.Errorf("--event: takes %d hollow routers, two in each zone, not %d", 2*zones, o.Routers)
+	}
+	if o.Members < zones || o.Group < 2 {
+		return nil, fmt.Errorf("--event: takes %d databases, and groups of two", zones)
+	}
+	in, err := Start(o)
+	if err != nil {
+		return nil, err
+	}
+	defer in.Close()
+	if in.Owners > 0 {
+		if err := in.Own(); err != nil {
+			return nil, err
+		}
+	}
+	calm, err := in.during(o.For)
+	if err != nil {
+		return nil, err
+	}
+	h, err := e.play(in, calm)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	h.Event = name
+	return h, nil
+}
+
+// mark has all processes of hollow routers note what it names from now on.
+func (in *Installation) mark(m Mark) error {
+	for _, c := range in.routers {
+		if c != nil {
+			if _, err := c.Ask(Query{Do: "mark", Mark: &m}); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// heard waits until so much has been heard, and gives the parts, with times from an event on.
+func (in *Installation) heard(from float64, expected map[string]int) (parts []Part, err error) {
+	var times map[string][]float64
+	for late := time.Now().Add(everywhere); ; {
+		times = map[string][]float64{}
+		for _, c := range in.routers {
+			if c == nil {
+				continue
+			}
+			a, err := c.Ask(Query{Do: "heard"})
+			if err != nil {
+				return nil, err
+			}
+			times["sessions"] = append(times["sessions"], a.Heard.Sessions...)
+			times["lists"] = append(times["lists"], a.Heard.Lists...)
+			times["primaries"] = append(times["primaries"], a.Heard.Primaries...)
+		}
+		missing := false
+		for what, n := range expected {
+			missing = missing || len(times[what]) < n
+		}
+		if !missing || time.Now().After(late) {
+			break
+		}
+		if err := in.wait(200 * time.Millisecond); err != nil {
+			return nil, err
+		}
+	}
+	for _, what := range slices.Sorted(maps.Keys(expected)) {
+		all := times[what]
+		slices.Sort(all)
+		p := Part{What: what, Expected: expected[what], Heard: len(all), Median: -1, Worst: -1}
+		if len(all) > 0 {
+			p.Median, p.Worst = quantile(all, 0.5)-from, all[len(all)-1]-from
+		}
+		parts = append(parts, p)
+	}
+	return parts, nil
+}
+
+// cost is what some routers' bytes were beyond what the same time costs without the event, for each.
+func cost(calm, b between, of []int, routers int) float64 {
+	rate := float64(calm.all(of...).bytes()) / calm.seconds
+	return (float64(b.all(of...).bytes()) - rate*b.seconds) / float64(max(1, routers))
+}
+
+func (in *Installation) ended(before *look) (between, error) {
+	then, err := in.look()
+	if err != nil {
+		return between{}, err
+	}
+	return between{then.at.Sub(before.at).Seconds(), before, then}, nil
+}
+
+const (
+	restarted = 3               // the zone that is
+	second    = string('a' + 1) // region, which is cut off from the council's majority
+)
+
+// restartZone kills all routers and databases of a zone at once and has them back at once, cold, with the list saying so.
+func restartZone(in *Installation, calm between) (*Happened, error) {
+	from, to := share(restarted, in.Routers)
+	mFrom, mTo := share(restarted, in.Members)
+	before, err := in.look()
+	if err != nil {
+		return nil, err
+	}
+	a, err := in.directory.Ask(Query{Do: "count"})
+	if err != nil {
+		return nil, err
+	}
+	at := unixMs()
+	m := Mark{Sessions: zoneNames(restarted), From: at, Revision: a.Revision + 1}
+	if err := in.mark(m); err != nil {
+		return nil, err
+	}
+	at = unixMs()
+	in.routers[restarted].Kill()
+	in.databases[restarted].Kill()
+	var ids []string
+	for _, m := range in.members[mFrom:mTo] {
+		ids = append(ids, m.ID)
+	}
+	if _, err := in.directory.Ask(Query{Do: "restarted", Members: ids, At: at}); err != nil {
+		return nil, err
+	}
+	shop := in.databases[restarted].Spec
+	shop.Addrs = in.databases[restarted].Addrs
+	if in.databases[restarted], err = Spawn(in.Binary, in.Dir, "databases-again", shop); err != nil {
+		in.databases[restarted] = nil
+		return nil, err
+	}
+	spec := in.routers[restarted].Spec
+	spec.PaceMs, spec.Mark = 0, &m
+	others := slices.DeleteFunc(slices.Clone(in.routers), func(c *Child) bool { return c == nil || c == in.routers[restarted] })
+	if in.routers[restarted], err = Spawn(in.Binary, in.Dir, "routers-again", spec); err != nil {
+		in.routers[restarted] = nil
+		return nil, err
+	}
+	parts, err := in.heard(at, map[string]int{"sessions": (to - from) * in.Routers, "lists": in.Routers})
+	if err != nil {
+		return nil, err
+	}
+	took := (unixMs() - at) / 1000
+	if err := in.settle(in.Routers + in.Real); err != nil { // each asks of the council where all duties stand
+		return nil, err
+	}
+	b, err := in.ended(before)
+	if err != nil {
+		return nil, err
+	}
+	again := in.routers[restarted]
+	h := &Happened{Seconds: took, Parts: parts, Bytes: map[string]float64{
+		"another": cost(calm, b, pids(others), in.Routers-(to-from)), "restarted": float64(b.all(again.Pid()).bytes()) / float64(to-from)},
+		Calls: map[string]int64{}}
+	name := fmt.Sprint("routers-", restarted)
+	for k, n := range b.then.counts[name] { // since its start
+		h.Calls["restarted "+k] = n
+	}
+	delete(b.before.counts, name)
+	delete(b.then.counts, name)
+	for k, n := range differences(b) {
+		h.Calls["others "+k] = n
+	}
+	h.Said = append(h.Said, fmt.Sprintf("nothing but beats was asked of the council after %.0f s, to the second", (unixMs()-at)/1000), fmt.Sprintf("%d routers and %d databases killed and back", to-from, mTo-mFrom))
+	return h, nil
+}
+
+// cutRegions cuts every link between the two regions, without a word to anybody, and heals all after a look's time.
+func cutRegions(in *Installation, calm between) (*Happened, error) {
+	var ways []*fleet.Switch
+	ways = append(ways, in.switches...)
+	for n, a := range in.council() {
+		for m, b := range in.council() {
+			if s := in.fleet.Switch(a.Name, b.Name); s != nil && "aab"[n] != "aab"[m] {
+				ways = append(ways, s)
+			}
+		}
+	}
+	var back int // routers of the region that is cut off from the majority
+	for z := range zones {
+		if from, to := share(z, in.Routers); string(region(z)) == second {
+			back += to - from
+		}
+	}
+	for _, s := range ways {
+		s.Hole(true, true)
+	}
+	if err := in.wait(in.For); err != nil {
+		return nil, err
+	}
+	s, err := in.state()
+	if err != nil {
+		return nil, err
+	}
+	left := len(s.State.Sessions)
+	before, err := in.look()
+	if err != nil {
+		return nil, err
+	}
+	if err := in.mark(Mark{Sessions: second}); err != nil {
+		return nil, err
+	}
+	at := unixMs()
+	for _, s := range ways {
+		s.Heal()
+	}
+	parts, err := in.heard(at, map[string]int{"sessions": back * in.Routers})
+	if err != nil {
+		return nil, err
+	}
+	b, err := in.ended(before)
+	if err != nil {
+		return nil, err
+	}
+	h := &Happened{Seconds: (unixMs() - at) / 1000, Parts: parts, Calls: differences(b), Bytes: map[string]float64{
+		"first region": cost(calm, b, pids(in.routers[:zones/2]), in.Routers-back), "second region": cost(calm, b, pids(in.routers[zones/2:]), back)}}
+	h.Said = append(h.Said, fmt.Sprintf("apart for %s; %d of %d sessions were left at the council", in.For, left, in.Routers+in.Real),
+		"discovery and databases were not cut; a router's share of the council's majority side is what decides")
+	return h, nil
+}
+
+// changePrimary has another database of an owned group take writes in place of the first.
+func changePrimary(in *Installation, calm between) (*Happened, error) {
+	old, to := in.members[0].ID, ""
+	for _, m := range in.members[1:] {
+		if m.Group == in.members[0].Group {
+			to = m.ID
+			break
+		}
+	}
+	if to == "" {
+		return nil, errors.New("the group has one database alone")
+	}
+	before, err := in.look()
+	if err != nil {
+		return nil, err
+	}
+	if err := in.mark(Mark{Primary: to}); err != nil {
+		return nil, err
+	}
+	at := unixMs()
+	for _, c := range in.databases {
+		if c != nil {
+			if _, err := c.Ask(Query{Do: "promote", Members: []string{to, old}}); err != nil {
+				return nil, err
+			}
+		}
+	}
+	parts, err := in.heard(at, map[string]int{"primaries": in.Routers})
+	if err != nil {
+		return nil, err
+	}
+	b, err := in.ended(before)
+	if err != nil {
+		return nil, err
+	}
+	h := &Happened{Seconds: (unixMs() - at) / 1000, Parts: parts, Calls: differences(b),
+		Bytes: map[string]float64{"each, beyond what sight costs anyway": cost(calm, b, pids(in.routers), in.Routers)}}
+	h.Said = append(h.Said, "sight says whom to ask first; a router sends writes only to one that it has itself heard say so")
+	return h, nil
+}
+
+// Print writes it.
+func (h *Happened) Print(w io.Writer) {
+	fmt.Fprintf(w, "%s: over after %.1f s\n", h.Event, h.Seconds)
+	for _, s := range h.Said {
+		fmt.Fprintln(w, "  "+s)
+	}
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(t, "part\texpected\theard\tmedian ms\tworst ms")
+	for _, p := range h.Parts {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%.0f\t%.0f\n", p.What, p.Expected, p.Heard, p.Median, p.Worst)
+	}
+	t.Flush()
+	for _, k := range sortedKeys(h.Bytes) {
+		fmt.Fprintf(w, "bytes a router, %s: %.0f\n", k, h.Bytes[k])
+	}
+	for _, k := range sortedKeys(h.Calls) {
+		fmt.Fprintf(w, "%s: %d\n", k, h.Calls[k])
+	}
+}
--- a/internal/lab/size/measure.go
+++ b/internal/lab/size/measure.go
@@ -54,7 +54,9 @@
 	if err := in.Own(); err != nil {
 		return nil, err
 	}
-	time.Sleep(time.Second)
+	if err := in.wait(time.Second); err != nil {
+		return nil, err
+	}
 	told, err := in.during(in.For)
 	if err != nil {
 		return nil, err
--- a/internal/lab/size/talk.go
+++ b/internal/lab/size/talk.go
@@ -115,7 +115,7 @@
 			c.lines <- line
 		}
 	}()
-	a, err := c.ask(spec)
+	a, err := c.ask(spec, patience+time.Duration(spec.PaceMs*float64(len(spec.Names)))*time.Millisecond)
 	if err != nil {
 		c.Kill()
 		return nil, fmt.Errorf("%s: %w", name, err)
@@ -125,9 +125,9 @@
 }
 
 // Ask has it answer a query.
-func (c *Child) Ask(q Query) (Answer, error) { return c.ask(q) }
+func (c *Child) Ask(q Query) (Answer, error) { return c.ask(q, patience) }
 
-func (c *Child) ask(q any) (a Answer, err error) {
+func (c *Child) ask(q any, within time.Duration) (a Answer, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err := json.NewEncoder(c.in).Encode(q); err != nil {
@@ -141,7 +141,7 @@
 		if err := json.Unmarshal(line, &a); err != nil {
 			return a, err
 		}
-	case <-time.After(patience):
+	case <-time.After(within):
 		return a, errors.New("no answer")
 	}
 	if a.Err != "" {
