--- a/cmd/wayloft/labsize.go
+++ b/cmd/wayloft/labsize.go
@@ -86,7 +86,10 @@
 		if err != nil {
 			return err
 		}
-		return c.write(s, func(w io.Writer) { size.PrintSlopes(w, s.Slopes) })
+		if err := c.write(s, func(w io.Writer) { size.PrintSlopes(w, s.Slopes) }); err != nil || s.Failed == "" {
+			return err
+		}
+		return errors.New(s.Failed)
 	case c.Paired:
 		p, err := size.Paired(o, c.Plays)
 		if err != nil {
--- a/internal/lab/size/size.go
+++ b/internal/lab/size/size.go
@@ -92,15 +92,16 @@
 
 func (o Options) groups() int { return (o.Members + o.Group - 1) / o.Group }
 
-// startCalls is how many calls a second routers that start may ask of the council together: several times less than it
-// answers, since what is late is asked again. Each router asks where two duties of each group stand.
-const startCalls = 2500
+// Routers that start may ask so many calls a second of the council together, several times less than it answers, since what is
+// late is asked again: each asks where two duties of each group stand. And so many words a second may be said of them: each
+// start is told to all others.
+const startCalls, startWords = 2500, 5000
 
 func (o Options) pace() time.Duration {
 	if o.Pace > 0 {
 		return o.Pace
 	}
-	return time.Duration(2*o.groups()) * time.Second / startCalls
+	return max(time.Duration(2*o.groups())*time.Second/startCalls, time.Duration(o.Routers+o.Real)*time.Second/startWords)
 }
 
 // wait waits, unless all is to end.
--- a/internal/lab/size/sweep.go
+++ b/internal/lab/size/sweep.go
@@ -1,6 +1,7 @@
 package size
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"path/filepath"
@@ -21,6 +22,7 @@
 type Swept struct {
 	Reports []*Report `json:"reports"`
 	Slopes  []Slope   `json:"slopes"`
+	Failed  string    `json:"failed,omitempty"` // the size at which it ended early, and why
 }
 
 // leastSizes is how many sizes a line is put through: of two, nothing tells how far it is from straight.
@@ -54,8 +56,11 @@
 		one := o
 		one.Routers, one.Dir = routers, filepath.Join(o.Dir, fmt.Sprint("size-", n))
 		r, err := Measure(one)
-		if err != nil {
-			return nil, fmt.Errorf("%d routers: %w", routers, err)
+		if err != nil { // those that ran are worth their line
+			if s.Failed = fmt.Sprintf("%d routers: %v", routers, err); len(s.Reports) < leastSizes {
+				return s, errors.New(s.Failed)
+			}
+			break
 		}
 		if done != nil {
 			done(r)
