--- a/cmd/wayloft/labsize.go
+++ b/cmd/wayloft/labsize.go
@@ -120,8 +120,8 @@
 }
 
 func (c *labSizeCmd) print(r *size.Report) {
-	fmt.Printf("%d hollow and %d real routers, %d databases in %d groups; settled after %.1f s, looked at for %.1f s\n", r.Routers, r.Real, r.Members,
-		r.Groups, r.StartS, r.Seconds)
+	fmt.Printf("%d hollow and %d real routers, %d databases in %d groups; settled after %.1f s, looked at for %.1f s, %d looks spoilt\n", r.Routers, r.Real, r.Members,
+		r.Groups, r.StartS, r.Seconds, r.Spoilt)
 	size.Print(os.Stdout, r.Rows)
 }
 
--- a/internal/lab/size/measure.go
+++ b/internal/lab/size/measure.go
@@ -17,6 +17,7 @@
 	StartS   float64                     `json:"start_s"`  // until all had settled
 	Seconds  float64                     `json:"seconds"`  // of the first look
 	Rows     []Row                       `json:"rows"`
+	Spoilt   int                         `json:"spoilt"`   // looks that were cast aside, since the machine stood still in them
 	Holders  map[string]string           `json:"holders,omitempty"` // of sight, while it was looked at
 	Start    map[string]int64            `json:"start"`             // what hollow routers said and heard in all until the first look
 	Counts   map[string]int64            `json:"counts"`            // what they said and heard in the first look
@@ -41,11 +42,11 @@
 		return nil, err
 	}
 	r := &Report{Routers: in.Routers, Real: in.Real, Members: in.Members, Groups: in.groups(), Sessions: len(s.State.Sessions), StartS: in.Settled.Seconds()}
-	b, err := in.during(in.For)
+	b, spoilt, err := in.undisturbed()
 	if err != nil {
 		return nil, err
 	}
-	r.Seconds = b.seconds
+	r.Seconds, r.Spoilt = b.seconds, spoilt
 	r.Rows = in.rows(b)
 	r.Start, r.Counts, r.Children = total(b.before.counts), differences(b), b.then.counts
 	if in.Owners == 0 {
@@ -57,10 +58,11 @@
 	if err := in.wait(time.Second); err != nil {
 		return nil, err
 	}
-	told, err := in.during(in.For)
+	told, spoilt, err := in.undisturbed()
 	if err != nil {
 		return nil, err
 	}
+	r.Spoilt += spoilt
 	if r.Holders, err = in.holders(); err != nil {
 		return nil, err
 	}
@@ -69,6 +71,33 @@
 	return r, nil
 }
 
+// mostLooks are taken until one is not spoilt; the last counts whatever it is, and is counted as spoilt then.
+const mostLooks = 4
+
+// undisturbed looks until nothing in a look says that the machine, busy with others' work, stood still: a watch of a list or of the
+// council that fell silent, a council that changed its leader, calls without an answer.
+func (in *Installation) undisturbed() (b between, spoilt int, err error) {
+	for n := range mostLooks {
+		if b, err = in.during(in.For); err != nil {
+			return b, spoilt, err
+		}
+		c := differences(b)
+		asked, answered := c["call_out"]+c["stand_out"], c["answer_in"]+c["moved_in"]
+		if c["list_failed"] == 0 && c["whole_in"] == 0 && c["moved_in"] == 0 && asked-answered <= asked/20+int64(len(in.children())) {
+			return b, spoilt, nil
+		}
+		if spoilt++; in.Say != nil {
+			in.Say(fmt.Sprintf("look %d was spoilt: %v", n+1, c))
+		}
+		if n+1 < mostLooks {
+			if err := in.settle(in.Routers + in.Real + len(in.owners)); err != nil {
+				return b, spoilt, err
+			}
+		}
+	}
+	return b, spoilt, nil
+}
+
 // total adds up the counts of routers and owners of sight.
 func total(counts map[string]map[string]int64) map[string]int64 {
 	out := map[string]int64{}
--- a/internal/lab/size/paired.go
+++ b/internal/lab/size/paired.go
@@ -61,7 +61,7 @@
 		return nil, own, err
 	}
 	defer in.Close()
-	b, err := in.during(in.For)
+	b, _, err := in.undisturbed()
 	if err != nil {
 		return nil, own, err
 	}
