--- a/internal/lab/size/measure.go
+++ b/internal/lab/size/measure.go
@@ -17,7 +17,7 @@
 	StartS   float64                     `json:"start_s"`  // until all had settled
 	Seconds  float64                     `json:"seconds"`  // of the first look
 	Rows     []Row                       `json:"rows"`
-	Spoilt   int                         `json:"spoilt"`   // looks that were cast aside, since the machine stood still in them
+	Spoilt   int                         `json:"spoilt"`            // looks that were cast aside, since the machine stood still in them
 	Holders  map[string]string           `json:"holders,omitempty"` // of sight, while it was looked at
 	Start    map[string]int64            `json:"start"`             // what hollow routers said and heard in all until the first look
 	Counts   map[string]int64            `json:"counts"`            // what they said and heard in the first look
