--- a/cmd/wayloft/join.go
+++ b/cmd/wayloft/join.go
@@ -3,10 +3,14 @@
 import (
 	"cmp"
 	"context"
+	"encoding/hex"
 	"fmt"
 	"net"
+	"os/signal"
+	"syscall"
 
 	"wayloft/internal/decide/handover"
+	"wayloft/internal/decide/policy"
 	"wayloft/internal/decide/sight"
 	"wayloft/internal/discovery"
 	"wayloft/internal/fleet"
@@ -36,6 +40,11 @@
 		set.Hold = handover.Settings{Hold: float64(h.Hold), Wait: float64(h.Wait), Step: float64(h.Step)}
 		set.Adapter = adapter(h)
 	}
+	if f.Policy != "" {
+		signal.Ignore(syscall.SIGXFSZ) // a file that may grow no further is an error of the write, not the end
+		set.Store = &fleet.Folder{Dir: f.Policy, Fleet: f.Name}
+	}
+	s.own, s.record = conf.set, rec
 	s.link = fleet.New(set, s)
 	s.host.Reports(s.report)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -68,6 +77,7 @@
 			delete(s.listed, e.ID)
 		}
 	}
+	s.link.Changed()
 }
 
 // started gives a start as it goes between processes: 0 for long ago.
@@ -126,3 +136,14 @@
 func (s *service) Hold(group int, until float64) { s.host.Hold(group, until) }
 
 func (s *service) Writes(group int) (running, waiting int) { return s.host.Writes(group) }
+
+// Policy has the module go by a policy, laid over the settings of the router's own file; on an error it goes on as it was.
+func (s *service) Policy(v policy.Version, d policy.Document) error {
+	set, err := settings.Overlay(s.own, d)
+	if err != nil {
+		return err
+	}
+	s.host.Revalue(set)
+	s.record.Add("takes", record.Fields{"version": v.String(), "hash": hex.EncodeToString(v.Hash[:])})
+	return nil
+}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -3,11 +3,9 @@
 package clients
 
 import (
-	"cmp"
 	"errors"
 	"net"
 	"os"
-	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -44,6 +42,8 @@
 	longest  int // bytes of one message
 	held     int
 	sessions map[*session]bool
+	rota     rota
+	looking  bool          // a look is due in a moment
 	room     chan struct{} // holds one for each connection accepted
 	gate     *gate
 	ending   int      // sessions whose connection ends, but has not ended yet
@@ -77,12 +77,14 @@
 	moved float64 // when the client last read something, or had nothing to read
 	skips bool    // an error of the extended protocol: all up to Sync is passed over
 
+	place         place
 	written       int64
 	held, partial int // bytes of statements, and of the one that is not whole yet, which is among them
 }
 
 type item struct {
 	pg.Message
+	at    float64   // when its last byte came: its client's time runs while it waits for its turn
 	fail  *pg.Error // to be answered instead
 	fatal bool
 }
@@ -96,8 +98,7 @@
 // New makes room for so many sessions, which together hold so many bytes of statements, none longer than longest.
 func New(h *host.Host, most, budget, longest int) *Clients {
 	a := &Clients{host: h, most: most, budget: budget, longest: longest, sessions: map[*session]bool{},
-		keys: map[pg.Key]*pooled{}, room: make(chan struct{}, most+spare)}
-	h.After(looks, a.look)
+		rota: rota{awake: map[*session]bool{}}, keys: map[pg.Key]*pooled{}, room: make(chan struct{}, most+spare)}
 	return a
 }
 
@@ -191,6 +192,8 @@
 	s := &session{all: a, conn: c, in: pg.NewReader(false, a.longest), since: now, moved: now, until: now + hurry}
 	c.Handle(s)
 	a.sessions[s] = true
+	a.rota.enter(s)
+	a.lookSoon()
 	if a.gate != nil {
 		a.gate.taken++
 		a.gate.open()
@@ -207,13 +210,7 @@
 // before anyone else.
 func (a *Clients) makeRoom() {
 	for len(a.sessions)-a.ending >= a.most {
-		var first *session
-		for s := range a.sessions {
-			if s.idle() && (first == nil || s.before(first)) && !s.conn.Unread() {
-				first = s
-			}
-		}
-		if first == nil || first.retire() { // others may be waiting
+		if first := a.first(a.host.Now()); first == nil || first.retire() { // others may be waiting
 			return
 		}
 	}
@@ -253,27 +250,28 @@
 	s.conn.Drop()
 }
 
-// before tells which of two sessions goes first.
-func (s *session) before(o *session) bool {
-	rank := func(s *session) int {
-		switch {
-		case s.asked:
-			return 2
-		case s.all.host.Now() < s.since+grace:
-			return 3
-		}
-		return 0
-	}
-	return cmp.Or(cmp.Compare(rank(s), rank(o)), cmp.Compare(s.since, o.since)) < 0
-}
-
 // look ends sessions that have taken too long, whatever they wait for but an answer, and of those that rest all but the
 // latest third of what there is room for. Guards against connections that are never used, statements that never end,
 // answers that are never read, and clients that hold connections which they don't use again until none is left to them.
 func (a *Clients) look() {
+	a.looking = false
+	if a.lookOnce(); a.leaving || len(a.rota.awake)+a.rota.resting.Len() > 0 {
+		a.lookSoon()
+	}
+}
+
+// lookSoon has the next look come, where one is needed. A router whose sessions all sleep wakes for none.
+func (a *Clients) lookSoon() {
+	if !a.looking {
+		a.looking = true
+		a.host.After(looks, a.look)
+	}
+}
+
+func (a *Clients) lookOnce() {
 	now := a.host.Now()
-	var resting []*session
-	for s := range a.sessions {
+	for s := range a.rota.awake {
+		a.rota.looked++
 		if s.spent = 0; s.p != nil || len(s.queue) > 0 {
 			s.next()
 		}
@@ -286,22 +284,16 @@
 			s.drop()
 		case s.deaf || !s.answered() || s.p != nil && s.in.Pending() == 0:
 		case s.asked && s.quiet():
-			resting = append(resting, s)
 		case now > s.until && !s.conn.Unread():
 			a.Late++
 			s.refuse(late)
 		}
+		a.rota.lull(s)
 	}
-	slices.SortFunc(resting, func(s, o *session) int { return cmp.Compare(o.since, s.since) })
-	for n, s := range resting {
-		if n >= a.most/3 || now > s.until {
-			s.retire()
-		}
-	}
+	a.retireLongest(now, a.most/3)
 	if a.leaving {
 		a.sweep()
 	}
-	a.host.After(looks, a.look)
 }
 
 // Drain serves on while connections may come, then ends each session once it is quiet, and the loop after the last.
@@ -312,6 +304,7 @@
 	a.draining = true
 	a.host.After(comers, func() {
 		a.leaving, a.left = true, a.host.Now()
+		a.lookSoon()
 		a.sweep()
 	})
 }
@@ -387,6 +380,7 @@
 	}
 	s.all.held -= s.held
 	delete(s.all.sessions, s)
+	s.all.rota.leave(s)
 	<-s.all.room
 	faults.Here("clients.closed")
 	s.all.last()
@@ -397,6 +391,8 @@
 	if s.deaf {
 		return
 	}
+	s.all.rota.wake(s, s.all.host.Now())
+	s.all.lookSoon()
 	if s.asked && (s.in.Pending() == 0 || s.p != nil) {
 		s.until = s.all.host.Now() + hurry
 	}
@@ -444,7 +440,7 @@
 	default:
 		s.asked = s.asked || m.Kind == pg.Query
 		s.hold(len(m.Text))
-		s.queue = append(s.queue, item{Message: m})
+		s.queue = append(s.queue, item{Message: m, at: s.all.host.Now()})
 	}
 }
 
@@ -512,7 +508,7 @@
 		s.hold(-len(i.Text))
 		s.conn.Write(pg.AppendReady(pg.AppendEmpty(nil)))
 	default:
-		s.take(i.Text)
+		s.take(i.Text, i.at)
 	}
 }
 
@@ -521,8 +517,8 @@
 }
 
 // take hands a txn over.
-func (s *session) take(text string) {
-	t, err := s.arrive(text)
+func (s *session) take(text string, at float64) {
+	t, err := s.arrive(text, at)
 	var bad *pg.Error
 	switch {
 	case err == nil:
@@ -551,12 +547,12 @@
 	}
 }
 
-func (s *session) arrive(text string) (*exchange.Txn, error) {
+func (s *session) arrive(text string, at float64) (*exchange.Txn, error) {
 	st, err := pg.ParseStatement(text)
 	if err != nil {
 		return nil, err
 	}
-	t := exchange.New(st, s.all.host.Now(), func(a exchange.Answer) { s.deliver(a, len(text)) })
+	t := exchange.New(st, at, func(a exchange.Answer) { s.deliver(a, len(text)) })
 	return t, s.all.host.Arrive(t)
 }
 
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -30,6 +30,8 @@
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
 	lead  string // address of who led when it was last heard
+
+	watched string // address of who is watched, or was last
 }
 
 // NewClient makes one; via gives other ways to processes, by name.
@@ -69,16 +71,23 @@
 	return conn, nil
 }
 
-// next gives the address to ask: of who leads, or any but those that just failed.
-func (c *Client) next(failed map[string]bool) string {
+// next gives the address to ask: of who leads, or any but those that just failed. Guards against a leader that gave no answer once
+// and is passed over for good, since the others, who never fail, go on to name it.
+func (c *Client) next(failed map[string]time.Time) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.lead != "" && !failed[c.lead] {
+	for a, at := range failed {
+		if time.Since(at) > oneTry {
+			delete(failed, a)
+		}
+	}
+	out := func(a string) bool { _, is := failed[a]; return is }
+	if c.lead != "" && !out(c.lead) {
 		return c.lead
 	}
 	var left []string
 	for _, a := range c.addrs {
-		if !failed[a] {
+		if !out(a) {
 			left = append(left, a)
 		}
 	}
@@ -89,13 +98,15 @@
 	return left[rand.IntN(len(left))]
 }
 
-func (c *Client) leads(name, addr string) {
+// leads notes who leads, and gives the way to it.
+func (c *Client) leads(name, addr string) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if via := c.via[name]; via != "" {
 		addr = via
 	}
 	c.lead = addr
+	return addr
 }
 
 // final tells whether another try, or another process, can't bring another answer.
@@ -109,7 +120,7 @@
 
 // ask calls f with one process after the other until it has answered, or ctx ends.
 func (c *Client) ask(ctx context.Context, f func(context.Context, fleetpb.CouncilClient) (moved bool, name, addr string, err error)) error {
-	failed := map[string]bool{}
+	failed := map[string]time.Time{}
 	var last error
 	for n := 0; ; n++ {
 		addr := c.next(failed)
@@ -125,10 +136,10 @@
 				c.leads("", addr)
 				return nil
 			case err == nil && name != "":
-				c.leads(name, to)
-				if c.next(nil) == addr { // it is sent to where it was sent from
+				if to = c.leads(name, to); to == addr { // it is sent to where it was sent from
 					c.leads("", "")
 				}
+				delete(failed, to) // else who was slow once would never be asked again, as long as the others name it
 				last = nil
 			case err == nil:
 				err = errors.New("it knows no leader")
@@ -140,7 +151,7 @@
 				return err
 			}
 			last = err
-			failed[addr] = true
+			failed[addr] = time.Now()
 			c.leads("", "")
 		}
 		if ctx.Err() != nil {
@@ -215,12 +226,13 @@
 const quiet = 4 * time.Second
 
 // Watch hears of what changes from some process of the council, until ctx ends or it falls silent. What it tells first is all
-// there is.
-func (c *Client) Watch(ctx context.Context, deliver func(*fleetpb.Update)) error {
+// there is; without sessions, those of others are left out.
+func (c *Client) Watch(ctx context.Context, without bool, deliver func(*fleetpb.Update)) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c.mu.Lock()
 	addr := c.addrs[rand.IntN(len(c.addrs))]
+	c.watched = addr
 	c.mu.Unlock()
 	conn, err := c.conn(addr)
 	if err != nil {
@@ -228,7 +240,7 @@
 	}
 	silent := time.AfterFunc(quiet, cancel)
 	defer silent.Stop()
-	s, err := fleetpb.NewCouncilClient(conn).Watch(ctx, &fleetpb.WatchFrom{})
+	s, err := fleetpb.NewCouncilClient(conn).Watch(ctx, &fleetpb.WatchFrom{WithoutSessions: without})
 	for err == nil {
 		var u *fleetpb.Update
 		if u, err = s.Recv(); err == nil {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -80,16 +80,19 @@
 		return ErrTxnType
 	}
 	t.Cap(kind.Expiry)
-	age := 0.0
-	if t.After > t.Arrived+Ahead {
+	age, now := 0.0, h.Now()
+	if t.After > now+Ahead {
 		return ErrAfter
 	} else if t.After > 0 {
-		// The module reads 0 as no position, and t.Arrived - age is exactly the position.
-		if age = t.Arrived - t.After; age == 0 {
+		// The module reads 0 as no position, and now - age is exactly the position.
+		if age = now - t.After; age == 0 {
 			age = 1e-300
 		}
 	}
 	h.hear().Arrive(t.ID, t.Tenant, t.Session, t.TxnType, t.Group, age, t.Wait, t.Marked)
+	if t.Arrived < now {
+		h.hear().Queued(t.ID, now-t.Arrived)
+	}
 	if t.Talk != nil && t.Talk.Held != nil {
 		h.hear().Pin(t.ID, t.Talk.Held.Member())
 	}
@@ -163,6 +166,9 @@
 // Hold has writes of a group wait until then; an earlier time lets them go.
 func (h *Host) Hold(group int, until float64) { h.hear().Hold(group, until) }
 
+// Revalue conveys settings with other values and tenants; which txn types there are, and what else is fixed of them, stays.
+func (h *Host) Revalue(set *router.Settings) { h.hear().Revalue(set) }
+
 // Writes counts the txns of a group that need its primary: those that are out there, and those that wait.
 func (h *Host) Writes(group int) (out, waiting int) {
 	for _, e := range h.open {
--- a/router/router.go
+++ b/router/router.go
@@ -13,6 +13,7 @@
 
 	"wayloft/internal/decide/chance"
 	"wayloft/internal/decide/commits"
+	"wayloft/internal/decide/due"
 	"wayloft/internal/decide/fade"
 	"wayloft/internal/decide/ramp"
 )
@@ -31,6 +32,8 @@
 	lostAfter  = 5.5    // expected waits; one healthy txn in 250 takes longer (e^-5.5)
 	firstLimit = 1.0    // submissions at once to a member not yet known: all routers may start together
 	reserve    = 1.5    // of the chance to be taken on, so that a few slow answers in a row change nothing
+	paced      = 2000.0 // ms after which a call for the list has paced the next: a beat of the watch
+	pacedPause = 250.0  // ms until that one, by half more or less
 	leastLimit = 0.2    // a fifth of the time, so that a member that recovers is still noticed
 )
 
@@ -70,14 +73,15 @@
 }
 
 type group struct {
-	no                  int
-	members             []*member
-	used                bool                // it has had traffic here
-	held, checkAt, halt float64             // when a txn last found no member; a check may be due; writes wait
-	asked               float64             // when its latest check went out; Never: one has come back since
-	arrived, reads      fade.Sum            // txns; reads that need a known position
-	repeatable          float64             // when the last repeatable txn came
-	answers             map[bool]*fade.Mean // of replicas, of primaries
+	no             int
+	members        []*member
+	used           bool                // it has had traffic here
+	held, halt     float64             // when a txn last found no member; writes wait
+	checks         due.Turn[*group]    // when one may be due
+	asked          float64             // when its latest check went out; Never: one has come back since
+	arrived, reads fade.Sum            // txns; reads that need a known position
+	repeatable     float64             // when the last repeatable txn came
+	answers        map[bool]*fade.Mean // of replicas, of primaries
 }
 
 type submission struct {
@@ -102,7 +106,10 @@
 	ranZone                string
 	met                    Outcome // how the last submission ended
 	asked, half            float64 // when checks were asked for on its behalf; half of this try's time
-	admitted, placed, over bool    // placed: a submission is out; over: it has had its final answer
+	moots                  int     // submissions that were never written
+	mootTo                 *member // where the last of them was to go, and when it came back
+	mootAt                 float64
+	admitted, placed, over bool // placed: a submission is out; over: it has had its final answer
 	pinned                 bool
 	pin                    *member
 }
@@ -110,6 +117,7 @@
 // usage is what one txn type has shown of itself.
 type usage struct {
 	took   fade.Mean // until an answer
+	came   fade.Sum  // txns
 	ended  fade.Sum  // tries ended here without success, whose clients may come back
 	habits [2]habit  // what many tries are given
 }
@@ -155,7 +163,7 @@
 	stuck                *txn                // what found no member last, since the last input
 	sorted, looked       bool                // since the last input; looked: for silent members
 	busy                 []*member           // those that hold submissions
-	used                 []*group            // those that have had traffic
+	used                 due.Turns[*group]   // those that have had traffic
 	admit                map[bool]float64    // chance to take txns on, for replicas and primaries
 	answers              map[bool]*fade.Mean // from all groups
 	worths               fade.Sum            // worth by work of what arrived
@@ -172,22 +180,19 @@
 	least                float64  // the shortest check period
 	late                 fade.Sum // how late the alarm rang at most: pauses of this router's own
 	wantWatch, alarmAt   float64  // when to ask for the list again; the alarm that is out
+	watched              float64  // when it was asked for last
 }
 
 func New(set *Settings, seed uint64) *Router {
 	r := &Router{set: set, chance: chance.Source{Seed: seed}, wantWatch: math.Inf(1), alarmAt: math.Inf(1),
 		members: map[string]*member{}, groups: map[int]*group{}, txns: map[string]*txn{},
-		uses: map[*TxnType]*usage{}, shares: map[string]*fade.Sum{},
 		least: restCheck, span: longMemory, admit: map[bool]float64{false: reserve, true: reserve},
 		answers: map[bool]*fade.Mean{false: {}, true: {}}}
 	if set.Ask {
 		r.wantWatch = Never
 	}
-	for name := range set.Tenants {
-		r.shares[name] = &fade.Sum{}
-	}
+	r.Revalue(set)
 	for _, kind := range set.TxnTypes {
-		r.uses[kind] = &usage{}
 		if kind.Level == Bounded {
 			r.least = math.Min(r.least, kind.Bound/3)
 		}
@@ -195,6 +200,24 @@
 	return r
 }
 
+// Revalue takes settings with other values and tenants. A txn that is open ends by those it was taken under;
+// what was learned stays, by name, and what arrived is weighed as it would be worth now.
+func (r *Router) Revalue(set *Settings) {
+	uses, shares, old, worth := map[*TxnType]*usage{}, map[string]*fade.Sum{}, 0.0, 0.0
+	for _, name := range slices.Sorted(maps.Keys(set.TxnTypes)) {
+		kind, was := set.TxnTypes[name], cmp.Or(r.set.TxnTypes[name], set.TxnTypes[name])
+		uses[kind] = cmp.Or(r.uses[was], &usage{})
+		n := uses[kind].came.Read(r.now, longMemory) / kind.SLA
+		old, worth = old+n*was.Value, worth+n*kind.Value
+	}
+	for name := range set.Tenants {
+		shares[name] = cmp.Or(r.shares[name], &fade.Sum{})
+	}
+	if r.set, r.uses, r.shares = set, uses, shares; old > 0 {
+		r.worths.Sum *= worth / old
+	}
+}
+
 // At sets the time; all that follows until the next call happens then.
 func (r *Router) At(now float64) {
 	r.now, r.born = now, cmp.Or(r.born, now)
@@ -233,7 +256,7 @@
 	if g == nil {
 		g = &group{no: no, held: Never, asked: Never, used: !listed,
 			answers: map[bool]*fade.Mean{false: {}, true: {}}}
-		if listed {
+		if g.checks.Of = g; listed {
 			r.groups[no] = g
 		}
 	}
@@ -253,7 +276,8 @@
 		r.members[id] = m
 		g.members = slices.Insert(g.members, int(r.chance.Next()*float64(len(g.members)+1)), m) // asked in turn
 	}
-	r.listed[id], g.checkAt = state != Removed, r.now
+	r.listed[id] = state != Removed
+	g.checks.Set(r.now)
 	if started > m.started {
 		m.started = started
 		m.begin()
@@ -275,8 +299,12 @@
 			up++
 		}
 	}
-	maps.DeleteFunc(r.groups, func(_ int, g *group) bool { return len(g.members) == 0 })
-	r.used = slices.DeleteFunc(r.used, func(g *group) bool { return len(g.members) == 0 })
+	maps.DeleteFunc(r.groups, func(_ int, g *group) bool {
+		if len(g.members) == 0 {
+			r.used.Leave(&g.checks)
+		}
+		return len(g.members) == 0
+	})
 	for _, t := range r.waiting { // its group may have come, or come back
 		if g := r.groups[t.group.no]; g != nil && g != t.group {
 			t.group = g
@@ -289,11 +317,17 @@
 	}
 }
 
-// ListFailed says that a call failed or the subscription broke. Many must not ask again at once, nor late.
+// ListFailed says that a call failed or the subscription broke. Many must not ask again at once, nor late:
+// one that took its time, a silence or a call that hung, has paced them already, and another may follow.
 func (r *Router) ListFailed() {
-	if r.set.Ask {
-		r.wantWatch = math.Min(r.wantWatch, r.now+math.Min(r.set.AskWithin/8, restCheck)*(0.5+r.chance.Next()))
+	if !r.set.Ask {
+		return
 	}
+	pause := math.Min(r.set.AskWithin/8, restCheck)
+	if r.now-r.watched >= paced {
+		pause = math.Min(pause, pacedPause)
+	}
+	r.wantWatch = math.Min(r.wantWatch, r.now+pause*(0.5+r.chance.Next()))
 }
 
 // Arrive takes a txn; false: its txn type is not in the settings. marked: its client says it is a repeat.
@@ -320,9 +354,10 @@
 		t.needs = r.now
 	}
 	r.arrived.Add(r.now, longMemory, 1)
+	t.use.came.Add(r.now, longMemory, 1)
 	r.span = math.Max(memory, math.Min(longMemory, sample*longMemory/r.arrived.Sum))
 	g.arrived.Add(r.now, r.span, 1)
-	g.checkAt = r.now
+	g.checks.Set(r.now)
 	if r.use(g); kind.Effect == Repeatable {
 		g.repeatable = r.now
 	}
@@ -341,7 +376,8 @@
 
 func (r *Router) use(g *group) {
 	if !g.used {
-		g.used, r.used = true, append(r.used, g)
+		g.used = true
+		r.used.Join(&g.checks)
 	}
 }
 
@@ -357,6 +393,10 @@
 		r.remember(t.session, gtid)
 	}
 	sub.out, sub.missed, t.placed, t.met = false, how == Miss, false, how
+	if how == Moot {
+		t.moots, t.mootTo, t.mootAt = t.moots+1, m, r.now
+		m.bucket.Spend(-t.kind.SLA) // it was not sent this
+	}
 	if t.mayRun == Never && (how == Errored || how == TimedOut || how == Reset || how == Revoked) {
 		t.mayRun, t.ranZone = sub.sent, m.zone
 	}
@@ -374,6 +414,15 @@
 	}
 }
 
+// Queued says that a txn, just arrived, waited so long for its turn behind others of its client's. That is
+// its client's time; an answer may still be soon. Guards against answers that nobody waits for any more.
+func (r *Router) Queued(id string, waited float64) {
+	if t := r.txns[id]; t != nil {
+		t.expiry -= waited
+		t.half = (r.now + t.expiry) / 2
+	}
+}
+
 // Turn says whose turn it is in a submission that takes more than one: the member's, or its client's or the
 // pool's, who make it rest. started: part of the answer is with the client, so it is never sent again.
 func (r *Router) Turn(id string, seq int, rests, started bool) {
@@ -574,7 +623,10 @@
 }
 
 // ask has the member checked as soon as the least gap allows.
-func (m *member) ask() { m.prompt, m.group.checkAt = true, Never }
+func (m *member) ask() {
+	m.prompt = true
+	m.group.checks.Set(Never)
+}
 
 func (r *Router) recheck(g *group) {
 	for _, m := range g.members {
@@ -588,10 +640,17 @@
 	if m == nil {
 		return
 	}
-	m.checkOut, m.group.checkAt, m.group.asked = false, Never, Never
+	m.checkOut, m.group.asked = false, Never
+	m.group.checks.Set(Never)
 	if how == Full {
 		return // too crowded to be checked: it is there, and nothing else is told
 	}
+	if how == Moot { // never made, since no connection was left here: nothing is told
+		if !m.down {
+			m.ask()
+		}
+		return
+	}
 	// Guards against checks that fail where members serve: an answer since is the better evidence, and an error
 	// shows that it is there. The txns themselves then ask (fit, pick).
 	if m.mum = how == Errored; m.mum {
@@ -672,7 +731,7 @@
 		r.look()
 	}
 	if r.wantWatch <= r.now {
-		r.wantWatch = r.now + r.set.AskWithin/2 // unless something is heard before
+		r.watched, r.wantWatch = r.now, r.now+r.set.AskWithin/2 // unless something is heard before
 		return Decision{Verb: Watch}, true
 	}
 	// Guards against full connection tables: idle connections here keep other routers out. Costs a handshake.
@@ -699,8 +758,8 @@
 	if len(r.waiting) > 0 {
 		due = r.now
 	}
-	for n := 0; r.set.CanCheck && n < len(r.used); n++ {
-		due = math.Min(due, r.used[n].checkAt)
+	if r.set.CanCheck {
+		due = math.Min(due, r.used.Soonest())
 	}
 	for _, m := range r.busy {
 		for _, sub := range m.out {
@@ -716,12 +775,8 @@
 }
 
 func (r *Router) nextCheck() (Decision, bool) {
-	for n := 0; r.set.CanCheck && n < len(r.used); n++ {
-		g := r.used[n]
-		if g.checkAt > r.now {
-			continue
-		}
-		next := math.Inf(1)
+	for c := r.used.First(r.now); r.set.CanCheck && c != nil; c = r.used.First(r.now) {
+		g, next := c.Of, math.Inf(1)
 		for _, m := range g.members {
 			due := r.checkDue(m)
 			if due <= r.now {
@@ -730,7 +785,7 @@
 			}
 			next = math.Min(next, due)
 		}
-		g.checkAt = next
+		c.Set(next)
 	}
 	return Decision{}, false
 }
@@ -789,7 +844,7 @@
 		m := r.busy[n]
 		for _, sub := range m.out {
 			t, age := sub.of, r.now-sub.at
-			if sub.revoked || sub.rests || t.over || t.effect != Repeatable || len(t.subs) >= r.set.Submissions {
+			if sub.revoked || sub.rests || t.over || t.effect != Repeatable || t.tries() >= r.set.Submissions {
 				continue
 			}
 			usual := r.usual(t)
@@ -889,7 +944,8 @@
 	}
 	if m == nil {
 		if r.stuck = t; !t.needsPrimary() || r.headless(t.group) { // else a known primary is full
-			t.group.held, t.group.checkAt = r.now, math.Min(t.group.checkAt, r.now)
+			t.group.held = r.now
+			t.group.checks.Set(math.Min(t.group.checks.At(), r.now))
 		}
 		return Decision{}, false
 	}
@@ -913,16 +969,19 @@
 
 // hopeless tells that nothing can come of it. Unsent at half its time in vain: its client had better return.
 func (r *Router) hopeless(t *txn) bool {
-	usual, ran := r.usual(t), t.mayRun != Never
-	return len(t.subs) >= r.set.Submissions || r.now+usual > t.expiry ||
+	usual, ran, tries := r.usual(t), t.mayRun != Never, t.tries()
+	return tries >= r.set.Submissions || r.now+usual > t.expiry ||
 		t.pinned && (t.pin == nil || t.pin.barred || t.pin.down) ||
-		ran && t.effect == OnceOnly || len(t.subs) == 0 && r.now+2*beat > t.half &&
+		ran && t.effect == OnceOnly || tries == 0 && r.now+2*beat > t.half &&
 		(r.headless(t.group) || r.now > t.arrived+t.kind.SLA) ||
 		ran && t.kind.Level == Write && t.met == Reset || // DESIGN: a write that met a reset ends in error
 		ran && t.kind.Effect == Referenced && r.now-t.mayRun > t.kind.Window ||
 		t.kind.LateValue == 0 && r.now+usual > t.arrived+t.kind.SLA
 }
 
+// tries counts the submissions that may have been written.
+func (t *txn) tries() int { return len(t.subs) - t.moots }
+
 func (r *Router) end(t *txn) Decision {
 	r.lose(t)
 	promise := t.effect == Repeatable || t.effect == Referenced && t.kind.Scope == ScopeAll &&
@@ -1067,6 +1126,10 @@
 	if m == nil || m.barred || m.down || t.placed || t.over || t.needsPrimary() && r.now < m.group.halt {
 		return nil
 	}
+	// Guards against asking again at once where no connection was left: one comes free in a moment.
+	if t.mootTo == m && r.now < t.mootAt+beat {
+		return nil
+	}
 	// Rule 2: a referenced txn that may have run stays where its repeats are discarded.
 	if t.mayRun != Never && t.kind.Effect == Referenced && t.kind.Scope == ScopeZone && m.zone != t.ranZone {
 		return nil
