lab size: the change of the policy as an event, and sessions by a watch of its own

Routers that give no orders are told of no other sessions any more, so that a session that is back is counted at the council.

--- a/cmd/wayloft/labsize.go
+++ b/cmd/wayloft/labsize.go
@@ -29,7 +29,7 @@
 	Sizes   []int         `help:"Hollow routers of each size of the sweep." placeholder:"N,..."`
 	Paired  bool          `help:"What hollow routers cost the council beside as many real ones." xor:"what"`
 	Plays   int           `help:"Of each kind, with --paired." default:"3"`
-	Event   string        `help:"Have one happen, and tell when it was known everywhere: restart-zone, cut-regions, primary." xor:"what"`
+	Event   string        `help:"Have one happen, and tell when it was known everywhere: restart-zone, cut-regions, change, primary." xor:"what"`
 	JSON    bool          `help:"As JSON."`
 	Dir     string        `help:"Folder for settings, logs and what the council stores; a temporary one if not given." type:"path"`
 }
--- a/internal/lab/size/routers.go
+++ b/internal/lab/size/routers.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"wayloft/internal/decide/policy"
 	"wayloft/internal/decide/sight"
 	"wayloft/internal/discovery"
 	"wayloft/internal/fleet"
@@ -24,7 +25,7 @@
 	all    []*one
 	ear    *ear
 	wire   *counter
-	counts struct{ lists, entries, alive, sighted, looks, unanswered, failed atomic.Int64 }
+	counts struct{ lists, entries, alive, sighted, looks, unanswered, failed, policies atomic.Int64 }
 }
 
 // one is one of them; what follows mailbox is its goroutine's alone.
@@ -48,7 +49,7 @@
 	if s.Mark != nil {
 		r.ear.set(s.Mark)
 	}
-	r.wire = count(r.ear)
+	r.wire = count()
 	for _, name := range s.Names {
 		o := &one{all: r, mailbox: make(chan func(), waiting), listed: map[string]discovery.Entry{}, checks: map[string]chan bool{}}
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -101,6 +102,7 @@
 			delete(o.checks, id)
 		}
 	}
+	o.link.Changed()
 	c.lists.Add(1)
 	c.entries.Add(int64(len(l.Entries)))
 	o.all.ear.list(l.Revision)
@@ -127,6 +129,12 @@
 	return at
 }
 
+func (o *one) Policy(policy.Version, policy.Document) error {
+	o.all.counts.policies.Add(1)
+	o.all.ear.policy()
+	return nil
+}
+
 func (o *one) Sighted(r sight.Report) {
 	o.all.counts.sighted.Add(1)
 	if r.Primary {
@@ -226,7 +234,7 @@
 	case "count":
 		c := map[string]int64{"lists": r.counts.lists.Load(), "entries": r.counts.entries.Load(), "list_alive": r.counts.alive.Load(),
 			"sighted": r.counts.sighted.Load(), "looks": r.counts.looks.Load(), "looks_passed_over": r.counts.unanswered.Load(),
-			"list_failed": r.counts.failed.Load()}
+			"list_failed": r.counts.failed.Load(), "policies": r.counts.policies.Load()}
 		r.wire.counts(c)
 		return Answer{Counts: c}, nil
 	case "mark":
--- a/internal/lab/size/talk.go
+++ b/internal/lab/size/talk.go
@@ -42,10 +42,9 @@
 
 // Mark says from when on, and of what, it is noted when routers hear of it.
 type Mark struct {
-	Sessions string  `json:"sessions,omitempty"` // names that begin so, of sessions begun at From or later
-	From     float64 `json:"from,omitempty"`     // Unix ms
-	Revision int64   `json:"revision,omitempty"` // of the list, or a later one
-	Primary  string  `json:"primary,omitempty"`  // told of as one by sight
+	Revision int64  `json:"revision,omitempty"` // of the list, or a later one
+	Primary  string `json:"primary,omitempty"`  // told of as one by sight
+	Policy   bool   `json:"policy,omitempty"`   // any other version
 }
 
 // Query is one line of what a process of hollow ones is asked.
@@ -65,9 +64,9 @@
 	Err      string           `json:"err,omitempty"`
 }
 
-// Heard are the times, Unix ms, at which what a mark names was heard: one for each router, or each router and session.
+// Heard are the times, Unix ms, at which what a mark names was heard: one for each router.
 type Heard struct {
-	Sessions  []float64 `json:"sessions,omitempty"`
+	Policies  []float64 `json:"policies,omitempty"`
 	Lists     []float64 `json:"lists,omitempty"`
 	Primaries []float64 `json:"primaries,omitempty"`
 }
