--- a/cmd/wayloft/labsize.go
+++ b/cmd/wayloft/labsize.go
@@ -83,13 +83,10 @@
 				c.print(r)
 			}
 		})
-		if err != nil {
-			return err
-		}
-		if err := c.write(s, func(w io.Writer) { size.PrintSlopes(w, s.Slopes) }); err != nil || s.Failed == "" {
+		if s == nil {
 			return err
 		}
-		return errors.New(s.Failed)
+		return errors.Join(c.write(s, func(w io.Writer) { size.PrintSlopes(w, s.Slopes) }), err) // what ran is told, whatever became of the rest
 	case c.Paired:
 		p, err := size.Paired(o, c.Plays)
 		if err != nil {
--- a/internal/lab/size/sweep.go
+++ b/internal/lab/size/sweep.go
@@ -57,10 +57,13 @@
 		one.Routers, one.Dir = routers, filepath.Join(o.Dir, fmt.Sprint("size-", n))
 		r, err := Measure(one)
 		if err != nil { // those that ran are worth their line
-			if s.Failed = fmt.Sprintf("%d routers: %v", routers, err); len(s.Reports) < leastSizes {
-				return s, errors.New(s.Failed)
+			s.Failed = fmt.Sprintf("%d routers: %v", routers, err)
+			if len(s.Reports) >= leastSizes {
+				err = s.fit()
+			} else {
+				err = nil
 			}
-			break
+			return s, errors.Join(errors.New(s.Failed), err)
 		}
 		if done != nil {
 			done(r)
