--- a/internal/lab/size/measure.go
+++ b/internal/lab/size/measure.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"wayloft/internal/lab/fleet"
@@ -165,16 +166,15 @@
 
 func (in *Installation) rows(b between) (rows []Row) {
 	leader := in.leader()
-	own := ports(in.fleet.CouncilAddrs()...)
 	var followers []*fleet.Process
 	for _, p := range in.council() {
 		if p.Name != leader {
 			followers = append(followers, p)
 			continue
 		}
-		rows = append(rows, in.councilRow(b, "council leader", running([]*fleet.Process{p}), own))
+		rows = append(rows, in.councilRow(b, "council leader", []*fleet.Process{p}))
 	}
-	rows = append(rows, in.councilRow(b, "council follower", running(followers), own))
+	rows = append(rows, in.councilRow(b, "council follower", followers))
 	if in.Routers > 0 {
 		of := pids(in.routers)
 		r := b.row("hollow router", in.Routers, of, routerAllowance)
@@ -213,12 +213,19 @@
 	r.More["members_bytes"] = float64(b.flow(of, ports(members...)).bytes()) / n
 }
 
-func (in *Installation) councilRow(b between, role string, of []int, own []uint16) Row {
+func (in *Installation) councilRow(b between, role string, processes []*fleet.Process) Row {
+	of := running(processes)
 	r := b.row(role, len(of), of, machineAllowance)
 	n := b.seconds * float64(max(1, len(of)))
 	f := b.all(of...)
-	// What it says to others of the council, and hears on these connections; of those that they made to it, the same again.
-	r.More["raft_bytes"] = 2 * float64(b.flow(of, own).bytes()) / n
+	// What routers say to it and hear of it is the sessions'; the rest is between processes of the council.
+	asking := slices.Concat(pids(in.routers), pids(in.owners), running(in.kind("router")))
+	var addrs []string
+	for _, p := range processes {
+		addrs = append(addrs, p.Addr)
+	}
+	sessions := b.flow(asking, ports(addrs...)).bytes()
+	r.More["sessions_bytes"], r.More["raft_bytes"] = float64(sessions)/n, float64(f.bytes()-sessions)/n
 	var wrote int64
 	for _, pid := range of {
 		wrote += b.then.disk[pid] - b.before.disk[pid]
