--- a/cmd/wayloft/lab.go
+++ b/cmd/wayloft/lab.go
@@ -18,6 +18,8 @@
 	Idle   labIdleCmd   `cmd:"" help:"Print what a resting session costs in memory."`
 	Still  labStillCmd  `cmd:"" help:"Print what a router costs that nothing is asked of, by members listed and sessions resting."`
 	Fast   labFastCmd   `cmd:"" help:"Print what a router costs where members answer fast: direct and through it, in one run."`
+	Size   labSizeCmd   `cmd:"" help:"Print what each role of an installation costs, at a size: council, routers, sight, discovery, databases."`
+	Hollow labHollowCmd `cmd:"" hidden:"" help:"Many hollow routers or databases, as one process."`
 }
 
 type labUpCmd struct {
