An alarm that rings in a batch begun before its time asks for another: else none ever rang again

Cause: the module's alarm is a timer that posts into the mailbox. Where a batch takes long, the post is taken out by a batch whose time is from before the alarm's; Rang passed it over for an old one, and since what is due next lies after the alarm that is thought to be out, no other was ever asked for: from then on the router did something only when something came in. A held txn of a quiet router got no answer.

Change: whatever rang, the module asks for another; how late it was counts only where its time had come. Another that is out too is stopped by the host.

--- /dev/null
+++ b/internal/host/alarm_test.go
@@ -0,0 +1,50 @@
+package host
+
+import (
+	"testing"
+	"time"
+
+	"wayloft/internal/exchange"
+	"wayloft/internal/pg"
+	"wayloft/router"
+)
+
+// nowhere carries nothing: nothing is decided for a member.
+type nowhere struct{ Members }
+
+// The module's alarm rings while a batch is handled that began before its time. It asks for another: nothing else may come in,
+// and what waits has to get its answer. The order is forced: the alarm is in the mailbox when the batch, begun earlier, takes it out.
+func TestTheAlarmRingsInAnEarlierBatch(t *testing.T) {
+	kinds := map[string]*router.TxnType{"write": {SLA: 500, Expiry: 1000, Value: 1, Effect: router.OnceOnly, Level: router.Write}}
+	h := New(NewLoop(256), router.New(&router.Settings{Routers: 1, Submissions: 3, CanCheck: true, TxnTypes: kinds}, 1), kinds, func() {})
+	h.Use(nowhere{})
+	begun := h.Now()
+	answers := 0
+	s, err := pg.ParseStatement("/* id=1,c=write,d=1000 */ INSERT x")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := h.Arrive(exchange.New(s, begun, func(exchange.Answer) { answers++ })); err != nil {
+		t.Fatal(err)
+	}
+	h.settle()
+	rings := func() {
+		t.Helper()
+		select {
+		case f := <-h.mail:
+			f()
+			h.settle()
+		case <-time.After(20 * time.Second):
+			t.Fatal("no alarm rings any more, and a txn waits")
+		}
+	}
+	for range 3 {
+		h.now = begun + 1 // the batch's time, when it began
+		rings()
+	}
+	h.now = begun + 600
+	rings()
+	if answers != 1 {
+		t.Errorf("%d answers at half of its time, want one", answers)
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -105,11 +105,10 @@
 	mayRun                 float64 // when the earliest submission that may have run went out, if any
 	ranZone                string
 	met                    Outcome // how the last submission ended
-	asked, half            float64 // when checks were asked for on its behalf; half of this try's time
+	asked, half, mootAt    float64 // when checks were asked for on its behalf; half of this try's time; mootTo's
 	moots                  int     // submissions that were never written
-	mootTo                 *member // where the last of them was to go, and when it came back
-	mootAt                 float64
-	admitted, placed, over bool // placed: a submission is out; over: it has had its final answer
+	mootTo                 *member // where the last of them was to go
+	admitted, placed, over bool    // placed: a submission is out; over: it has had its final answer
 	pinned                 bool
 	pin                    *member
 }
@@ -718,11 +717,12 @@
 	}
 }
 
+// Rang: another is asked for, also after one in a batch that began before its time: there may be no other.
 func (r *Router) Rang() {
 	if r.now > r.alarmAt-beat/2 {
 		r.late.Most(r.now, longMemory, r.now-r.alarmAt)
-		r.alarmAt = math.Inf(1)
 	}
+	r.alarmAt = math.Inf(1)
 }
 
 // Next gives the next decision; false: none is left.
