Taken back: a submission that was never written is no try

Cause: kept a txn from its last member for 10 ms after a submission that came back unmade, and counted none of these as tries. Where no connection is left and a group has two members or more, it was sent to one after the other and back without end, in one instant: the loop handled nothing else. Ruled out: the machine's load alone, since only one thread of one router was running and each other one served on.

What it was for stays open: six in one instant have a txn declined though a connection may come free in a moment.

--- a/router/router.go
+++ b/router/router.go
@@ -105,9 +105,7 @@
 	mayRun                 float64 // when the earliest submission that may have run went out, if any
 	ranZone                string
 	met                    Outcome // how the last submission ended
-	asked, half, mootAt    float64 // when checks were asked for on its behalf; half of this try's time; mootTo's
-	moots                  int     // submissions that were never written
-	mootTo                 *member // where the last of them was to go
+	asked, half            float64 // when checks were asked for on its behalf; half of this try's time
 	admitted, placed, over bool    // placed: a submission is out; over: it has had its final answer
 	pinned                 bool
 	pin                    *member
@@ -392,10 +390,6 @@
 		r.remember(t.session, gtid)
 	}
 	sub.out, sub.missed, t.placed, t.met = false, how == Miss, false, how
-	if how == Moot {
-		t.moots, t.mootTo, t.mootAt = t.moots+1, m, r.now
-		m.bucket.Spend(-t.kind.SLA) // it was not sent this
-	}
 	if t.mayRun == Never && (how == Errored || how == TimedOut || how == Reset || how == Revoked) {
 		t.mayRun, t.ranZone = sub.sent, m.zone
 	}
@@ -844,7 +838,7 @@
 		m := r.busy[n]
 		for _, sub := range m.out {
 			t, age := sub.of, r.now-sub.at
-			if sub.revoked || sub.rests || t.over || t.effect != Repeatable || t.tries() >= r.set.Submissions {
+			if sub.revoked || sub.rests || t.over || t.effect != Repeatable || len(t.subs) >= r.set.Submissions {
 				continue
 			}
 			usual := r.usual(t)
@@ -969,19 +963,16 @@
 
 // hopeless tells that nothing can come of it. Unsent at half its time in vain: its client had better return.
 func (r *Router) hopeless(t *txn) bool {
-	usual, ran, tries := r.usual(t), t.mayRun != Never, t.tries()
-	return tries >= r.set.Submissions || r.now+usual > t.expiry ||
+	usual, ran := r.usual(t), t.mayRun != Never
+	return len(t.subs) >= r.set.Submissions || r.now+usual > t.expiry ||
 		t.pinned && (t.pin == nil || t.pin.barred || t.pin.down) ||
-		ran && t.effect == OnceOnly || tries == 0 && r.now+2*beat > t.half &&
+		ran && t.effect == OnceOnly || len(t.subs) == 0 && r.now+2*beat > t.half &&
 		(r.headless(t.group) || r.now > t.arrived+t.kind.SLA) ||
 		ran && t.kind.Level == Write && t.met == Reset || // DESIGN: a write that met a reset ends in error
 		ran && t.kind.Effect == Referenced && r.now-t.mayRun > t.kind.Window ||
 		t.kind.LateValue == 0 && r.now+usual > t.arrived+t.kind.SLA
 }
 
-// tries counts the submissions that may have been written.
-func (t *txn) tries() int { return len(t.subs) - t.moots }
-
 func (r *Router) end(t *txn) Decision {
 	r.lose(t)
 	promise := t.effect == Repeatable || t.effect == Referenced && t.kind.Scope == ScopeAll &&
@@ -1126,10 +1117,6 @@
 	if m == nil || m.barred || m.down || t.placed || t.over || t.needsPrimary() && r.now < m.group.halt {
 		return nil
 	}
-	// Guards against asking again at once where no connection was left: one comes free in a moment.
-	if t.mootTo == m && r.now < t.mootAt+beat {
-		return nil
-	}
 	// Rule 2: a referenced txn that may have run stays where its repeats are discarded.
 	if t.mayRun != Never && t.kind.Effect == Referenced && t.kind.Scope == ScopeZone && m.zone != t.ranZone {
 		return nil
