The watch on discovery cuts what came as a whole, not byte by byte

Under the race detector on a busy machine 4 MiB took longer than a list may be on its way, so that the test of a list without end was told silence. What came is cut within its buffer now, on copies of the state and with the text taken over line by line; the same lists come out, however the bytes come, which a test checks. Rows of TestOnce that are not about silence wait an hour for a heartbeat: none of them ends because the machine is slow.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -4,7 +4,6 @@
 package discovery
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -306,17 +305,22 @@
 		return err
 	}
 	defer body.Close()
-	in := bufio.NewReader(paced{body, p})
+	in := paced{body, p}
 	var c cutter
+	var came []byte // and isn't cut yet
+	buf := make([]byte, 4<<10)
 	for told := false; ; {
-		b, err := in.ReadByte()
-		if err != nil { // what came of a list that was cut is dropped
-			return err
-		}
-		if c.size++; c.size > longest {
-			return errTooLong
+		for len(came) == 0 {
+			n, err := in.Read(buf)
+			if came = buf[:n]; n == 0 && err != nil { // what came of a list that was cut is dropped
+				return err
+			}
 		}
-		if !c.whole(b) {
+		n, whole := c.cut(came[:min(len(came), longest-c.size)])
+		if came = came[n:]; !whole {
+			if len(came) > 0 { // the rest is beyond the longest
+				return errTooLong
+			}
 			continue
 		}
 		p.told()
@@ -348,36 +352,47 @@
 	begun           bool   // the line has more than spaces
 }
 
-// whole takes a byte and tells whether something is whole: a list, what can't be one any more, or, with no text, an empty
-// line.
-func (c *cutter) whole(b byte) bool {
-	if b == '\n' {
-		// Guards against waiting for the rest of a list that was spoilt: a text ends in its line, and an empty line comes
-		// only between lists.
-		ends := c.depth <= 0 || c.quoted || !c.begun
-		c.begun = false
-		return ends
-	}
-	if blank := b == ' ' || b == '\t' || b == '\r'; !blank || c.quoted {
-		c.begun = true
-	} else if len(c.text) == 0 {
-		return false
-	}
-	c.text = append(c.text, b)
-	switch {
-	case c.escaped:
-		c.escaped = false
-	case c.quoted:
-		c.escaped, c.quoted = b == '\\', b != '"'
-	case b == '"':
-		c.quoted = true
-	case b == '{' || b == '[':
-		c.depth++
-	case b == '}' || b == ']':
-		c.depth--
-		return c.depth <= 0
+// cut takes bytes up to where something is whole, and tells how many and whether something is: a list, what can't be one any
+// more, or, with no text, an empty line. It works on copies, and takes the text over line by line: byte by byte costs many times
+// as much.
+func (c *cutter) cut(came []byte) (n int, whole bool) {
+	depth, quoted, escaped, begun := c.depth, c.quoted, c.escaped, c.begun
+	from, none := 0, len(c.text) == 0 // where what is yet to be taken over begins; no text has come
+	for n < len(came) && !whole {
+		b := came[n]
+		n++
+		if b == '\n' {
+			// Guards against waiting for the rest of a list that was spoilt: a text ends in its line, and an empty line comes
+			// only between lists.
+			whole = depth <= 0 || quoted || !begun
+			c.text = append(c.text, came[from:n-1]...)
+			from, begun = n, false
+			continue
+		}
+		if blank := b == ' ' || b == '\t' || b == '\r'; !blank || quoted {
+			begun, none = true, false
+		} else if none {
+			from = n
+			continue
+		}
+		switch {
+		case escaped:
+			escaped = false
+		case quoted:
+			escaped, quoted = b == '\\', b != '"'
+		case b == '"':
+			quoted = true
+		case b == '{' || b == '[':
+			depth++
+		case b == '}' || b == ']':
+			depth--
+			whole = depth <= 0
+		}
 	}
-	return false
+	c.text = append(c.text, came[from:n]...)
+	c.size += n
+	c.depth, c.quoted, c.escaped, c.begun = depth, quoted, escaped, begun
+	return n, whole
 }
 
 // orCause prefers the reason for which the watch was given up.
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -67,7 +67,7 @@
 				}
 				told = append(told, line)
 			}, nil)
-			if c.want == "silent" {
+			if w.heartbeatTimeout = time.Hour; c.want == "silent" { // none of the others ends because the machine is slow
 				w.heartbeatTimeout = 50 * time.Millisecond
 			}
 			err := w.Once(context.Background())
@@ -81,6 +81,39 @@
 	}
 }
 
+// What is cut does not depend on how the bytes come: all at once, one by one, or anything in between.
+func TestCutAnywhere(t *testing.T) {
+	indented := "{\n \"revision\": 43,\n\t\"a\": [ \"}]\\\"{\\\\\" ]\n}"
+	text := changed + "\n\n \t\r\n" + indented + indented + "  " + changed + "\r\n}x\n{\"cut \n\n{\n\n" + "words \n  [[" + changed
+	cuts := func(step int) (all []string) {
+		var c cutter
+		for rest := text; len(rest) > 0; {
+			n, whole := c.cut([]byte(rest[:min(step, len(rest))]))
+			if rest = rest[n:]; whole {
+				all = append(all, fmt.Sprint(c.size, " ", string(c.text)))
+				c = cutter{text: c.text[:0]}
+			}
+		}
+		return append(all, fmt.Sprint(c.size, " ", string(c.text)))
+	}
+	whole := strings.ReplaceAll(indented, "\n", "")
+	want := []string{changed, "", "", "", whole, whole, changed, "", "}", "x", "{\"cut ", "", "{", "words ", "[[" + changed}
+	for step := 1; step <= len(text); step++ {
+		got, size := cuts(step), 0
+		for n, s := range got {
+			var bytes int
+			fmt.Sscan(s, &bytes)
+			size += bytes
+			if _, s, _ = strings.Cut(s, " "); n >= len(want) || s != want[n] {
+				t.Fatalf("%d bytes at a time, cut %d: %q", step, n, s)
+			}
+		}
+		if len(got) != len(want) || size != len(text) {
+			t.Fatalf("%d bytes at a time: %d cuts of %d bytes, want %d of %d", step, len(got), size, len(want), len(text))
+		}
+	}
+}
+
 // A watch that ends is followed by another, from the revision that is known by then.
 func TestKeep(t *testing.T) {
 	asked := make(chan string, 10)
