--- a/internal/decide/council/beats_test.go
+++ b/internal/decide/council/beats_test.go
@@ -109,29 +109,40 @@
 	return c.number
 }
 
-// Each session's beat comes alone, at a time of its own, as those of hundreds of routers do: what the three write and say goes by
-// their ticks and not by the number of beats.
-func TestBeatsWait(t *testing.T) {
-	const sessions, seconds = 600, 4
+// began is a council of three with a leader, and sessions of a length.
+func began(t *testing.T, sessions int, length uint64) *trio {
 	c := three(t)
 	for c.leader() == nil {
 		c.at(c.now + 10)
 	}
 	for n := range sessions {
-		c.do(register.Entry{Kind: register.Open, Session: fmt.Sprintf("router-%d", n), Incarnation: 1, Length: 2000})
+		c.do(register.Entry{Kind: register.Open, Session: name(n), Incarnation: 1, Length: length})
 	}
 	c.count()
-	begun, beats := c.now, 0
-	for c.now < begun+seconds*1000 { // a beat each ms: each session beats each 600 ms
+	return c
+}
+
+func name(n int) string { return fmt.Sprintf("router-%d", n) }
+
+func (c *trio) beat(n int) uint64 {
+	return c.do(register.Entry{Kind: register.Beat, Session: name(n), Incarnation: 1})
+}
+
+// Each session's beat comes alone, at a time of its own, as those of hundreds of routers do: what the three write and say goes by
+// their ticks and not by the number of beats, and all are answered.
+func TestBeatsWait(t *testing.T) {
+	const sessions, seconds = 600, 4
+	c := began(t, sessions, 2000)
+	begun, beats, before := c.now, 0, len(c.done)
+	for ; c.now < begun+seconds*1000; beats++ { // a beat each ms: each session beats each 600 ms
 		c.at(c.now + 1)
-		c.do(register.Entry{Kind: register.Beat, Session: fmt.Sprintf("router-%d", beats%sessions), Incarnation: 1})
-		beats++
+		c.beat(beats % sessions)
 	}
-	all := 0
-	for _, n := range c.bytes {
-		all += n
+	c.at(c.now + 100)
+	all, twice, messages := 0, 0, 0
+	for kind, n := range c.bytes {
+		all, messages = all+n, messages+c.messages[kind]
 	}
-	twice := 0
 	for _, n := range c.sent {
 		if n > 1 {
 			twice++
@@ -142,4 +153,81 @@
 	if most := seconds*10 + 2; c.entries > most {
 		t.Errorf("%d entries for %d beats in %d ticks", c.entries, beats, seconds*10)
 	}
+	if messages > beats/4 || all > 60*beats || twice > 0 { // a name in an entry has some 20 bytes, and goes to two
+		t.Errorf("%d messages of %d bytes for %d beats, %d entries sent twice", messages, all, beats, twice)
+	}
+	for n := range beats {
+		if a := c.done[uint64(sessions+n+1)]; !a.Held {
+			t.Fatalf("beat %d: %+v", n, a)
+		}
+	}
+	if len(c.done)-before != beats || c.lost > 0 {
+		t.Errorf("%d answers for %d beats, %d lost", len(c.done)-before, beats, c.lost)
+	}
+}
+
+// A beat waits neither where that is long beside its session, nor until its session is over, nor behind what came after it.
+func TestBeatsHurry(t *testing.T) {
+	t.Run("a short session", func(t *testing.T) {
+		c := began(t, 1, 1500)
+		c.at(c.leader().Due()) // the whole of a tick is left
+		if number := c.beat(0); !c.done[number].Held {
+			t.Error("waits though its asker has a quarter of its length")
+		}
+	})
+	t.Run("nobody's", func(t *testing.T) {
+		c := began(t, 1, 2000)
+		c.at(c.leader().Due())
+		if number := c.beat(7); c.done[number].Why != register.NoSession {
+			t.Errorf("%+v", c.done[number])
+		}
+	})
+	t.Run("near its end", func(t *testing.T) {
+		for ms := range 300 { // at each ms up to its end and beyond: heard while it stands, it stays
+			c := began(t, 1, 2000)
+			heard := c.now
+			for to := heard + 1750 + float64(ms); c.now < to; {
+				c.at(min(to, c.leader().Due()))
+			}
+			_, open := c.leader().Register().Session(name(0))
+			number := c.beat(0)
+			c.at(c.leader().Due())
+			if a, answered := c.done[number]; a.Held != open || !answered {
+				t.Fatalf("%d ms silent, stands %v: %+v, answered %v", 1750+ms, open, a, answered)
+			}
+		}
+	})
+	t.Run("before what comes after it", func(t *testing.T) {
+		c := began(t, 2, 2000)
+		c.at(c.leader().Due())
+		first := c.beat(0)
+		if _, answered := c.done[first]; answered {
+			t.Fatal("it didn't wait")
+		}
+		at := c.leader().Applied()
+		then := c.do(register.Entry{Kind: register.Take, Session: name(1), Incarnation: 1, Duty: "d"})
+		if !c.done[first].Held || !c.done[then].Held || c.leader().Applied() != at+2 {
+			t.Errorf("%+v, %+v, %d entries", c.done[first], c.done[then], c.leader().Applied()-at)
+		}
+	})
+	t.Run("and is lost with the lead", func(t *testing.T) {
+		c := began(t, 1, 2000)
+		c.at(c.leader().Due())
+		c.beat(0)
+		l := c.leader()
+		for c.lost == 0 && l == c.leader() { // nobody hears it any more
+			l.At(l.Due())
+			for d, more := l.Next(); more; d, more = l.Next() {
+				switch d.Verb {
+				case Save:
+					l.Saved()
+				case Lost:
+					c.lost++
+				}
+			}
+		}
+		if c.lost != 1 {
+			t.Errorf("%d lost", c.lost)
+		}
+	})
 }
