--- /dev/null
+++ b/internal/decide/council/beats_test.go
@@ -0,0 +1,233 @@
+package council
+
+import (
+	"fmt"
+	"testing"
+
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"wayloft/internal/decide/register"
+)
+
+// trio is a council of three over disks in memory, on one clock, that counts what the three say to each other.
+type trio struct {
+	t        *testing.T
+	nodes    []*Node
+	now      float64
+	number   uint64
+	done     map[uint64]register.Answer
+	lost     int
+	messages map[raftpb.MessageType]int
+	bytes    map[raftpb.MessageType]int
+	entries  int               // as stored by the leader
+	sent     map[[2]uint64]int // appends of an entry to a process
+}
+
+func three(t *testing.T) *trio {
+	c := &trio{t: t, now: 1, done: map[uint64]register.Answer{}}
+	c.count()
+	peers := []Peer{{Name: "c1"}, {Name: "c2"}, {Name: "c3"}}
+	for n := range peers {
+		node, _, err := New(Settings{Fleet: "f", Name: peers[n].Name, Peers: peers, Epoch: 7, Tick: 100, Keep: 2000, Log: quiet()}, Stored{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.nodes = append(c.nodes, node)
+	}
+	return c
+}
+
+func (c *trio) count() {
+	c.messages, c.bytes, c.entries, c.sent = map[raftpb.MessageType]int{}, map[raftpb.MessageType]int{}, 0, map[[2]uint64]int{}
+}
+
+func (c *trio) leader() *Node {
+	for _, n := range c.nodes {
+		if leads, _ := n.Leads(); leads {
+			return n
+		}
+	}
+	return nil
+}
+
+// settle carries out what the three decide until none has anything more to say: messages take no time.
+func (c *trio) settle() {
+	for again := true; again; {
+		again = false
+		for _, n := range c.nodes {
+			for d, more := n.Next(); more; d, more = n.Next() {
+				again = true
+				switch d.Verb {
+				case Save:
+					if n == c.leader() {
+						c.entries += len(d.Entries)
+					}
+					n.Saved()
+				case Done:
+					c.done[d.Number] = d.Answer
+				case Lost:
+					c.lost++
+				case Send:
+					m := d.Message
+					c.messages[m.GetType()]++
+					c.bytes[m.GetType()] += proto.Size(m)
+					for _, e := range m.GetEntries() {
+						c.sent[[2]uint64{m.GetTo(), e.GetIndex()}]++
+					}
+					for _, to := range c.nodes {
+						if to.id == m.GetTo() {
+							if err := to.Step(m); err != nil {
+								c.t.Fatal(err)
+							}
+						}
+					}
+				}
+			}
+			if err := n.Failed(); err != nil {
+				c.t.Fatal(err)
+			}
+		}
+	}
+}
+
+// at wakes all three, as a host does at each tick and whenever something has come in.
+func (c *trio) at(now float64) {
+	c.now = now
+	for _, n := range c.nodes {
+		n.At(now)
+	}
+	c.settle()
+}
+
+func (c *trio) do(e register.Entry) uint64 {
+	c.number++
+	l := c.leader()
+	l.At(c.now)
+	l.Do(c.number, e)
+	c.at(c.now)
+	return c.number
+}
+
+// began is a council of three with a leader, and sessions of a length.
+func began(t *testing.T, sessions int, length uint64) *trio {
+	c := three(t)
+	for c.leader() == nil {
+		c.at(c.now + 10)
+	}
+	for n := range sessions {
+		c.do(register.Entry{Kind: register.Open, Session: name(n), Incarnation: 1, Length: length})
+	}
+	c.count()
+	return c
+}
+
+func name(n int) string { return fmt.Sprintf("router-%d", n) }
+
+func (c *trio) beat(n int) uint64 {
+	return c.do(register.Entry{Kind: register.Beat, Session: name(n), Incarnation: 1})
+}
+
+// Each session's beat comes alone, at a time of its own, as those of hundreds of routers do: what the three write and say goes by
+// their ticks and not by the number of beats, and all are answered.
+func TestBeatsWait(t *testing.T) {
+	const sessions, seconds = 600, 2
+	c := began(t, sessions, 2000)
+	begun, beats, before := c.now, 0, len(c.done)
+	for ; c.now < begun+seconds*1000; beats++ { // a beat each ms: each session beats each 600 ms
+		c.at(c.now + 1)
+		c.beat(beats % sessions)
+	}
+	c.at(c.now + 100)
+	all, twice, messages := 0, 0, 0
+	for kind, n := range c.bytes {
+		all, messages = all+n, messages+c.messages[kind]
+	}
+	for _, n := range c.sent {
+		if n > 1 {
+			twice++
+		}
+	}
+	t.Logf("%d beats: %d entries, %d bytes (%.0f a beat); by kind: messages %v, bytes %v; %d entries sent twice to one process", beats, c.entries,
+		all, float64(all)/float64(beats), c.messages, c.bytes, twice)
+	if most := seconds*10 + 2; c.entries > most {
+		t.Errorf("%d entries for %d beats in %d ticks", c.entries, beats, seconds*10)
+	}
+	if messages > beats/4 || all > 60*beats || twice > 0 { // a name in an entry has some 20 bytes, and goes to two
+		t.Errorf("%d messages of %d bytes for %d beats, %d entries sent twice", messages, all, beats, twice)
+	}
+	for n := range beats {
+		if a := c.done[uint64(sessions+n+1)]; !a.Held {
+			t.Fatalf("beat %d: %+v", n, a)
+		}
+	}
+	if len(c.done)-before != beats || c.lost > 0 {
+		t.Errorf("%d answers for %d beats, %d lost", len(c.done)-before, beats, c.lost)
+	}
+}
+
+// A beat waits neither where that is long beside its session, nor until its session is over, nor behind what came after it.
+func TestBeatsHurry(t *testing.T) {
+	t.Run("a short session", func(t *testing.T) {
+		c := began(t, 1, 1500)
+		c.at(c.leader().Due()) // the whole of a tick is left
+		if number := c.beat(0); !c.done[number].Held {
+			t.Error("waits though its asker has a quarter of its length")
+		}
+	})
+	t.Run("nobody's", func(t *testing.T) {
+		c := began(t, 1, 2000)
+		c.at(c.leader().Due())
+		if number := c.beat(7); c.done[number].Why != register.NoSession {
+			t.Errorf("%+v", c.done[number])
+		}
+	})
+	t.Run("near its end", func(t *testing.T) {
+		for ms := range 300 { // at each ms up to its end and beyond: heard while it stands, it stays
+			c := began(t, 1, 2000)
+			heard := c.now
+			for to := heard + 1750 + float64(ms); c.now < to; {
+				c.at(min(to, c.leader().Due()))
+			}
+			_, open := c.leader().Register().Session(name(0))
+			number := c.beat(0)
+			c.at(c.leader().Due())
+			if a, answered := c.done[number]; a.Held != open || !answered {
+				t.Fatalf("%d ms silent, stands %v: %+v, answered %v", 1750+ms, open, a, answered)
+			}
+		}
+	})
+	t.Run("before what comes after it", func(t *testing.T) {
+		c := began(t, 2, 2000)
+		c.at(c.leader().Due())
+		first := c.beat(0)
+		if _, answered := c.done[first]; answered {
+			t.Fatal("it didn't wait")
+		}
+		at := c.leader().Applied()
+		then := c.do(register.Entry{Kind: register.Take, Session: name(1), Incarnation: 1, Duty: "d"})
+		if !c.done[first].Held || !c.done[then].Held || c.leader().Applied() != at+2 {
+			t.Errorf("%+v, %+v, %d entries", c.done[first], c.done[then], c.leader().Applied()-at)
+		}
+	})
+	t.Run("and is lost with the lead", func(t *testing.T) {
+		c := began(t, 1, 2000)
+		c.at(c.leader().Due())
+		c.beat(0)
+		l := c.leader()
+		for c.lost == 0 && l == c.leader() { // nobody hears it any more
+			l.At(l.Due())
+			for d, more := l.Next(); more; d, more = l.Next() {
+				switch d.Verb {
+				case Save:
+					l.Saved()
+				case Lost:
+					c.lost++
+				}
+			}
+		}
+		if c.lost != 1 {
+			t.Errorf("%d lost", c.lost)
+		}
+	})
+}
