A change of the council whose answer got lost counts as made in scripts

folder_lost once waited for "remove c3" until its limit: where the change took effect and the command that asked for it got no answer, each further one is told that c3 is not of this council, and the step never came true. It looks at the council's state now, and shows the last answer where it fails.

--- a/internal/lab/fleet/script.go
+++ b/internal/lab/fleet/script.go
@@ -540,12 +540,21 @@
 	return nil
 }
 
-// change is the operator's command, again while the council elects or another change is on.
-func (r *run) change(args ...string) error {
-	return Until(strings.Join(args, " "), func() (bool, error) {
-		_, err := r.f.Command(append([]string{"council"}, args...)...)
-		return err == nil, nil
-	})
+// change is the operator's command, again while the council elects or another change is on. Where it took effect and its answer got
+// lost, the next is told that there is nothing to change: then the council's own state says that it is done.
+func (r *run) change(verb, what string) error {
+	name, _, _ := strings.Cut(what, "=")
+	out, err := "", error(nil)
+	if late := Until(verb+" "+what, func() (bool, error) {
+		if out, err = r.f.Command("council", verb, what); err == nil {
+			return true, nil
+		}
+		s, lost := r.look()
+		return lost == nil && verb == "remove" && !slices.ContainsFunc(s.Council, func(c *fleetpb.Peer) bool { return c.Name == name }), nil
+	}); late != nil {
+		return fmt.Errorf("%w; the last answer: %v: %s", late, err, out)
+	}
+	return nil
 }
 
 // leader gives who leads by the records of those that run: the latest term counts.
