Scripts: a late act is caught at its point and never given up, so that no time decides

late_on_the_way waited for bytes behind a hole, then stopped the owner. These bytes may be an acknowledgement, and an order is given up after half a session: where the machine was busy none was on its way by the stop, and no late act came. all_lost and others whose owner wakes waited for a refusal that had to come within the same half session, which nobody tries again. Orders of a process are "endless" there now, by a point of the debug build; the owner is caught right before it sends, whichever router that is by then; and a stop from inside counts once the process stands still, not when the point was passed. late_on_the_way wants the owner to hear of the refusal, too.

--- a/internal/faults/points_debug.go
+++ b/internal/faults/points_debug.go
@@ -53,3 +53,16 @@
 		select {}
 	}
 }
+
+// Span gives d, or an hour for as long as the folder that WAYLOFT_FAULTS names holds a file of this name: what is waited for then ends
+// by what comes, not by the time that a busy machine takes.
+func Span(name string, d time.Duration) time.Duration {
+	dir := os.Getenv("WAYLOFT_FAULTS")
+	if dir == "" {
+		return d
+	}
+	if _, err := os.Stat(filepath.Join(dir, name)); err != nil {
+		return d
+	}
+	return time.Hour
+}
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -503,7 +503,7 @@
 		l.ways[addr] = conn
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(l.ctx, time.Duration(l.set.Length/2*float64(time.Millisecond)))
+		ctx, cancel := context.WithTimeout(l.ctx, faults.Span("order.ends", time.Duration(l.set.Length/2*float64(time.Millisecond))))
 		defer cancel()
 		v, err := fleetpb.NewReceiverClient(conn).Act(ctx, o)
 		l.post(func() {
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -447,6 +447,21 @@
 	}
 }
 
+// Stands tells whether a signal has stopped the process, all its threads.
+func (p *Process) Stands() bool {
+	stats, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.Pid()))
+	for _, stat := range stats {
+		b, err := os.ReadFile(stat)
+		if err != nil {
+			return false
+		}
+		if state := b[bytes.LastIndexByte(b, ')')+1:]; !bytes.HasPrefix(state, []byte(" T")) {
+			return false
+		}
+	}
+	return len(stats) > 0
+}
+
 // Stop, Wake, Term and Kill are signals; Kill and End wait for the end.
 func (p *Process) Stop() { p.signal(syscall.SIGSTOP) }
 func (p *Process) Wake() { p.signal(syscall.SIGCONT) }
--- a/internal/lab/fleet/script.go
+++ b/internal/lab/fleet/script.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -28,9 +29,11 @@
 //	shut X                      until one of the council whose folder has forgotten something is refused by the others, or has
 //	                            noticed and ended; which comes first is chance
 //	hole A B [there|back] | cut A B | heal A B                       links; A or B may be council, routers, members, all
-//	held A B                    until something waits on each of these links
+//	held A B [any]              until something waits on each of these links; any: on one
 //	late N                      until N acts were refused for their fence
-//	fault X POINT stop|kill     at a point inside, the next time; struck X POINT: until that has come to pass
+//	fault X POINT stop|kill     at a point inside, the next time; struck X POINT: until that has come to pass, and it stands still or is gone
+//	caught POINT as V           until a router, whichever comes by first, stands still at a point inside; the others go on
+//	endless X                   its orders wait for their answers from now on, however long that takes
 //	lose X | keep X | restore X                                      the folder of one that is not running
 //	owner DUTY as V [not W]     until a process acts for it by its record, and another than W
 //	holder DUTY as V [not W]    until the council has a holder, another than W
@@ -106,6 +109,7 @@
 		out string
 		err error
 	}
+	faults map[[2]string]string // by process and point: what it does there
 	order  uint64
 	begun  chan ended // of the command that was begun
 	agreed []string   // versions that operators were told are agreed
@@ -145,7 +149,7 @@
 	if err := f.Start(); err != nil {
 		return o, err
 	}
-	r := &run{s: s, f: f, vars: map[string]string{}, client: client.NewClient(f.Fleet, f.CouncilAddrs(), nil)}
+	r := &run{s: s, f: f, vars: map[string]string{}, faults: map[[2]string]string{}, client: client.NewClient(f.Fleet, f.CouncilAddrs(), nil)}
 	defer r.client.Close()
 	if s.Writers > 0 {
 		var addrs []string
@@ -316,7 +320,7 @@
 		p = r.f.Process(w[0])
 	}
 	needs := map[string]bool{"stop": true, "wake": true, "term": true, "kill": true, "start": true, "small": true, "dead": true, "lose": true,
-		"keep": true, "restore": true, "shut": true, "line": true, "none": true, "fault": true, "struck": true, "goes": true, "spoil": true}
+		"keep": true, "restore": true, "shut": true, "line": true, "none": true, "fault": true, "struck": true, "endless": true, "goes": true, "spoil": true}
 	if needs[verb] && p == nil {
 		return fmt.Errorf("no process %v", w)
 	}
@@ -373,9 +377,12 @@
 		return r.links(w[0], w[1], func(s *Switch) { s.Heal() })
 	case "held":
 		return Until("something is held back", func() (bool, error) {
-			all := true
-			err := r.links(w[0], w[1], func(s *Switch) { all = all && s.Held()[0] > 0 })
-			return all, err
+			all, any := true, false
+			err := r.links(w[0], w[1], func(s *Switch) {
+				held := s.Held()[0] > 0
+				all, any = all && held, any || held
+			})
+			return all || any && len(w) > 2 && w[2] == "any", err
 		})
 	case "late":
 		n, err := strconv.Atoi(w[0])
@@ -384,9 +391,20 @@
 		}
 		return Until("late acts", func() (bool, error) { return r.f.count("late") >= n, nil })
 	case "fault":
+		r.faults[[2]string{w[0], w[1]}] = w[2]
 		return r.f.Fault(w[0], w[1], w[2])
 	case "struck":
-		return Until("fault", func() (bool, error) { return r.f.Struck(w[0], w[1]), nil })
+		return Until("fault", func() (bool, error) {
+			if !r.f.Struck(w[0], w[1]) {
+				return false, nil
+			}
+			// Guards against a wake before the stop: the point is passed right before the process stands still.
+			return r.faults[[2]string{w[0], w[1]}] != "stop" || p.Stands(), nil
+		})
+	case "caught":
+		return r.caught(w[0], w[1:])
+	case "endless":
+		return r.f.Fault(w[0], "order.ends", "endless")
 	case "lose":
 		return os.RemoveAll(p.Folder)
 	case "keep":
@@ -540,6 +558,42 @@
 	return nil
 }
 
+// caught sets a point for all routers, since on a busy machine a duty may pass on between a look at who owns it and the point. One
+// that has come by as well by the time the first stands still is woken.
+func (r *run) caught(point string, words []string) error {
+	for _, p := range r.f.kind("router") {
+		if err := r.f.Fault(p.Name, point, "stop"); err != nil {
+			return err
+		}
+	}
+	name := ""
+	if err := r.as(words, "one comes by "+point, func() (string, error) {
+		for _, p := range r.f.kind("router") {
+			if r.f.Struck(p.Name, point) && p.Stands() {
+				name = p.Name
+				break
+			}
+		}
+		return name, nil
+	}); err != nil {
+		return err
+	}
+	for _, p := range r.f.kind("router") {
+		if p.Name == name {
+			continue
+		}
+		err := os.Remove(filepath.Join(r.f.Dir, "faults", p.Name, point))
+		if errors.Is(err, os.ErrNotExist) {
+			err = Until(p.Name+" stands", func() (bool, error) { return p.Stands(), nil })
+			p.Wake()
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // change is the operator's command, again while the council elects or another change is on. Where it took effect and its answer got
 // lost, the next is told that there is nothing to change: then the council's own state says that it is done.
 func (r *run) change(verb, what string) error {
