--- a/internal/lab/fleet/twin/twin_test.go
+++ b/internal/lab/fleet/twin/twin_test.go
@@ -180,6 +180,24 @@
 	}
 }
 
+// followers kills one of those who follow, again and again, while the leader goes on and counts on what it acknowledged.
+func followers(w *World) {
+	for at := 3000.0; at < w.opt.For; at += 1500 {
+		w.After(at, func() {
+			l := w.Leader()
+			if l == nil {
+				return
+			}
+			for _, p := range w.Council {
+				if p != l && p.up {
+					w.KillFor(p, 300)
+					return
+				}
+			}
+		})
+	}
+}
+
 // Each planted defect is found by some schedule among the first of a few hundred, and none is found without it.
 func TestPlanted(t *testing.T) {
 	wiped := func(w *World) {
@@ -195,7 +213,7 @@
 		{"a receiver that forgets", lateWake, func(p *Planted) { p.Forgets = true }},
 		{"a lease counted for too long", nil, func(p *Planted) { p.Overstays = true }},
 		{"the epoch is not raised", wiped, func(p *Planted) { p.SameEpoch = true }},
-		{"answered before it is durable", nil, func(p *Planted) { p.Unsaved = true }},
+		{"answered before it is durable", followers, func(p *Planted) { p.Unsaved = true }},
 		{"answered before it is agreed", formerLeader, func(p *Planted) { p.Council.EarlyAnswer = true }},
 		{"reads of a leader that was one", formerLeader, func(p *Planted) { p.Council.StaleRead = true }},
 	} {
