A fault's file appears with its word in it

A process that came by its point between the making of the file and the writing of its word took the file away and did nothing: the script went on as if it had been struck, or waited for it in vain. The file is made whole beside its place and renamed.

--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -587,7 +587,13 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return err
 	}
-	return os.WriteFile(filepath.Join(dir, point), []byte(does), 0o600)
+	// Guards against a process that comes by between the making of the file and the writing of its word: it would take it away and do
+	// nothing.
+	whole := filepath.Join(dir, "."+point)
+	if err := os.WriteFile(whole, []byte(does), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(whole, filepath.Join(dir, point))
 }
 
 // Struck tells whether a fault that was set has come to pass.
