--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -366,17 +366,27 @@
 func (c *Council) Do(ctx context.Context, q *fleetpb.Request) (*fleetpb.Answer, error) {
 	var d council.Decision
 	var err error
-	var stands register.Answer
+	var fences []*fleetpb.Fence
+	stands := q.Stands
 	if q.Stand != "" {
+		stands = []string{q.Stand}
+	}
+	if len(stands) > agent.MostStands {
+		return nil, status.Errorf(codes.InvalidArgument, "stands: %d duties, %d at most", len(stands), agent.MostStands)
+	}
+	if len(stands) > 0 {
 		d, err = c.ask(ctx, func(number uint64) {
 			then := c.asked[number]
 			c.asked[number] = func(d council.Decision) {
-				stands.Fence = c.node.Register().Stands(q.Stand)
+				if d.Verb == council.Done { // all by the one word of a majority, under one state
+					for _, duty := range stands {
+						fences = append(fences, wire.Fence(c.node.Register().Stands(duty)))
+					}
+				}
 				then(d)
 			}
 			c.node.Read(number)
 		})
-		d.Answer = stands
 	} else {
 		e, bad := register.Decode(q.Entry)
 		if bad != nil {
@@ -400,6 +410,12 @@
 	if d.Verb == council.Moved {
 		return &fleetpb.Answer{Moved: true, Leader: d.Leader.Name, Address: d.Leader.Addr}, nil
 	}
+	if len(q.Stands) > 0 {
+		return &fleetpb.Answer{Fences: fences}, nil
+	}
+	if len(stands) > 0 {
+		return &fleetpb.Answer{Fence: fences[0]}, nil
+	}
 	return &fleetpb.Answer{Held: d.Answer.Held, Fence: wire.Fence(d.Answer.Fence), Why: d.Answer.Why, Number: d.Answer.Number}, nil
 }
 
--- /dev/null
+++ b/internal/council/council_test.go
@@ -0,0 +1,81 @@
+package council
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"wayloft/internal/decide/agent"
+	"wayloft/internal/decide/council"
+	"wayloft/internal/decide/register"
+	"wayloft/internal/fleetpb"
+	"wayloft/internal/record"
+	"wayloft/internal/wire"
+)
+
+// One question asks where several duties stand and is answered in their order; as routers ask that know of one to a question alone, it
+// is answered as before; more than one carries are refused.
+func TestStands(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := Open(Settings{Fleet: "lab", Name: "c", Dir: t.TempDir(), Peers: []council.Peer{{Name: "c", Addr: listener.Addr().String()}}, Tick: 10,
+		Keep: 1000, Connections: 8, Record: &record.Record{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	over := make(chan error)
+	running, end := context.WithCancel(context.Background())
+	c.ctx = running // Run's own takes its place
+	go func() { over <- c.Run(running, listener) }()
+	defer func() { end(); <-over }()
+	do := func(q *fleetpb.Request) *fleetpb.Answer {
+		for {
+			a, err := c.Do(ctx, q)
+			if err != nil && status.Code(err) != codes.Aborted {
+				t.Fatal(err)
+			}
+			if err == nil && !a.Moved { // else it doesn't lead yet
+				return a
+			}
+		}
+	}
+	entry := func(e register.Entry) *fleetpb.Answer {
+		e.Session, e.Incarnation = "r", 1
+		return do(&fleetpb.Request{Entry: register.Encode(e)})
+	}
+	entry(register.Entry{Kind: register.Open, Is: "router", Length: 60000})
+	a, b := entry(register.Entry{Kind: register.Take, Duty: "a"}).Fence, entry(register.Entry{Kind: register.Take, Duty: "b"}).Fence
+	entry(register.Entry{Kind: register.Free, Duty: "b", Fence: wire.FromFence(b)})
+	b = entry(register.Entry{Kind: register.Take, Duty: "b"}).Fence
+	if a.Count != 1 || b.Count != 2 {
+		t.Fatal(a, b)
+	}
+	got := do(&fleetpb.Request{Stands: []string{"b", "none", "a"}})
+	if len(got.Fences) != 3 || got.Fences[0].Count != 2 || got.Fences[1].Count != 0 || got.Fences[2].Count != 1 || got.Fences[1].Epoch != a.Epoch {
+		t.Errorf("%v", got)
+	}
+	if one := do(&fleetpb.Request{Stand: "b"}); one.Fence.GetCount() != 2 || len(one.Fences) != 0 {
+		t.Errorf("%v", one)
+	}
+	var many []string
+	for i := range agent.MostStands + 1 {
+		many = append(many, fmt.Sprint(i))
+	}
+	if got := do(&fleetpb.Request{Stands: many[1:]}); len(got.Fences) != agent.MostStands {
+		t.Errorf("%d fences", len(got.Fences))
+	}
+	for _, q := range []*fleetpb.Request{{Stands: many}, {}} {
+		if got, err := c.Do(ctx, q); status.Code(err) != codes.InvalidArgument {
+			t.Errorf("%d duties: %v, %v", len(q.Stands), got, err)
+		}
+	}
+}
--- a/internal/decide/agent/agent.go
+++ b/internal/decide/agent/agent.go
@@ -19,16 +19,20 @@
 )
 
 const (
-	beatPart  = 1.0 / 3 // of a session's length between two beats: two more may fail before it ends
-	retryPart = 1.0 / 8 // of it until the first retry of what failed
-	longest   = 2.0     // of it between two retries, after many: a fleet that waits for its council must not bury it
-	settle    = 0.5     // of it, over which processes come to ask for a duty
-	spread    = 0.5     // of each wait, drawn: what came together must not stay together
-	tellAgain = 4.0     // lengths between two words to the council that it is behind
-	mostKnown = 20000   // sessions and duties kept of what the council tells: twice what it keeps itself
-	mostHeld  = 1000    // duties that one process would hold
+	beatPart  = 1.0 / 3  // of a session's length between two beats: two more may fail before it ends
+	retryPart = 1.0 / 8  // of it until the first retry of what failed
+	longest   = 2.0      // of it between two retries, after many: a fleet that waits for its council must not bury it
+	settle    = 0.5      // of it, over which processes come to ask for a duty
+	spread    = 0.5      // of each wait, drawn: what came together must not stay together
+	tellAgain = 4.0      // lengths between two words to the council that it is behind
+	mostKnown = 20000    // sessions and duties kept of what the council tells: twice what it keeps itself
+	mostHeld  = 1000     // duties that one process would hold
+	nameBytes = 16 << 10 // of names that one question carries; a longer name goes alone
 )
 
+// MostStands is how many duties one question asks about at most.
+const MostStands = 256
+
 // Settings are given once. Times are ms.
 type Settings struct {
 	Name, Kind, Address string
@@ -72,7 +76,7 @@
 
 const (
 	Call  Verb = iota // propose Entry to the council, as request Number
-	Stand             // ask the council where Duty's fences stand now, as request Number
+	Stand             // ask the council where the fences of Duties stand now, as request Number; Stood takes the answer
 	Start             // Duty is this process's, under Fence
 	Stop              // it is no more: nothing more may go out under Fence
 )
@@ -83,13 +87,15 @@
 	Number uint64
 	Entry  register.Entry
 	Duty   string
+	Duties []string
 	Fence  lease.Fence
 }
 
 type asked struct {
 	kind   register.Kind // "": Stand
 	duty   string
-	number uint64 // the holder's own
+	number uint64   // the holder's own
+	duties []string // of Stand
 }
 
 // retry is something that is asked until it is answered, less and less often.
@@ -233,7 +239,7 @@
 		switch d.Verb {
 		case lease.Ask:
 			if a.open { // else it is asked for again once there is a session
-				a.call(asked{register.Take, duty, d.Number}, register.Entry{Kind: register.Take, Duty: duty})
+				a.call(asked{kind: register.Take, duty: duty, number: d.Number}, register.Entry{Kind: register.Take, Duty: duty})
 			}
 		case lease.GiveBack:
 			a.call(asked{kind: register.Free}, register.Entry{Kind: register.Free, Duty: duty, Fence: d.Fence})
@@ -290,8 +296,38 @@
 	case register.End:
 		a.left = true
 	case "":
-		a.receiver.Learned(of.duty, ans.Fence)
-		delete(a.stands, of.duty)
+		a.stood(of.duties, nil) // it told no fences
+	}
+}
+
+// Stood conveys the council's answer to a Stand: fences of its duties, in their order. Those past the answer's end are asked again; an
+// answer of more than was asked is none.
+func (a *Agent) Stood(number uint64, fences []lease.Fence) {
+	if of, known := a.asked[number]; known && of.kind == "" {
+		delete(a.asked, number)
+		a.stood(of.duties, fences)
+	}
+}
+
+// stood takes in where the first of some duties stand. The others are put off together: each by itself would be a question of its own.
+func (a *Agent) stood(duties []string, fences []lease.Fence) {
+	if len(fences) > len(duties) {
+		fences = nil
+	}
+	for i, fence := range fences {
+		a.receiver.Learned(duties[i], fence)
+		delete(a.stands, duties[i])
+	}
+	var off retry
+	duties = duties[len(fences):]
+	for _, duty := range duties {
+		off.wait = math.Max(off.wait, a.stands[duty].wait)
+	}
+	if len(duties) > 0 {
+		a.again(&off)
+	}
+	for _, duty := range duties {
+		*a.stands[duty] = off
 	}
 }
 
@@ -328,9 +364,7 @@
 	case register.End:
 		a.left = true // its length will end it
 	case "":
-		if r := a.stands[of.duty]; r != nil {
-			a.again(r)
-		}
+		a.stood(of.duties, nil)
 	}
 }
 
@@ -477,15 +511,7 @@
 		a.beating.at = math.Inf(1)
 		a.call(asked{kind: register.Beat}, register.Entry{Kind: register.Beat, Policy: a.policy, Wont: a.wont, Why: a.why, Refused: uint64(a.Refused)})
 	default:
-		for _, duty := range slices.Sorted(maps.Keys(a.stands)) {
-			if r := a.stands[duty]; r.at <= a.now {
-				r.at = math.Inf(1)
-				a.number++
-				a.asked[a.number] = asked{duty: duty}
-				a.out = append(a.out, Decision{Verb: Stand, Number: a.number, Duty: duty})
-				break
-			}
-		}
+		a.stand()
 	}
 	if len(a.out) == 0 {
 		return Decision{}, false
@@ -495,6 +521,34 @@
 	return d, true
 }
 
+// stand asks where duties stand: all at once that are due, as many as one question carries. Guards against a start that asks once a
+// duty: of many processes together that is more than a council answers.
+func (a *Agent) stand() {
+	var duties []string
+	for duty, r := range a.stands {
+		if r.at <= a.now {
+			duties = append(duties, duty)
+		}
+	}
+	if len(duties) == 0 {
+		return
+	}
+	slices.Sort(duties)
+	bytes := 0
+	for n, duty := range duties {
+		if bytes += len(duty); n == MostStands || n > 0 && bytes > nameBytes {
+			duties = duties[:n]
+			break
+		}
+	}
+	for _, duty := range duties {
+		a.stands[duty].at = math.Inf(1)
+	}
+	a.number++
+	a.asked[a.number] = asked{duties: duties}
+	a.out = append(a.out, Decision{Verb: Stand, Number: a.number, Duties: slices.Clone(duties)})
+}
+
 // Due is when At must be called again at the latest.
 func (a *Agent) Due() float64 {
 	due := math.Min(a.opening.at, a.beating.at)
--- a/internal/decide/agent/agent_test.go
+++ b/internal/decide/agent/agent_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 
 	"wayloft/internal/decide/lease"
@@ -28,6 +30,13 @@
 	return s.r.Apply(s.at, e)
 }
 
+func (s *table) stands(duties []string) (fences []lease.Fence) {
+	for _, duty := range duties {
+		fences = append(fences, s.r.Stands(duty))
+	}
+	return fences
+}
+
 // to lets time pass, in steps of 10 ms, with requests answered or not.
 func (s *table) to(at float64, answers bool) (starts, stops int) {
 	for ; s.now < at; s.now += 10 {
@@ -42,7 +51,7 @@
 					s.a.Failed(d.Number)
 				}
 			case Stand:
-				s.a.Answered(d.Number, register.Answer{Fence: s.r.Stands(d.Duty)})
+				s.a.Stood(d.Number, s.stands(d.Duties))
 			case Start:
 				starts++
 			case Stop:
@@ -269,3 +278,107 @@
 		t.Error("it was told of none")
 	}
 }
+
+// asks pulls the questions where duties stand that are due.
+func (s *table) asks() (all []Decision) {
+	s.a.At(s.now)
+	for d, more := s.a.Next(); more; d, more = s.a.Next() {
+		switch d.Verb {
+		case Call:
+			s.a.Answered(d.Number, s.apply(d.Entry))
+		case Stand:
+			all = append(all, d)
+		}
+	}
+	return all
+}
+
+// Guards against a start that asks the council once a duty: what is due together goes in one question, as many as one carries; what
+// brought no answer, or a part of one, is asked again together, later.
+func TestAsksWhereAllStandAtOnce(t *testing.T) {
+	s := sit(t)
+	learn := func(n int) {
+		for i := range n {
+			s.a.Learn(fmt.Sprintf("d/%03d", i))
+		}
+	}
+	learn(328)
+	all := s.asks()
+	if len(all) != 2 || len(all[0].Duties) != 256 || len(all[1].Duties) != 72 || all[0].Duties[0] != "d/000" || all[1].Duties[71] != "d/327" {
+		t.Fatalf("%d questions where 328 duties stand, not 2 of 256 and 72", len(all))
+	}
+	if learn(328); len(s.asks()) != 0 {
+		t.Fatal("asked again what is being asked")
+	}
+	// Of the first ten alone it is told where they stand, and of those after 256 nothing.
+	s.a.Stood(all[0].Number, s.stands(all[0].Duties)[:10])
+	s.a.Failed(all[1].Number)
+	if n := len(s.asks()); n != 0 {
+		t.Fatalf("asked again at once, %d times", n)
+	}
+	known := func() (n int) {
+		for i := range 328 {
+			if s.a.receiver.Knows(fmt.Sprintf("d/%03d", i)) {
+				n++
+			}
+		}
+		return n
+	}
+	if n := known(); n != 10 {
+		t.Fatalf("knows where %d stand, not 10", n)
+	}
+	s.now = 1000 // both are due again
+	if all = s.asks(); len(all) != 2 || len(all[0].Duties) != 256 || len(all[1].Duties) != 62 || all[0].Duties[0] != "d/010" {
+		t.Fatalf("%d questions again, not 2 of 256 and 62", len(all))
+	}
+	// An answer of more than was asked, or none that tells fences, is none.
+	s.a.Stood(all[0].Number, make([]lease.Fence, 257))
+	s.a.Answered(all[1].Number, register.Answer{})
+	s.a.Stood(all[1].Number, s.stands(all[1].Duties)) // late: it was given up
+	if n := known(); n != 10 {
+		t.Fatalf("knows where %d stand, not 10", n)
+	}
+	if s.to(10000, true); known() != 328 {
+		t.Errorf("knows where %d stand in the end, not 328", known())
+	}
+}
+
+// While no answer comes, duties that were asked about together stay together, and each try comes later than the one before.
+func TestAsksWhereTheyStandLessOften(t *testing.T) {
+	s := sit(t)
+	for i := range 100 {
+		s.a.Learn(fmt.Sprint(i))
+	}
+	n := 0
+	for ; s.now < 60000; s.now += 10 {
+		s.apply(register.Entry{Kind: register.Tick, Passed: 10})
+		for _, d := range s.asks() {
+			if n++; len(d.Duties) != 100 {
+				t.Fatalf("try %d is about %d duties", n, len(d.Duties))
+			}
+			s.a.Failed(d.Number)
+		}
+	}
+	if n < 25 || n > 80 {
+		t.Errorf("%d tries in a minute", n)
+	}
+}
+
+// Each duty in a question is learned with its own fence; names that are long go in questions of their own.
+func TestStandsInOrder(t *testing.T) {
+	s := sit(t)
+	long := strings.Repeat("b", nameBytes+1)
+	for _, duty := range []string{"c", long, "a", "d"} {
+		s.a.Learn(duty)
+	}
+	all := s.asks()
+	if len(all) != 3 || !slices.Equal(all[0].Duties, []string{"a"}) || !slices.Equal(all[1].Duties, []string{long}) || !slices.Equal(all[2].Duties, []string{"c", "d"}) {
+		t.Fatalf("%d questions", len(all))
+	}
+	s.a.Stood(all[2].Number, []lease.Fence{{Epoch: 1, Count: 7}, {Epoch: 1, Count: 3}})
+	for duty, count := range map[string]uint64{"c": 7, "d": 3} {
+		if highest, _ := s.a.receiver.Highest(duty); highest.Count != count {
+			t.Errorf("%s stands at %v, not at %d", duty, highest, count)
+		}
+	}
+}
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -175,26 +175,41 @@
 
 // Do has an entry proposed.
 func (c *Client) Do(ctx context.Context, e register.Entry) (a register.Answer, err error) {
-	err = c.request(ctx, &fleetpb.Request{Entry: register.Encode(e)}, &a)
-	return a, err
+	got, err := c.request(ctx, &fleetpb.Request{Entry: register.Encode(e)})
+	if err != nil {
+		return a, err
+	}
+	return wire.Answer(got), nil
 }
 
-// Stands asks where a duty's fences stand now.
-func (c *Client) Stands(ctx context.Context, duty string) (lease.Fence, error) {
-	var a register.Answer
-	err := c.request(ctx, &fleetpb.Request{Stand: duty}, &a)
-	return a.Fence, err
+// Stands asks where duties' fences stand now: one question, whose answer is by one word of a majority, at most agent.MostStands of them.
+// The fences are in the duties' order, never more, and none is left out in between. A process that doesn't know such a question finds
+// no entry in it and refuses it, so an older one is never taken to say that all stand at nothing: processes of the council are brought up
+// to date before routers.
+func (c *Client) Stands(ctx context.Context, duties []string) ([]lease.Fence, error) {
+	a, err := c.request(ctx, &fleetpb.Request{Stands: duties})
+	if err != nil {
+		return nil, err
+	}
+	if len(a.Fences) != len(duties) {
+		return nil, fmt.Errorf("the council answered with %d fences of %d", len(a.Fences), len(duties))
+	}
+	fences := make([]lease.Fence, 0, len(duties))
+	for _, f := range a.Fences {
+		fences = append(fences, wire.FromFence(f))
+	}
+	return fences, nil
 }
 
-func (c *Client) request(ctx context.Context, q *fleetpb.Request, into *register.Answer) error {
-	return c.ask(ctx, func(ctx context.Context, to fleetpb.CouncilClient) (bool, string, string, error) {
-		a, err := to.Do(ctx, q)
-		if err != nil {
+func (c *Client) request(ctx context.Context, q *fleetpb.Request) (a *fleetpb.Answer, err error) {
+	err = c.ask(ctx, func(ctx context.Context, to fleetpb.CouncilClient) (bool, string, string, error) {
+		var err error
+		if a, err = to.Do(ctx, q); err != nil {
 			return false, "", "", err
 		}
-		*into = wire.Answer(a)
 		return a.Moved, a.Leader, a.Address, nil
 	})
+	return a, err
 }
 
 // Look gives the state as it is now.
--- a/internal/fleet/client_test.go
+++ b/internal/fleet/client_test.go
@@ -2,14 +2,22 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
+	"wayloft/internal/decide/handover"
+	"wayloft/internal/decide/lease"
 	"wayloft/internal/decide/register"
+	"wayloft/internal/decide/sight"
 	"wayloft/internal/fleetpb"
 	"wayloft/internal/wire"
 )
@@ -17,14 +25,14 @@
 // answering is a process of the council that answers by a function.
 type answering struct {
 	fleetpb.UnimplementedCouncilServer
-	do func(context.Context) (*fleetpb.Answer, error)
+	do func(context.Context, *fleetpb.Request) (*fleetpb.Answer, error)
 }
 
-func (a *answering) Do(ctx context.Context, _ *fleetpb.Request) (*fleetpb.Answer, error) {
-	return a.do(ctx)
+func (a *answering) Do(ctx context.Context, q *fleetpb.Request) (*fleetpb.Answer, error) {
+	return a.do(ctx, q)
 }
 
-func serves(t *testing.T, do func(context.Context) (*fleetpb.Answer, error)) string {
+func serves(t *testing.T, do func(context.Context, *fleetpb.Request) (*fleetpb.Answer, error)) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -40,7 +48,7 @@
 // Who leads is asked again though it was silent once, as long as the others say that it leads.
 func TestAsksTheLeaderAgain(t *testing.T) {
 	calls, leader := atomic.Int32{}, ""
-	leader = serves(t, func(ctx context.Context) (*fleetpb.Answer, error) {
+	leader = serves(t, func(ctx context.Context, _ *fleetpb.Request) (*fleetpb.Answer, error) {
 		if calls.Add(1) == 1 {
 			<-ctx.Done()
 			return nil, ctx.Err()
@@ -49,7 +57,7 @@
 	})
 	addrs := []string{leader}
 	for range 2 {
-		addrs = append(addrs, serves(t, func(context.Context) (*fleetpb.Answer, error) {
+		addrs = append(addrs, serves(t, func(context.Context, *fleetpb.Request) (*fleetpb.Answer, error) {
 			return &fleetpb.Answer{Moved: true, Leader: "c1", Address: leader}, nil
 		}))
 	}
@@ -62,3 +70,106 @@
 		t.Errorf("got %+v, %v after %d calls", a, err, calls.Load())
 	}
 }
+
+// One call asks where many duties stand, and again as a whole where another process leads; what says less than that is no answer.
+func TestStandsInOneCall(t *testing.T) {
+	calls := atomic.Int32{}
+	leader := serves(t, func(_ context.Context, q *fleetpb.Request) (*fleetpb.Answer, error) {
+		calls.Add(1)
+		a := &fleetpb.Answer{}
+		for _, duty := range q.Stands {
+			a.Fences = append(a.Fences, &fleetpb.Fence{Epoch: 1, Count: uint64(len(duty))})
+		}
+		return a, nil
+	})
+	other := serves(t, func(context.Context, *fleetpb.Request) (*fleetpb.Answer, error) {
+		return &fleetpb.Answer{Moved: true, Leader: "c1", Address: leader}, nil
+	})
+	// Processes that don't know the question: one finds no entry in it, the other would answer as for nothing.
+	older := serves(t, func(_ context.Context, q *fleetpb.Request) (*fleetpb.Answer, error) {
+		_, err := register.Decode(q.Entry)
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	})
+	empty := serves(t, func(context.Context, *fleetpb.Request) (*fleetpb.Answer, error) { return &fleetpb.Answer{}, nil })
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	for _, addr := range []string{leader, other, older, empty} {
+		c := NewClient("lab", []string{addr}, nil)
+		defer c.Close()
+		calls.Store(0)
+		fences, err := c.Stands(ctx, []string{"ccc", "a", "bb"})
+		if addr == older || addr == empty {
+			if err == nil || fences != nil {
+				t.Errorf("took %v for an answer", fences)
+			}
+			continue
+		}
+		if err != nil || calls.Load() != 1 || !slices.Equal(fences, []lease.Fence{{Epoch: 1, Count: 3}, {Epoch: 1, Count: 1}, {Epoch: 1, Count: 2}}) {
+			t.Errorf("%v, %v after %d calls", fences, err, calls.Load())
+		}
+	}
+}
+
+// A process that starts where there are 164 groups asks the council where their duties stand in two calls, and goes by the answer.
+func TestAStartAsksInTwoCalls(t *testing.T) {
+	asked := make(chan []string, 400)
+	council := serves(t, func(_ context.Context, q *fleetpb.Request) (*fleetpb.Answer, error) {
+		if len(q.Stands) == 0 && q.Stand == "" {
+			return &fleetpb.Answer{Held: true}, nil
+		}
+		a := &fleetpb.Answer{}
+		for _, duty := range q.Stands {
+			var group uint64
+			fmt.Sscanf(duty[strings.Index(duty, "/")+1:], "%d", &group)
+			a.Fences = append(a.Fences, &fleetpb.Fence{Epoch: 1, Count: 1000 + group})
+		}
+		asked <- q.Stands
+		return a, nil
+	})
+	r := &listing{groups: map[int][]Member{}, asked: make(chan bool, 100)}
+	for group := range 164 {
+		r.groups[group] = nil
+	}
+	// Its length is such that no call is given up while the machine is busy.
+	l := New(Settings{Fleet: "lab", Name: "r", Kind: "router", Council: []string{council}, Length: 100000, Margin: 200}, r)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go l.Run(ctx, listener)
+	defer func() { cancel(); <-l.Ended() }()
+	duties, calls := map[string]bool{}, 0
+	for ; len(duties) < 328; calls++ {
+		for _, duty := range <-asked {
+			duties[duty] = true
+		}
+	}
+	took := make(chan lease.Verdict)
+	for group := range 164 {
+		for _, duty := range []string{sight.Duty(group), handover.Duty(group)} {
+			if !duties[duty] {
+				t.Fatal("not asked:", duty)
+			}
+			for v := lease.Unknown; v == lease.Unknown; { // until the answer is in
+				l.post(func() {
+					v, _ := l.agent.Take(lease.Scope{Duty: duty, About: "x"}, "q", lease.Fence{Epoch: 1, Count: 999 + uint64(group)})
+					took <- v
+				})
+				if v = <-took; v != lease.Old && v != lease.Unknown {
+					t.Fatalf("%s: an act below where it stands was %v", duty, v)
+				}
+			}
+		}
+	}
+	l.post(func() {
+		v, _ := l.agent.Take(lease.Scope{Duty: sight.Duty(163), About: "x"}, "q", lease.Fence{Epoch: 1, Count: 1163})
+		took <- v
+	})
+	if v := <-took; v != lease.Taken {
+		t.Error("an act under where its duty stands was", v)
+	}
+	if calls += len(asked); calls != 2 {
+		t.Errorf("asked in %d calls, not two", calls)
+	}
+}
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -370,9 +370,10 @@
 	ctx, cancel := context.WithTimeout(l.ctx, time.Duration(l.set.Length/4*float64(time.Millisecond)))
 	defer cancel()
 	var a register.Answer
+	var fences []lease.Fence
 	var err error
 	if d.Verb == agent.Stand {
-		a.Fence, err = l.client.Stands(ctx, d.Duty)
+		fences, err = l.client.Stands(ctx, d.Duties)
 	} else {
 		a, err = l.client.Do(ctx, d.Entry)
 	}
@@ -383,6 +384,10 @@
 			l.agent.Failed(d.Number)
 			return
 		}
+		if d.Verb == agent.Stand {
+			l.agent.Stood(d.Number, fences)
+			return
+		}
 		if d.Verb == agent.Call && d.Entry.Kind == register.Told && a.Why != "" {
 			logrus.WithFields(logrus.Fields{"duty": d.Entry.Duty, "seen": d.Entry.Fence, "council": a.Fence}).Error(a.Why)
 			l.set.Record.Add("behind", record.Fields{"duty": d.Entry.Duty, "seen": d.Entry.Fence.String(), "council": a.Fence.String()})
--- a/internal/lab/fleet/probe.go
+++ b/internal/lab/fleet/probe.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"wayloft/internal/decide/lease"
 	"wayloft/internal/decide/register"
 	client "wayloft/internal/fleet"
 	"wayloft/internal/lab/fleet/twin"
@@ -52,7 +53,10 @@
 			a, err = c.Do(one, e)
 		case 2:
 			op.Kind = "stand"
-			a.Fence, err = c.Stands(one, probed)
+			var fences []lease.Fence
+			if fences, err = c.Stands(one, []string{probed}); err == nil {
+				a.Fence = fences[0]
+			}
 		case 3:
 			if last := p.held(name); last.Held {
 				e.Kind, e.Fence = register.Free, last.Fence
--- a/internal/lab/fleet/twin/handing.go
+++ b/internal/lab/fleet/twin/handing.go
@@ -334,7 +334,7 @@
 func (p *Proc) entry(e register.Entry, done func(register.Answer, bool)) {
 	p.own++
 	number := p.own | 1<<62
-	p.calls[number] = call{op: -1, done: done}
+	p.calls[number] = call{done: done}
 	p.ask(agent.Decision{Verb: agent.Call, Number: number, Entry: e}, 0)
 }
 
--- a/internal/lab/fleet/twin/twin.go
+++ b/internal/lab/fleet/twin/twin.go
@@ -124,7 +124,7 @@
 	lost    bool    // its folder is, for good
 	joins   bool    // it takes another's place
 	waiting map[uint64]asker
-	read    map[uint64]string
+	read    map[uint64][]string
 
 	agent  *agent.Agent
 	duties []string
@@ -161,7 +161,7 @@
 
 // call is a request without an answer yet.
 type call struct {
-	op    int                         // its place in the history; -1: not kept
+	ops   []int                       // its places in the history, one for each duty that it asks about; none: not kept
 	again func()                      // sends it once more, to who leads
 	done  func(register.Answer, bool) // of one that is not the agent\'s
 }
@@ -404,7 +404,7 @@
 }
 
 func (p *Proc) startCouncil() {
-	p.waiting, p.read = map[uint64]asker{}, map[uint64]string{}
+	p.waiting, p.read = map[uint64]asker{}, map[uint64][]string{}
 	p.watchers, p.pushed, p.pushing, p.pieces = nil, 0, false, nil
 	var peers []council.Peer
 	for _, o := range p.w.Council {
@@ -526,10 +526,13 @@
 	}
 	delete(p.waiting, d.Number)
 	ans := d.Answer
-	if duty, read := p.read[d.Number]; read {
+	var fences []lease.Fence
+	if duties, read := p.read[d.Number]; read {
 		delete(p.read, d.Number)
 		if d.Verb == council.Done {
-			ans = register.Answer{Fence: p.node.Register().Stands(duty)}
+			for _, duty := range duties {
+				fences = append(fences, p.node.Register().Stands(duty))
+			}
 		}
 	}
 	to := who.proc
@@ -539,7 +542,7 @@
 			return
 		}
 		if to.life == who.life && to.agent != nil {
-			to.heard(who.number, d.Verb, ans, d.Leader.Name)
+			to.heard(who.number, d.Verb, ans, fences, d.Leader.Name)
 		}
 	})
 }
@@ -588,7 +591,7 @@
 	for d, more := p.agent.Next(); more; d, more = p.agent.Next() {
 		switch d.Verb {
 		case agent.Call, agent.Stand:
-			p.calls[d.Number] = call{op: p.begin(d)}
+			p.calls[d.Number] = call{ops: p.begin(d)}
 			p.ask(d, 0)
 		case agent.Start:
 			p.acting[d.Duty] = d.Fence
@@ -607,17 +610,20 @@
 	}
 }
 
-// begin notes a request for the history that is checked; takes and reads alone are.
-func (p *Proc) begin(d agent.Decision) int {
-	op := Op{Client: p.w.client(p), Duty: d.Duty, Kind: "stand", Begun: p.w.Now, Ended: -1}
+// begin notes a request for the history that is checked; takes and reads alone are, and a read for each duty by itself.
+func (p *Proc) begin(d agent.Decision) (ops []int) {
+	op, duties := Op{Client: p.w.client(p), Kind: "stand", Begun: p.w.Now, Ended: -1}, d.Duties
 	if d.Verb == agent.Call {
 		if d.Entry.Kind != register.Take {
-			return -1
+			return nil
 		}
-		op.Duty, op.Session, op.Kind = d.Entry.Duty, d.Entry.Session, "take"
+		op.Session, op.Kind, duties = d.Entry.Session, "take", []string{d.Entry.Duty}
+	}
+	for _, op.Duty = range duties {
+		ops = append(ops, len(p.w.Ops))
+		p.w.Ops = append(p.w.Ops, op)
 	}
-	p.w.Ops = append(p.w.Ops, op)
-	return len(p.w.Ops) - 1
+	return ops
 }
 
 // ask sends a request to who is thought to lead, or to anybody; unanswered for 300 ms, it has failed.
@@ -643,7 +649,7 @@
 		c.waiting[w.number] = asker{proc: p, life: life, number: d.Number}
 		c.node.At(c.clock())
 		if d.Verb == agent.Stand {
-			c.read[w.number] = d.Duty
+			c.read[w.number] = d.Duties
 			c.node.Read(w.number)
 		} else {
 			c.node.Do(w.number, d.Entry)
@@ -669,7 +675,7 @@
 }
 
 // heard takes in how the council answered.
-func (p *Proc) heard(number uint64, how council.Verb, ans register.Answer, leader string) {
+func (p *Proc) heard(number uint64, how council.Verb, ans register.Answer, fences []lease.Fence, leader string) {
 	c, open := p.calls[number]
 	if !open {
 		return
@@ -685,16 +691,21 @@
 		p.fail(number)
 	default:
 		delete(p.calls, number)
-		if c.op >= 0 {
-			op := &p.w.Ops[c.op]
-			op.Ended, op.Held, op.Fence = p.w.Now, ans.Held, ans.Fence
+		for i, n := range c.ops {
+			op := &p.w.Ops[n]
+			if op.Ended, op.Held, op.Fence = p.w.Now, ans.Held, ans.Fence; fences != nil {
+				op.Fence = fences[i]
+			}
 		}
 		p.agent.At(p.clock())
-		if c.done != nil {
+		switch {
+		case c.done != nil:
 			c.done(ans, true)
-			return
+		case fences != nil:
+			p.agent.Stood(number, fences)
+		default:
+			p.agent.Answered(number, ans)
 		}
-		p.agent.Answered(number, ans)
 	}
 }
 
--- a/internal/lab/size/count.go
+++ b/internal/lab/size/count.go
@@ -20,7 +20,7 @@
 }
 
 const (
-	standing = iota // asks where a duty stands
+	standing = iota // asks where duties stand
 	calling         // brings the council an entry
 	answering
 	moving // an answer that names another process to ask
@@ -39,7 +39,7 @@
 func kindOf(v any) int {
 	switch m := v.(type) {
 	case *fleetpb.Request:
-		if m.Stand != "" {
+		if m.Stand != "" || len(m.Stands) > 0 {
 			return standing
 		}
 		return calling
--- a/internal/lab/size/installation_test.go
+++ b/internal/lab/size/installation_test.go
@@ -8,6 +8,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"wayloft/internal/decide/agent"
 )
 
 var build = sync.OnceValues(func() (string, error) {
@@ -65,9 +67,9 @@
 	exact("lists", r.Start["lists"], routers) // the whole one, once
 	exact("entries", r.Start["entries"], routers*members)
 	exact("watches' first words", r.Start["whole_in"], routers)
-	// Each asks once where each group's two duties stand, and opens a session; a beat comes when a sixth of its length is over at
-	// the earliest. An answer that names another process is no answer.
-	stands, opens := routers*2*groups, routers
+	// Each asks once where all groups' two duties stand, as many to a call as one carries, and opens a session; a beat comes when a
+	// sixth of its length is over at the earliest. An answer that names another process is no answer.
+	stands, opens := routers*((2*groups+agent.MostStands-1)/agent.MostStands), routers
 	answers, beats := r.Start["answer_in"], routers*int64(1+r.StartS/(o.Session.Seconds()/6))
 	if answers < stands+opens || answers > stands+opens+beats {
 		t.Errorf("%d answers to %d questions, %d opens and at most %d beats", answers, stands, opens, beats)
--- a/internal/lab/size/size.go
+++ b/internal/lab/size/size.go
@@ -9,6 +9,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"wayloft/internal/decide/agent"
 )
 
 const (
@@ -93,15 +95,18 @@
 func (o Options) groups() int { return (o.Members + o.Group - 1) / o.Group }
 
 // Routers that start may ask so many calls a second of the council together, several times less than it answers, since what is
-// late is asked again: each asks where two duties of each group stand. And so many words a second may be said of them: each
+// late is asked again: each opens a session and asks where two duties of each group stand. And so many words a second may be said of them: each
 // start is told to all others.
 const startCalls, startWords = 2500, 5000
 
+// questions is how many calls a router that starts asks where duties stand.
+func (o Options) questions() int { return (2*o.groups() + agent.MostStands - 1) / agent.MostStands }
+
 func (o Options) pace() time.Duration {
 	if o.Pace > 0 {
 		return o.Pace
 	}
-	return max(time.Duration(2*o.groups())*time.Second/startCalls, time.Duration(o.Routers+o.Real)*time.Second/startWords)
+	return max(time.Duration(1+o.questions())*time.Second/startCalls, time.Duration(o.Routers+o.Real)*time.Second/startWords)
 }
 
 // wait waits, unless all is to end.
--- a/internal/lab/size/size_test.go
+++ b/internal/lab/size/size_test.go
@@ -242,7 +242,7 @@
 // Messages are counted by what they are, with the bytes that they become, and pass through as they were.
 func TestCounter(t *testing.T) {
 	c := &counter{CodecV2: encoding.GetCodecV2(proto.Name)}
-	for _, m := range []any{&fleetpb.Request{Stand: "sight/1"}, &fleetpb.Request{Entry: []byte{1, 2}}, &fleetpb.Answer{Held: true}, &fleetpb.Answer{Moved: true},
+	for _, m := range []any{&fleetpb.Request{Stand: "sight/1"}, &fleetpb.Request{Stands: []string{"sight/1"}}, &fleetpb.Request{Entry: []byte{1, 2}}, &fleetpb.Answer{Held: true}, &fleetpb.Answer{Moved: true},
 		&fleetpb.Update{Whole: true}, &fleetpb.Update{Index: 3}, &fleetpb.Order{Duty: "sight/1"}, &fleetpb.Verdict{},
 		&fleetpb.PolicyFrom{}, &fleetpb.PolicyPart{}} {
 		if _, err := c.Marshal(m); err != nil {
@@ -261,7 +261,7 @@
 	}
 	counts := map[string]int64{}
 	c.counts(counts)
-	want := map[string]int64{"stand_out": 1, "call_out": 1, "answer_out": 1, "moved_out": 1, "whole_out": 1, "alive_out": 1, "order_out": 1, "verdict_out": 1, "fetch_out": 1, "part_out": 1,
+	want := map[string]int64{"stand_out": 2, "call_out": 1, "answer_out": 1, "moved_out": 1, "whole_out": 1, "alive_out": 1, "order_out": 1, "verdict_out": 1, "fetch_out": 1, "part_out": 1,
 		"change_out": 1, "change_in": 1, "change_in_bytes": int64(b.Len()), "call_out_bytes": 4, "verdict_out_bytes": 0}
 	for k, n := range want {
 		if counts[k] != n {
