--- a/internal/council/council_test.go
+++ b/internal/council/council_test.go
@@ -34,12 +34,17 @@
 	defer cancel()
 	over := make(chan error)
 	running, end := context.WithCancel(context.Background())
-	c.ctx = running // Run's own takes its place
 	go func() { over <- c.Run(running, listener) }()
 	defer func() { end(); <-over }()
+	conn, err := wire.Dial(listener.Addr().String(), "lab")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	service := fleetpb.NewCouncilClient(conn)
 	do := func(q *fleetpb.Request) *fleetpb.Answer {
 		for {
-			a, err := c.Do(ctx, q)
+			a, err := service.Do(ctx, q)
 			if err != nil && status.Code(err) != codes.Aborted {
 				t.Fatal(err)
 			}
@@ -74,7 +79,7 @@
 		t.Errorf("%d fences", len(got.Fences))
 	}
 	for _, q := range []*fleetpb.Request{{Stands: many}, {}} {
-		if got, err := c.Do(ctx, q); status.Code(err) != codes.InvalidArgument {
+		if got, err := service.Do(ctx, q); status.Code(err) != codes.InvalidArgument {
 			t.Errorf("%d duties: %v, %v", len(q.Stands), got, err)
 		}
 	}
