The twin's routers have one alarm, as the host does

Cause: the twin never stopped an alarm that was replaced. Since any ring has the module ask for another, those that were replaced went on beside it and grew: TestHandovers took 35 s, a profile shows the module looking at what waits again and again.

Change: only the latest alarm rings.

--- a/internal/lab/fleet/twin/handing.go
+++ b/internal/lab/fleet/twin/handing.go
@@ -50,11 +50,12 @@
 
 // carrier is a router's module with what carries it out, in the twin.
 type carrier struct {
-	p     *Proc
-	r     *router.Router
-	fresh bool
-	out   map[string]int // submissions by txn
-	at    map[string]float64
+	alarms int // asked for so far
+	p      *Proc
+	r      *router.Router
+	fresh  bool
+	out    map[string]int // submissions by txn
+	at     map[string]float64
 }
 
 // plan adds members to a world, and clients' writes, and orders.
@@ -130,7 +131,13 @@
 		case router.Check:
 			c.check(w.byName[d.Member])
 		case router.Alarm:
-			p.later(d.At-w.Now, func() { c.hear(func(r *router.Router) { r.Rang() }) })
+			c.alarms++ // the one before is stopped, as the host does
+			n := c.alarms
+			p.later(d.At-w.Now, func() {
+				if n == c.alarms {
+					c.hear(func(r *router.Router) { r.Rang() })
+				}
+			})
 		}
 	}
 }
--- a/internal/lab/fleet/twin/sight.go
+++ b/internal/lab/fleet/twin/sight.go
@@ -47,6 +47,7 @@
 	known := make([]map[string]float64, routers) // positions, as each router knows them
 	all := make([]*router.Router, routers)
 	var pull func(n int)
+	alarms := make([]int, routers)
 	hear := func(n int, f func(*router.Router)) {
 		all[n].At(now)
 		f(all[n])
@@ -80,7 +81,13 @@
 					hear(n, func(m *router.Router) { m.Returned(d.Txn, d.Seq, router.Committed, took, true, role, at) })
 				})
 			case router.Alarm:
-				after(d.At-now, func() { hear(n, func(m *router.Router) { m.Rang() }) })
+				alarms[n]++ // the one before is stopped, as the host does
+				k := alarms[n]
+				after(d.At-now, func() {
+					if k == alarms[n] {
+						hear(n, func(m *router.Router) { m.Rang() })
+					}
+				})
 			}
 		}
 	}
