review: orders answered as served are lost once a client leaves after a Flush

Cause: endStream takes a member's connection for clean by the status of the last ReadyForQuery. After extended messages up to a Flush there was none, while the member has a transaction open; as the client leaves, the connection goes back into the pool, and the next client's statement runs inside the transaction of the one that has left.

Change: case 2 with its script.

--- a/review/cases_test.go
+++ b/review/cases_test.go
@@ -10,6 +10,8 @@
 
 func TestCase1(t *testing.T) { play(t, "1") }
 
+func TestCase2(t *testing.T) { play(t, "2") }
+
 // play runs the script of a case.
 func play(t *testing.T, number string) {
 	t.Helper()
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -22,6 +22,7 @@
 // cases returns an error if a case could not run.
 var cases = map[string]func(*run) error{
 	"1": badClient,
+	"2": leavingClient,
 }
 
 const (
