review: a member's second copy is served to another client of a pool

Cause: the empty query that tells a second copy of an answer apart from the next answer goes ahead only on connections of the platform's form. A pool lends a connection that has just answered at once, and takes a copy that comes meanwhile for the answer to the next request.

Change: case 3 with its script.

--- a/review/cases_test.go
+++ b/review/cases_test.go
@@ -12,6 +12,8 @@
 
 func TestCase2(t *testing.T) { play(t, "2") }
 
+func TestCase3(t *testing.T) { play(t, "3") }
+
 // play runs the script of a case.
 func play(t *testing.T, number string) {
 	t.Helper()
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -23,6 +23,7 @@
 var cases = map[string]func(*run) error{
 	"1": badClient,
 	"2": leavingClient,
+	"3": secondCopies,
 }
 
 const (
