review: the cases' routers start where a process may open few descriptors

Cause: the shipped configuration asks for 4,096 descriptors, and a router refuses to start where the hard limit is lower, so that the cases could not run there. Change: with a lower limit the cases' configuration names that limit, and half of it for sessions.

--- a/review/standins/process.go
+++ b/review/standins/process.go
@@ -140,11 +140,17 @@
 }
 
 var (
-	listenLine  = regexp.MustCompile(`(?m)^listen *= *".*"`)
-	membersPart = regexp.MustCompile(`(?s)\n\[\[members\]\].*`)
+	listenLine      = regexp.MustCompile(`(?m)^listen *= *".*"`)
+	descriptorsLine = regexp.MustCompile(`(?m)^descriptors *= *[0-9]+`)
+	sessionsLine    = regexp.MustCompile(`(?m)^sessions *= *[0-9]+`)
+	membersPart     = regexp.MustCompile(`(?s)\n\[\[members\]\].*`)
 )
 
-// shippedConfig is the shipped configuration for routers with pools, with this listen address and these members.
+// shippedDescriptors is the number of descriptors in the shipped configuration.
+const shippedDescriptors = 4096
+
+// shippedConfig is the shipped configuration for routers with pools, with this listen address and these members. Where a process may
+// open fewer descriptors than it asks for, it has fewer sessions.
 func shippedConfig(root, listen string, members ...string) (string, error) {
 	text, err := os.ReadFile(filepath.Join(root, "deploy", "wayloft.toml"))
 	if err != nil {
@@ -152,6 +158,11 @@
 	}
 	config := listenLine.ReplaceAllString(string(text), `listen = "`+listen+`"`)
 	config = membersPart.ReplaceAllString(config, "\n")
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil && limit.Max < shippedDescriptors {
+		config = descriptorsLine.ReplaceAllString(config, fmt.Sprintf("descriptors = %d", limit.Max))
+		config = sessionsLine.ReplaceAllString(config, fmt.Sprintf("sessions = %d", limit.Max/2))
+	}
 	var out strings.Builder
 	out.WriteString(config)
 	for n, address := range members {
