pg: half of SET SESSION CHARACTERISTICS no longer ends the router

What callers saw: one client of a pool sends SET SESSION CHARACTERISTICS AS TRANSACTION without a mode (or with an unknown one); the router's process ends, and every request that it had taken gets no final response.

Cause: parseCharacteristics returned a Set without settings, answerSet read the first of them, on the one goroutine of the router.

Change: a statement without a complete mode is no Set and goes to a member, which rejects it. Modes that are cut short (READ, NOT, ISOLATION LEVEL) set nothing. answerSet answers only a statement with exactly one setting.

Related paths, read and sound: all other constant indexes in pg, decide/session and frontend; the platform's form never parses commands.

--- a/internal/decide/session/query.go
+++ b/internal/decide/session/query.go
@@ -84,7 +84,10 @@
 
 // answerSet answers a SET of one of the router's own settings.
 func (s *Session) answerSet(c Command) []byte {
-	if c.Local || s.status != StatusIdle && !s.deferred.pending() || !isRouterSetting(c.Settings[0].Name) {
+	if c.Local || s.status != StatusIdle && !s.deferred.pending() {
+		return nil
+	}
+	if len(c.Settings) != 1 || !isRouterSetting(c.Settings[0].Name) {
 		return nil
 	}
 	s.setClientSettings(s.current.client.with(s.startup, c.Settings...))
--- a/internal/pg/command_test.go
+++ b/internal/pg/command_test.go
@@ -59,6 +59,14 @@
 		{"SET SESSION AUTHORIZATION bob", "Set [[session_authorization bob]]"},
 		{"SET SESSION CHARACTERISTICS AS TRANSACTION ISOLATION LEVEL READ COMMITTED, READ ONLY",
 			"Set [[default_transaction_isolation 'read committed'] [default_transaction_read_only on]]"},
+		{"SET SESSION CHARACTERISTICS AS TRANSACTION NOT DEFERRABLE READ WRITE",
+			"Set [[default_transaction_deferrable off] [default_transaction_read_only off]]"},
+		{"SET SESSION CHARACTERISTICS AS TRANSACTION READ ONLY, unknown", "Set [[default_transaction_read_only on]]"},
+		{"SET SESSION CHARACTERISTICS AS TRANSACTION", "OtherCommand"}, // a server rejects this and the next ones
+		{"SET SESSION CHARACTERISTICS AS TRANSACTION SERIALIZABLE", "OtherCommand"},
+		{"SET SESSION CHARACTERISTICS AS TRANSACTION ISOLATION LEVEL", "OtherCommand"},
+		{"SET SESSION CHARACTERISTICS AS TRANSACTION READ", "OtherCommand"},
+		{"SET SESSION CHARACTERISTICS AS TRANSACTION NOT", "OtherCommand"},
 		{"SET CONSTRAINTS ALL DEFERRED", "OtherCommand"},
 		{"RESET a.b", "Reset a.b"},
 		{"RESET ALL", "ResetAll"},
@@ -98,16 +106,18 @@
 	}
 }
 
-// FuzzSplitStatements checks that the statements of any text are no longer in total than the text, that ParseCommand accepts each of them,
-// and that Unquote reverses QuoteLiteral for text without backslashes.
+// FuzzSplitStatements checks that the statements of any text are no longer in total than the text, that ParseCommand accepts each of them
+// and a Set has a setting, and that Unquote reverses QuoteLiteral for text without backslashes.
 func FuzzSplitStatements(f *testing.F) {
-	for _, sql := range []string{"a;b", "'", "$$", "/*/*", "SET a", "begin read", `e'\`, "set session", "U&'", "release savepoint"} {
+	for _, sql := range []string{"a;b", "'", "$$", "/*/*", "SET a", "begin read", `e'\`, "set session", "set session characteristics as transaction", "U&'", "release savepoint"} {
 		f.Add(sql)
 	}
 	f.Fuzz(func(t *testing.T, sql string) {
 		size := 0
 		for _, statement := range SplitStatements(sql) {
-			ParseCommand(statement)
+			if c := ParseCommand(statement); c.Kind == Set && len(c.Settings) == 0 {
+				t.Fatalf("%q sets nothing", statement)
+			}
 			size += len(statement)
 		}
 		if size > len(sql) {
--- a/internal/pg/setting.go
+++ b/internal/pg/setting.go
@@ -80,38 +80,22 @@
 	return newSetCommand("timezone", value)
 }
 
-// parseCharacteristics parses SET SESSION CHARACTERISTICS after that keyword. The command sets the default modes of later transactions.
+// parseCharacteristics parses SET SESSION CHARACTERISTICS after that keyword. The command sets the default modes of later transactions. One
+// without any complete mode is not a Set: a server rejects it.
 func parseCharacteristics(l *lexer) Command {
 	if !strings.EqualFold(l.next(), "as") || !strings.EqualFold(l.next(), "transaction") {
 		return Command{}
 	}
 	c := Command{Kind: Set}
-	add := func(name, value string) { c.Settings = append(c.Settings, Setting{Name: name, Value: value}) }
 	for word := l.keyword(); word != ""; word = l.keyword() {
-		switch word {
-		case "isolation":
-			add("default_transaction_isolation", "'"+l.isolationLevel()+"'")
-		case "read":
-			values := map[string]string{"only": "on", "write": "off"}
-			add("default_transaction_read_only", values[l.keyword()])
-		case "not":
-			l.next() // DEFERRABLE
-			add("default_transaction_deferrable", "off")
-		case "deferrable":
-			add("default_transaction_deferrable", "on")
+		if mode, ok := l.transactionMode(word); ok {
+			c.Settings = append(c.Settings, Setting{Name: "default_" + mode.Name, Value: mode.Value})
 		}
 	}
-	return c
-}
-
-// isolationLevel reads the LEVEL keyword and the isolation level after it, and returns the level.
-func (l *lexer) isolationLevel() string {
-	l.next()
-	level := l.keyword()
-	if level == "read" || level == "repeatable" {
-		level += " " + l.keyword()
+	if len(c.Settings) == 0 {
+		return Command{}
 	}
-	return level
+	return c
 }
 
 // parseReset parses a RESET command after the RESET keyword.
--- a/internal/server/pool_test.go
+++ b/internal/server/pool_test.go
@@ -153,6 +153,7 @@
 		{"SET a.x = '1'|RESET ALL|SHOW a.x", "ok ready; ok ready;  ok ready"},
 		{"SET a.x = '1'|DISCARD ALL|SHOW a.x", "ok ready; ok ready;  ok ready"},
 		{"SET no_such = 1|SELECT 1", "42704 ready; 1 ok ready"},
+		{"SET SESSION CHARACTERISTICS AS TRANSACTION|SELECT 1", "42601 ready; 1 ok ready"}, // half a command
 		{"BEGIN|SELEKT|SELECT 1|COMMIT|SELECT 1", "ok ready; 42601 ready; 25P02 ready; ok ready; 1 ok ready"},
 		{"BEGIN|COMMIT", "ok ready; ok ready"},
 		{"BEGIN|SET TRANSACTION READ ONLY|INSERT INTO rows (handle, blob) VALUES ('a', 'b')|ROLLBACK", "ok ready; ok ready; 25006 ready; ok ready"},
