pg: the router no longer answers half of a command as a whole one

DEALLOCATE without a name dropped all prepared statements of the session, as DEALLOCATE ALL does; SET wayloft.txn_type TO, without a value, reset it; RESET alone was "RESET"; BEGIN ISOLATION LEVEL got "BEGIN", and the syntax error came with the transaction's first statement.

Change: such a command is none that the router knows, so that a member rejects it. BEGIN, SET TRANSACTION and SET SESSION CHARACTERISTICS share one reader of transaction modes, which is strict: "simple" now means what its comment says, that a server accepts it.

--- a/internal/pg/command.go
+++ b/internal/pg/command.go
@@ -77,7 +77,10 @@
 	if strings.EqualFold(token, "prepare") {
 		token = l.next()
 	}
-	if strings.EqualFold(token, "all") {
+	switch {
+	case token == "": // a server rejects it
+		return Command{}
+	case strings.EqualFold(token, "all"):
 		return Command{Kind: Deallocate}
 	}
 	return Command{Kind: Deallocate, Name: identifier(token)}
--- a/internal/pg/setting.go
+++ b/internal/pg/setting.go
@@ -52,7 +52,7 @@
 	}
 	l.offset = start
 	name := l.qualifiedName()
-	if !isAssignment(l.next()) {
+	if !isAssignment(l.next()) || l.peek() == "" { // a server rejects it
 		return Command{}
 	}
 	return newSetCommand(name, l.settingValue())
@@ -101,6 +101,8 @@
 // parseReset parses a RESET command after the RESET keyword.
 func parseReset(l *lexer) Command {
 	switch strings.ToLower(l.peek()) {
+	case "": // a server rejects it
+		return Command{}
 	case "all":
 		return Command{Kind: ResetAll}
 	case "time":
--- a/internal/pg/transaction.go
+++ b/internal/pg/transaction.go
@@ -32,31 +32,19 @@
 // readTransactionModes reads transaction modes up to the end of the statement. word is the first keyword, already consumed.
 func (c *Command) readTransactionModes(l *lexer, word string) {
 	for ; word != ""; word = l.keyword() {
-		switch word {
-		case "repeatable":
-			l.next() // READ
-		case ",", "isolation", "level", "serializable", "committed", "uncommitted", "not", "deferrable":
-		case "read":
-			c.readAccessMode(l.keyword())
-		default:
+		if word == "," {
+			continue
+		}
+		mode, ok := l.transactionMode(word)
+		switch {
+		case !ok:
 			c.Simple = false
+		case mode.Name == readOnlyMode:
+			c.ReadOnly, c.ReadWrite = mode.Value == modeOn, mode.Value == modeOff
 		}
 	}
 }
 
-// readAccessMode applies the keyword after READ, which belongs to an access mode or to an isolation level.
-func (c *Command) readAccessMode(word string) {
-	switch word {
-	case "only":
-		c.ReadOnly, c.ReadWrite = true, false
-	case "write":
-		c.ReadOnly, c.ReadWrite = false, true
-	case "committed", "uncommitted":
-	default:
-		c.Simple = false
-	}
-}
-
 // transactionMode reads a transaction mode and returns its name and its value as a literal. word is its first keyword, already consumed. ok is
 // false if the mode is unknown or incomplete.
 func (l *lexer) transactionMode(word string) (mode Setting, ok bool) {
