backend: close a connection whose request ends between a Flush and the Sync

What callers saw: an order of a pool's client was answered as served and is not in the database. It ran in the open transaction of a client that had left after BEGIN, INSERT and a Flush, and was rolled back with it. Without BEGIN the next client's statement committed the order of the one that left; after an error the next client got no answer until its time was up.

Cause: endStream took the connection for clean by the transaction status of the last ReadyForQuery, and a member sends none before the Sync.

Change: a connection knows whether extended query messages were written since the last Sync or simple query; with such it isn't reused, and the member rolls back what is open. A Sync in the client's place would commit what the client did not.

Related paths: every end of a pooled request goes through endStream. Sticky connections, COPY and the platform's form were read and are sound.

--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -38,6 +38,7 @@
 	parameters        *iradix.Tree[string]       // parameters reported by the member
 	copyingIn         bool                       // the client is sending COPY data
 	clientOpsWritten  bool                       // some of the client's operations were written
+	unsynced          bool                       // extended query messages were written since the last Sync or simple query
 	reservedFor       request.ClientSession      // session that the connection is reserved for; set only between its requests
 }
 
@@ -213,7 +214,7 @@
 	if j.memberTurnSince > 0 {
 		j.endMemberTurn(c.backend.driver.Now())
 	}
-	clean := c.nothingExpected() && c.internalPending == 0 && c.transactionStatus == session.StatusIdle && !c.unusable
+	clean := c.reusable()
 	c.job, c.queryWritten, c.queryError = nil, false, nil
 	if stream.Backend() == c {
 		if clean {
@@ -233,6 +234,15 @@
 	return statementError
 }
 
+// reusable reports whether the next request may use the connection: the member owes no reply, and no transaction is open. Between extended
+// query messages and their Sync, a transaction may be open of which no ReadyForQuery has told, or the member may skip all up to the Sync.
+func (c *memberConn) reusable() bool {
+	if c.unusable || c.unsynced {
+		return false
+	}
+	return c.nothingExpected() && c.internalPending == 0 && c.transactionStatus == session.StatusIdle
+}
+
 // reserve keeps the connection reserved for a session between its requests.
 func (c *memberConn) reserve(client request.ClientSession) {
 	c.reservedFor = client
--- a/internal/backend/stream_send.go
+++ b/internal/backend/stream_send.go
@@ -54,7 +54,10 @@
 func (c *memberConn) encodeAll(ops []session.Message) (out []byte) {
 	for n, op := range ops {
 		if op.Action != session.ForwardDiscardReply {
-			out = c.encode(out, op)
+			before := len(out)
+			if out = c.encode(out, op); len(out) > before {
+				c.recordWritten(op.Kind)
+			}
 			continue
 		}
 		out = append(out, op.Raw...)
@@ -69,6 +72,17 @@
 	return out
 }
 
+// recordWritten records whether a message that is written leaves the unit open: a Sync or a simple query ends it.
+func (c *memberConn) recordWritten(kind pg.Kind) {
+	switch kind {
+	case pg.Query, pg.Sync:
+		c.unsynced = false
+	case pg.Flush, pg.CopyData, pg.CopyDone, pg.CopyFail: // neither begin nor end a unit
+	default:
+		c.unsynced = true
+	}
+}
+
 // encode appends an operation, encoded for this member.
 func (c *memberConn) encode(out []byte, op session.Message) []byte {
 	expect := func(reply expectedReply) { c.expected = append(c.expected, reply) }
--- a/internal/fakes/client.go
+++ b/internal/fakes/client.go
@@ -50,6 +50,30 @@
 	c.Send(string(pg.AppendQuery(nil, sql)))
 }
 
+// ReadUntil reads up to the next message of a kind and returns it. It fails the test if the connection ends first.
+func (c *Client) ReadUntil(kind pg.Kind) pg.Message {
+	c.t.Helper()
+	buffer := make([]byte, readBufferBytes)
+	_ = c.SetReadDeadline(time.Now().Add(waitTimeout)) // it fails only on a closed connection, which the next read reports
+	for {
+		m, ok, err := c.reader.Next()
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		if ok && m.Kind == kind {
+			return m
+		}
+		if ok {
+			continue
+		}
+		n, err := c.Read(buffer)
+		if err != nil {
+			c.t.Fatalf("no message of kind %d: %v", kind, err)
+		}
+		c.reader.Feed(buffer[:n])
+	}
+}
+
 // ReadResponse reads up to ReadyForQuery or the end of the connection. It returns a textual summary of the response, such as "VALUE ok
 // ready", "CODE ready", "empty ready" or "CODE closed".
 func (c *Client) ReadResponse() string {
