backend: a client that pauses behind a Flush no longer holds the others

What callers see: one client sends extended query messages up to a Flush, reads the responses and waits. On a router that has just started the next client's request got no response in 20 s, with one of eight connections in use. Cause: it stayed the member's turn, so that the attempt counted against the member's limit (and, by reading, as silence for the failure detector). idle_in_transaction did not bound the pause either.

Change: once the member has replied to everything up to the Flush it is the client's turn, as within a transaction; the pool's idle_in_transaction holds.

Related paths: COPY sets the turn at CopyInResponse, transactions at ReadyForQuery; read and sound.

--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -120,7 +120,7 @@
 		c.backend.poolInput().SetAwaitingClient(c.id, false)
 	} else if !membersTurn && j.memberTurnSince > 0 {
 		j.endMemberTurn(now)
-		c.backend.poolInput().SetAwaitingClient(c.id, c.transactionStatus != session.StatusIdle)
+		c.backend.poolInput().SetAwaitingClient(c.id, c.unsynced || c.transactionStatus != session.StatusIdle)
 	}
 	c.backend.driver.Defer(func() {
 		if c.job == j && !j.ended && (j.memberTurnSince > 0) == membersTurn {
@@ -129,6 +129,14 @@
 	})
 }
 
+// awaitClientBehindFlush records that the stream waits for its client, if the member has replied to everything that the client sent up to a
+// Flush. There is no ReadyForQuery that would tell.
+func (c *memberConn) awaitClientBehindFlush() {
+	if c.job != nil && c.job.memberTurnSince > 0 && c.nothingExpected() {
+		c.setTurn(c.job, false)
+	}
+}
+
 // nothingExpected reports whether no reply is expected and no operation is queued.
 func (c *memberConn) nothingExpected() bool { return len(c.expected) == 0 && len(c.queued) == 0 }
 
--- a/internal/backend/stream_error.go
+++ b/internal/backend/stream_error.go
@@ -41,6 +41,7 @@
 		}
 	}
 	stream.Receive(*m)
+	c.awaitClientBehindFlush()
 	return true
 }
 
--- a/internal/backend/stream_reply.go
+++ b/internal/backend/stream_reply.go
@@ -100,6 +100,7 @@
 		c.job.request.Stream.Receive(*m)
 	}
 	c.deliverLocalReplies()
+	c.awaitClientBehindFlush()
 	return true
 }
 
--- a/internal/backend/stream_send.go
+++ b/internal/backend/stream_send.go
@@ -47,6 +47,7 @@
 	c.clientOpsWritten = c.clientOpsWritten || c.internalPending == 0
 	c.conn.Write(out)
 	c.deliverLocalReplies()
+	c.awaitClientBehindFlush()
 }
 
 // encodeAll returns the operations encoded for this member. Operations that follow an operation with a discarded reply are queued until
