backend: a member's second copy of a response is not served in a pool

A copy taken by DISCARD ALL, SET or BEGIN shifts the connection in the same way.

Cause: the platform's guard, an empty query (barrier) ahead of one on a connection used less than 2 ms ago, had no counterpart in pools. They got no reuse delay, so no connection counted as just used, and assign set the barrier only on connections without stream state.

Change: connpool knows when a member has completed a response (ResponseEnded, Unsettled). Ahead of each unit, of settings, DISCARD ALL and Close of prepared statements the barrier goes in the same write, if more may arrive or unread bytes are there. What comes before its reply ends the connection, and the request as one that may have run. ReadyForQuery alone ends no simple query. A matching affinity now goes before a settled connection: before, pools had no delay and affinity decided; settings cost a round trip, the barrier none. Scenario affinity says so, as strictly; the recorded decisions are unchanged.

Platform's form untouched.

Related paths: the same session, transaction and router's own queries are covered. Open: the parts of one unit between Flush and Sync, where an empty query would commit. Read and sound: platform's form, checks, cancels.

--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -46,6 +46,8 @@
 type expectedReply struct {
 	kind       pg.Kind                    // kind of the message being replied to
 	forClient  bool                       // the reply is delivered to the client
+	barrier    bool                       // the reply to a barrier, after which nothing of an earlier response can arrive
+	completed  bool                       // for a simple query: everything was received except ReadyForQuery
 	localReply []byte                     // the router's own reply; nothing was sent to the member
 	statement  *session.PreparedStatement // statement being prepared, bound or described
 	closing    *session.PreparedStatement // statement being closed
@@ -97,14 +99,8 @@
 	stream.Client.ServerParameters(c.parameters)
 	clientSession := stream.Client.Session()
 	clientSession.AttachConnection(c.settings)
-	var out []byte
-	for _, text := range clientSession.SettingsStatements() {
-		out = pg.AppendQuery(out, text)
-		c.expected = append(c.expected, expectedReply{kind: pg.Query})
-		c.internalPending++
-	}
-	if len(out) > 0 {
-		c.conn.Write(out)
+	if statements := clientSession.SettingsStatements(); len(statements) > 0 {
+		c.writeInternalQueries(statements...)
 	} else {
 		clientSession.SettingsApplied(true)
 	}
@@ -173,12 +169,21 @@
 		return
 	}
 	c.settings = session.NoSettings
-	c.expected = append(c.expected, expectedReply{kind: pg.Query})
-	c.internalPending++
-	c.conn.Write(pg.AppendQuery(nil, discardAll))
+	c.writeInternalQueries(discardAll)
 	c.dropOnReplyTimeout()
 }
 
+// writeInternalQueries writes simple queries of the router's own.
+func (c *memberConn) writeInternalQueries(statements ...string) {
+	out := c.encodeBarrier()
+	for _, text := range statements {
+		out = pg.AppendQuery(out, text)
+		c.expected = append(c.expected, expectedReply{kind: pg.Query})
+		c.internalPending++
+	}
+	c.conn.Write(out)
+}
+
 // dropOnReplyTimeout closes the connection unless the member answers the internal queries sent between two requests within DialTimeoutMs.
 // Otherwise the connection would stay open without being in use or available in the pool.
 func (c *memberConn) dropOnReplyTimeout() {
--- a/internal/backend/stream_error.go
+++ b/internal/backend/stream_error.go
@@ -21,12 +21,17 @@
 		c.drop()
 		return true
 	}
+	if len(c.expected) > 0 && c.expected[0].barrier { // an error of an earlier response
+		return false
+	}
 	if len(c.expected) == 0 || c.job == nil {
 		c.unusable = true
+		c.completeQuery()
 		return true
 	}
 	failed := c.expected[0]
 	c.skipToSync()
+	c.completeQuery()
 	stream := c.job.request.Stream
 	if !failed.forClient && failed.kind == pg.Query { // the member refused the session's settings or its BEGIN
 		c.unusable = true
@@ -77,7 +82,7 @@
 // replay sends a request again of which no part has run. It closes the stale statement first, so that the statement is prepared again.
 func (c *memberConn) replay(stale *session.PreparedStatement) {
 	if c.hasPrepared(stale) {
-		c.writeInternalSync(c.closePrepared(nil, stale))
+		c.writeInternalSync(c.closePrepared(c.encodeBarrier(), stale))
 	}
 	c.job.request.Stream.Replay()
 }
--- a/internal/backend/stream_reply.go
+++ b/internal/backend/stream_reply.go
@@ -108,6 +108,9 @@
 // message completes it.
 func (c *memberConn) matchExpected(m *pg.Message) (reply expectedReply, ok bool) {
 	first := c.expected[0]
+	if first.barrier && m.Kind != pg.EmptyQuery {
+		return first, false
+	}
 	inResult := first.kind == pg.Query || first.kind == pg.Execute
 	switch m.Kind {
 	case pg.ParseComplete:
@@ -131,6 +134,7 @@
 		if first.kind == pg.Execute {
 			return c.popExpected(pg.Execute)
 		}
+		c.completeQuery()
 		return first, first.kind == pg.Query
 	case pg.RowDescription:
 		if first.kind == pg.Describe {
@@ -145,11 +149,24 @@
 	return first, false
 }
 
-// handleStreamReady processes a ReadyForQuery, which ends the replies to an internal query or to the client's messages.
+// completeQuery records that everything of the reply to a simple query was received except ReadyForQuery, if that reply is expected now.
+func (c *memberConn) completeQuery() {
+	if len(c.expected) > 0 && c.expected[0].kind == pg.Query {
+		c.expected[0].completed = true
+	}
+}
+
+// handleStreamReady processes a ReadyForQuery, which ends the replies to a barrier, an internal query or the client's messages.
 func (c *memberConn) handleStreamReady(m *pg.Message) bool {
-	if _, ok := c.popExpected(pg.Query, pg.Sync); !ok {
+	reply, ok := c.popExpected(pg.Query, pg.Sync)
+	if !ok || reply.kind == pg.Query && !reply.completed {
 		return false
 	}
+	if reply.barrier {
+		c.deliverLocalReplies()
+		return true
+	}
+	c.backend.poolInput().ResponseEnded(c.id)
 	if c.internalPending > 0 {
 		c.internalPending--
 		return c.finishInternalQuery(m)
--- a/internal/backend/stream_send.go
+++ b/internal/backend/stream_send.go
@@ -53,6 +53,9 @@
 // encodeAll returns the operations encoded for this member. Operations that follow an operation with a discarded reply are queued until
 // that reply has arrived.
 func (c *memberConn) encodeAll(ops []session.Message) (out []byte) {
+	if len(ops) > 0 {
+		out = c.encodeBarrier()
+	}
 	for n, op := range ops {
 		if op.Action != session.ForwardDiscardReply {
 			before := len(out)
@@ -177,7 +180,7 @@
 	if c.prepared.Len() <= c.maxPrepared {
 		return
 	}
-	var out []byte
+	out := c.encodeBarrier()
 	for c.prepared.Len() > c.maxPrepared {
 		_, old, _ := c.prepared.GetOldest()
 		out = c.closePrepared(out, old)
--- a/internal/decide/connpool/conn.go
+++ b/internal/decide/connpool/conn.go
@@ -27,11 +27,12 @@
 	retired   bool    // must not be reused
 	affinity  any     // set by the last Release
 
-	openedAt  float64
-	idleSince float64
-	uses      int
-	maxAgeMs  float64 // randomized; see minLifetimeFraction
-	maxUses   int     // randomized; see minLifetimeFraction
+	openedAt    float64
+	idleSince   float64
+	respondedAt float64 // when the member last completed a response; -Inf before the first one
+	uses        int
+	maxAgeMs    float64 // randomized; see minLifetimeFraction
+	maxUses     int     // randomized; see minLifetimeFraction
 
 	idleInTransaction timerqueue.Timer[*conn]
 }
@@ -44,15 +45,13 @@
 		bounds.MaxUses > 0 && c.uses >= c.maxUses
 }
 
-// settled reports whether nothing of an earlier response can still arrive: the connection is unused or its reuse delay has passed.
-func (c *conn) settled(now float64) bool {
-	return c.uses == 0 || now-c.idleSince >= c.sub.bounds.ReuseDelayMs
-}
+// settled reports whether nothing of an earlier response can still arrive: there was none, or the reuse delay has passed since.
+func (c *conn) settled(now float64) bool { return now-c.respondedAt >= c.sub.bounds.ReuseDelayMs }
 
 // openConn opens a connection for a waiter, or for MinIdle if w is nil.
 func (p *Pool) openConn(sub *subPool, w *waiter) {
 	p.lastConnID++
-	c := &conn{id: p.lastConnID, sub: sub, state: connOpening, openedFor: w}
+	c := &conn{id: p.lastConnID, sub: sub, state: connOpening, openedFor: w, respondedAt: math.Inf(-1)}
 	c.idleInTransaction.Value = c
 	p.conns[c.id] = c
 
@@ -99,12 +98,26 @@
 	return minLifetimeFraction + (1-minLifetimeFraction)*p.random.Next()
 }
 
+// ResponseEnded records that the member has completed a response on a busy connection. Release implies it.
+func (p *Pool) ResponseEnded(connID int) {
+	if c := p.conns[connID]; c != nil {
+		c.respondedAt = p.now
+	}
+}
+
+// Unsettled reports whether more of the last response on a connection, such as a duplicate of it, may still arrive.
+func (p *Pool) Unsettled(connID int) bool {
+	c := p.conns[connID]
+	return c != nil && !c.settled(p.now)
+}
+
 // Release returns a busy connection to the pool and sets its affinity.
 func (p *Pool) Release(connID int, affinity any) {
 	c := p.conns[connID]
 	if c == nil || c.state != connBusy {
 		return
 	}
+	c.respondedAt = p.now
 	c.affinity = affinity
 	p.idleInTransactionTimers.Remove(&c.idleInTransaction)
 	if c.expired(p.now) || p.mustYieldSlot(c) {
--- a/internal/decide/connpool/scenario_test.go
+++ b/internal/decide/connpool/scenario_test.go
@@ -19,7 +19,8 @@
 //	request 1 a/x tenant=t affinity=s      input for a request, by ID
 //	cancel 1
 //	opened 1 / unreachable 1 / toomanyconnections 1 / nolocalresources 1 / closed 1    input for a connection, by ID
-//	release 1 affinity=s / turn 1 client / turn 1 member
+//	release 1 affinity=s / turn 1 client / turn 1 member / responded 1
+//	settled 1 / unsettled 1                checks whether more of the last response may arrive
 //	expect open 1 a/x 1                    checks for a decision since the last input; each decision matches once
 //	expect assign 1 1 unsettled
 //	expect reject 1 nocapacity
@@ -197,6 +198,12 @@
 		s.pool.Release(connID, affinity)
 	case "closed":
 		s.pool.ConnectionClosed(connID)
+	case "responded":
+		s.pool.ResponseEnded(connID)
+	case "settled", "unsettled":
+		if s.pool.Unsettled(connID) != (verb == "unsettled") {
+			return fmt.Errorf("connection %d is not %s", connID, verb)
+		}
 	case "turn":
 		s.pool.SetAwaitingClient(connID, arguments[1] == "client")
 	default:
--- a/internal/decide/connpool/settings.go
+++ b/internal/decide/connpool/settings.go
@@ -21,7 +21,7 @@
 
 // StatementBounds returns the bounds of a pool whose requests are single statements. They do not wait, because a request that gets
 // no connection can be sent to another member. Members close connections that are idle for serverIdleTimeoutMs; the pool closes
-// them earlier.
+// them earlier. The two bounds that are set hold for any pool unless its configuration says otherwise.
 func StatementBounds(serverIdleTimeoutMs float64) Bounds {
 	return Bounds{IdleTimeoutMs: idleTimeoutFraction * serverIdleTimeoutMs, ReuseDelayMs: reuseDelayMs}
 }
--- a/internal/decide/connpool/waiter.go
+++ b/internal/decide/connpool/waiter.go
@@ -101,8 +101,8 @@
 	p.emit(Decision{Action: Assign, Conn: c.id, RequestID: w.ID, Key: sub.key, Unsettled: unsettled})
 }
 
-// preferredIdle returns the idle connection to reuse. It prefers settled connections, then connections with the same affinity, then
-// the most recently used one, so that surplus connections stay idle until they time out.
+// preferredIdle returns the idle connection to reuse. It prefers connections with the same affinity, since another one has to be prepared for
+// the request, then settled connections, then the most recently used one, so that surplus connections stay idle until they time out.
 func (s *subPool) preferredIdle(affinity any, now float64) *conn {
 	var best *conn
 	bestRank := -1
@@ -116,10 +116,10 @@
 
 func (c *conn) reuseRank(affinity any, now float64) (rank int) {
 	if affinity != nil && c.affinity == affinity {
-		rank++
+		rank += 2
 	}
 	if c.settled(now) {
-		rank += 2
+		rank++
 	}
 	return rank
 }
--- a/internal/fakes/pgserver/connection.go
+++ b/internal/fakes/pgserver/connection.go
@@ -1,6 +1,7 @@
 package pgserver
 
 import (
+	"bytes"
 	"maps"
 	"math/rand/v2"
 	"net"
@@ -31,6 +32,7 @@
 	conn    net.Conn
 	key     pg.CancelKey
 	out     []byte    // unsent output
+	last    []byte    // the last complete response; kept only for Server.AlterResponse
 	cancel  chan bool // receives cancel requests
 	running bool      // a statement is waiting in work; guarded by the server's lock
 
@@ -53,6 +55,8 @@
 	portals     map[string]portal
 	copying     *copyData
 
+	responseComplete bool // last ends with ReadyForQuery
+
 	preparedCount atomic.Int64
 	copyingIn     atomic.Bool
 }
@@ -177,12 +181,30 @@
 			return true
 		}
 	}
-	c.handleMessage(m)
+	c.respond(m)
 	c.preparedCount.Store(int64(len(c.prepared)))
 	c.copyingIn.Store(c.copying != nil)
 	return true
 }
 
+// respond handles a message, and lets Server.AlterResponse change the response.
+func (c *connection) respond(m *pg.Message) {
+	if c.server.AlterResponse == nil {
+		c.handleMessage(m)
+		return
+	}
+	start := len(c.out)
+	c.handleMessage(m)
+	start = min(start, len(c.out))
+	response := bytes.Clone(c.out[start:])
+	c.out = append(c.out[:start], c.server.AlterResponse(m, response, c.last)...)
+	if c.responseComplete {
+		c.last = nil
+	}
+	c.last = append(c.last, response...)
+	c.responseComplete = m.Kind == pg.Query || m.Kind == pg.Sync
+}
+
 func (c *connection) logIn(m *pg.Message) bool {
 	s := c.server
 	s.mu.Lock()
--- a/internal/fakes/pgserver/server.go
+++ b/internal/fakes/pgserver/server.go
@@ -37,7 +37,10 @@
 	Delay          func() time.Duration                 // returns the duration of a statement; nil: no delay
 	MaxConnections int                                  // 0: unlimited
 	InjectFault    func(conn int, m *pg.Message) *Fault // a nil Fault: the message is handled normally
-	OnStatement    func(Event)                          // called before each statement, with the server's lock held
+	// AlterResponse returns what is sent in place of the response to a message. last is the response, up to its ReadyForQuery, that the
+	// connection has made before.
+	AlterResponse func(m *pg.Message, response, last []byte) []byte
+	OnStatement   func(Event) // called before each statement, with the server's lock held
 
 	listen           net.Listener
 	mu               sync.Mutex
--- a/internal/server/helpers_test.go
+++ b/internal/server/helpers_test.go
@@ -108,7 +108,17 @@
 // startDefectivePooledRouter is like startPooledRouter, with seeded defects in the router's sessions for a test to detect.
 func startDefectivePooledRouter(t *testing.T, members int, p lab.Pool, defects session.SeededDefects, configure func(*pgserver.Server)) (string, *lab.Cluster) {
 	t.Helper()
-	addr, cluster, signals, ended := runPooledRouter(t, members, p, defects, configure)
+	return startAdjustedPooledRouter(t, members, p, func(config *Config) {
+		for n := range config.pools {
+			config.pools[n].Policy.SeededDefects = defects
+		}
+	}, configure)
+}
+
+// startAdjustedPooledRouter is like startPooledRouter, with a configuration that adjust has changed.
+func startAdjustedPooledRouter(t *testing.T, members int, p lab.Pool, adjust func(*Config), configure func(*pgserver.Server)) (string, *lab.Cluster) {
+	t.Helper()
+	addr, cluster, signals, ended := runPooledRouter(t, members, p, adjust, configure)
 	t.Cleanup(func() {
 		signals <- os.Interrupt
 		if err := <-ended; err != nil {
@@ -122,10 +132,10 @@
 // startDrainablePool is like startPooledRouter, but the test itself stops the router and the cluster.
 func startDrainablePool(t *testing.T, members int, p lab.Pool, configure func(*pgserver.Server)) (string, *lab.Cluster, chan os.Signal, chan error) {
 	t.Helper()
-	return runPooledRouter(t, members, p, session.SeededDefects{}, configure)
+	return runPooledRouter(t, members, p, func(*Config) {}, configure)
 }
 
-func runPooledRouter(t *testing.T, members int, p lab.Pool, defects session.SeededDefects, configure func(*pgserver.Server)) (string, *lab.Cluster, chan os.Signal, chan error) {
+func runPooledRouter(t *testing.T, members int, p lab.Pool, adjust func(*Config), configure func(*pgserver.Server)) (string, *lab.Cluster, chan os.Signal, chan error) {
 	t.Helper()
 	c, err := lab.StartCluster(members, 0, configure)
 	if err != nil {
@@ -142,9 +152,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for n := range config.pools {
-		config.pools[n].Policy.SeededDefects = defects
-	}
+	adjust(config)
 	signals, ended := make(chan os.Signal, 1), make(chan error, 1)
 	go func() { ended <- Run(config, l, signals) }()
 	return l.Addr().String(), c, signals, ended
--- a/internal/settings/pools.go
+++ b/internal/settings/pools.go
@@ -111,6 +111,7 @@
 }
 
 func (p *Pool) settings(serverIdleTimeoutMs float64) PoolSettings {
+	defaults := connpool.StatementBounds(serverIdleTimeoutMs)
 	return PoolSettings{
 		Name:          p.name(),
 		User:          p.User,
@@ -129,7 +130,8 @@
 			Total:                      p.Total,
 			MinIdle:                    p.MinIdle,
 			WaitTimeoutMs:              float64(p.WaitTimeout),
-			IdleTimeoutMs:              cmp.Or(float64(p.IdleTimeout), connpool.StatementBounds(serverIdleTimeoutMs).IdleTimeoutMs),
+			IdleTimeoutMs:              cmp.Or(float64(p.IdleTimeout), defaults.IdleTimeoutMs),
+			ReuseDelayMs:               defaults.ReuseDelayMs,
 			MaxAgeMs:                   float64(p.MaxAge),
 			MaxUses:                    p.MaxUses,
 			IdleInTransactionTimeoutMs: float64(p.IdleInTransaction),
--- a/internal/settings/routerfile_test.go
+++ b/internal/settings/routerfile_test.go
@@ -71,6 +71,9 @@
 	if set, _, _ := bare.Settings(); set.RequestClasses[UnlabelledClass] == nil {
 		t.Error("the unlabelled class is missing although the pool names no class")
 	}
+	if delay := f.PoolSettings()[0].Bounds.ReuseDelayMs; delay <= 0 { // without it, a second copy of a response is taken for the next one
+		t.Errorf("a pool has a reuse delay of %v ms", delay)
+	}
 	if p := f.PoolSettings()[0]; p.Name != "api/ledger" || p.Bounds.PerMember != 4 || p.Bounds.WaitTimeoutMs != 1000 || !p.Policy.AllowSticky {
 		t.Errorf("got %+v", p)
 	}
