backend: bytes of an idle connection are not taken for a part of a response

A member that sends the beginning of a message while its connection is idle and settled leaves it in the reader; the next query's response is read as the rest of it. The request ended as one that may have run (ServerError), in a pool and in the platform's form, though the connection was known to be out of step before the query was written.

Change: assign takes another connection where bytes are left in the reader, as it does where they are unread.

Test, seen to fail before in both forms ("0 server error"): TestSendAttempt_NoiseOnIdleConnection. backend passes with -race.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -93,7 +93,7 @@
 		b.pool.ConnectionClosed(d.Conn)
 		return
 	}
-	if c.conn.Unread() { // the connection has ended or has unexpected bytes: a query on it would only fail with a reset
+	if c.conn.Unread() || c.reader.Buffered() > 0 { // it has ended or has unexpected bytes, which would be taken for a part of the response
 		c.drop()
 		b.requestConn(j)
 		return
--- a/internal/backend/write_test.go
+++ b/internal/backend/write_test.go
@@ -354,3 +354,29 @@
 		})
 	}
 }
+
+// Guards against the beginning of a message that a member sends on an idle connection, and that swallows the response to the next query.
+func TestSendAttempt_NoiseOnIdleConnection(t *testing.T) {
+	noise := []byte("D\x00\x00\x40\x00\x00\x01") // the first bytes of a message of 16 KiB
+	for name, newAttempt := range map[string]func(*testDriver, string) *request.Request{
+		"a statement":  func(driver *testDriver, id string) *request.Request { return newRequest(driver, id, 60000) },
+		"in a session": func(driver *testDriver, id string) *request.Request { return newStreamRequest(t, driver, id, 60000, false) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newFakeServer(t, func(string) *fakes.Reply { return nil })
+			driver, backend := startPools(t, 1, 20000, connpool.Bounds{PerMember: 1, WaitTimeoutMs: 60000, IdleTimeoutMs: 60000})
+			driver.runOnLoop(func() { backend.ApplyMemberList(listOf(m.Addr, router.Up)) })
+			for _, id := range []string{"1", "2"} {
+				driver.runOnLoop(func() { backend.SendAttempt(newAttempt(driver, id), 0, "a", 0, math.Inf(1)) })
+				if got := driver.nextEvent(t); !strings.HasPrefix(got, "0 succeeded") {
+					t.Fatalf("request %s: %s", id, got)
+				}
+				driver.runOnLoop(func() {
+					for _, c := range backend.conns {
+						c.Data(noise)
+					}
+				})
+			}
+		})
+	}
+}
