router: a commit that was forgotten is still required of the session's reads

What callers saw: where the router remembers commits and members answer whatever they hold, a session reads the value from before its own commit from a member that has joined from an old copy.

Cause: rememberCommit dropped what all members present had applied, and the demand with it; a member that joins later need not have it.

A token that comes with the request counts as well, the later one holds.

--- a/internal/backend/write_test.go
+++ b/internal/backend/write_test.go
@@ -359,8 +359,10 @@
 func TestSendAttempt_NoiseOnIdleConnection(t *testing.T) {
 	noise := []byte("D\x00\x00\x40\x00\x00\x01") // the first bytes of a message of 16 KiB
 	for name, newAttempt := range map[string]func(*testDriver, string) *request.Request{
-		"a statement":  func(driver *testDriver, id string) *request.Request { return newRequest(driver, id, 60000) },
-		"in a session": func(driver *testDriver, id string) *request.Request { return newStreamRequest(t, driver, id, 60000, false) },
+		"a statement": func(driver *testDriver, id string) *request.Request { return newRequest(driver, id, 60000) },
+		"in a session": func(driver *testDriver, id string) *request.Request {
+			return newStreamRequest(t, driver, id, 60000, false)
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			m := newFakeServer(t, func(string) *fakes.Reply { return nil })
--- a/router/request.go
+++ b/router/request.go
@@ -62,12 +62,17 @@
 
 // requiredPosition returns the position that a new request must see no matter when it is sent, Never for none.
 func (r *Router) requiredPosition(class *RequestClass, session string, tokenAge float64) float64 {
-	switch {
-	case class.Level == Session && r.settings.TracksSessionCommits && r.sessionCommits.Position(session) != 0:
-		return r.sessionCommits.Position(session)
-	case class.Level == Session && tokenAge != 0: // a negative age is valid: a commit may carry a timestamp slightly ahead of this clock
-		return r.now - tokenAge
-	case class.Level == Fresh:
+	switch class.Level {
+	case Session:
+		required := Never
+		if tokenAge != 0 { // a negative age is valid: a commit may carry a timestamp slightly ahead of this clock
+			required = r.now - tokenAge
+		}
+		if r.settings.TracksSessionCommits && session != "" {
+			required = math.Max(required, r.sessionCommits.RequiredPosition(session))
+		}
+		return required
+	case Fresh:
 		return r.now
 	}
 	return Never
@@ -136,7 +141,7 @@
 }
 
 // rememberCommit stores the position of a session's last commit and from time to time discards those that all members
-// have applied.
+// have applied. Reads go on to require what was discarded, since a member may join from an old copy.
 func (r *Router) rememberCommit(session string, position float64) {
 	r.sessionCommits.Record(session, cmp.Or(math.Max(position, 0), r.now)) // if no position was reported, the current time
 	if !r.sessionCommits.PruneDue() {
