backend: a statement behind slow settings is not sent to a draining member

Cause: a session's statement waits in memberConn.queued while the member applies its settings or BEGIN. endUnavailable ends what is not written once a member drains, and went by queryWritten, which is set with the settings.

Change: it asks whether operations of the client were written. If not, the attempt ends as not sent, its connection closes, the request goes elsewhere.

Test, seen to fail before both where the member drains and where it is removed (statement received, "succeeded"): TestStream_MemberDrainsDuringSettings. backend passes with -race, the drain tests of server pass.

Related paths, sound and with tests: deadline, client gone and cancel during settings. Read, not run: a change of role, a kept connection.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -175,7 +175,7 @@
 // endUnavailable ends unwritten attempts and terminates sessions with a reserved connection if their member is draining or removed.
 func (b *Backend) endUnavailable() {
 	for _, j := range b.attempts {
-		if j.member.unavailable && (j.conn == nil || !j.conn.queryWritten) {
+		if j.member.unavailable && (j.conn == nil || !j.conn.requestWritten()) {
 			b.driver.Defer(func() { b.endJob(j, router.NotSent) })
 		}
 	}
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -159,6 +159,15 @@
 	return router.ConnectFailed
 }
 
+// requestWritten reports whether something of the job's request was passed to conn: of a stream, the client's operations, ahead of which the
+// session's settings and the transaction's BEGIN are applied.
+func (c *memberConn) requestWritten() bool {
+	if c.streamState != nil {
+		return c.clientOpsWritten
+	}
+	return c.queryWritten
+}
+
 // querySent reports whether the last byte of the job's query was written, in which case it may be running.
 func (c *memberConn) querySent() bool { return c.queryWritten && c.conn.Sent() }
 
--- a/internal/backend/write_test.go
+++ b/internal/backend/write_test.go
@@ -12,6 +12,7 @@
 
 	"wayloft/internal/decide/connpool"
 	"wayloft/internal/decide/session"
+	"wayloft/internal/discovery"
 	"wayloft/internal/fakes"
 	"wayloft/internal/pg"
 	"wayloft/internal/request"
@@ -201,6 +202,32 @@
 	}
 }
 
+// A member drains or is removed while it applies the session's settings for an attempt. The statement must not be written there.
+func TestStream_MemberDrainsDuringSettings(t *testing.T) {
+	for name, list := range map[string]func(addr string) *discovery.List{
+		"draining": func(addr string) *discovery.List { return listOf(addr, router.Draining) },
+		"removed":  func(string) *discovery.List { return &discovery.List{Complete: true} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			m, settingsArrived, answerSettings := newFakeServerWithDelayedSettings(t)
+			driver, backend := startPools(t, 1, 20000, connpool.Bounds{PerMember: 1, WaitTimeoutMs: 60000, IdleTimeoutMs: 60000})
+			driver.runOnLoop(func() {
+				backend.ApplyMemberList(listOf(m.Addr, router.Up))
+				backend.SendAttempt(newStreamRequest(t, driver, "drains", 60000, true), 0, "a", 0, math.Inf(1))
+			})
+			<-settingsArrived
+			driver.runOnLoop(func() { backend.ApplyMemberList(list(m.Addr)) })
+			answerSettings <- true
+			if got := driver.nextEvent(t); got != "0 not sent 0 0 false" {
+				t.Errorf("got %q", got)
+			}
+			if m.received("drains") {
+				t.Error("the statement was written to a member that drains")
+			}
+		})
+	}
+}
+
 // A client cancels its request while the session's settings are being applied on a member that has sent no cancel key. The statement must not
 // be written.
 func TestStream_CancelledDuringSettings(t *testing.T) {
--- a/internal/server/remembered_test.go
+++ b/internal/server/remembered_test.go
@@ -41,7 +41,9 @@
 		c.SendQuery(fmt.Sprintf("/* id=%s,c=%s,d=3000,cluster=2 */ %s", id, class, sql))
 		return c.ReadResponse()
 	}
-	fakes.WaitUntil(t, "a write is served", func() bool { return ask(fmt.Sprint("w", time.Now().UnixNano()), "put", insertSQL("s1", "new")) == "new ok ready" })
+	fakes.WaitUntil(t, "a write is served", func() bool {
+		return ask(fmt.Sprint("w", time.Now().UnixNano()), "put", insertSQL("s1", "new")) == "new ok ready"
+	})
 	l.publish(42, entry("m0", primary), entry("m1", joined))
 	reads := 0
 	read := func() {
