backend: end a session that loses its kept connection by a cancel

What callers saw: a session with a kept connection cancels a statement and goes on elsewhere, without its temporary tables, locks and settings, and is not told.

Cause: a connection with a cancel request is not reused; endStream closed it and ended the request as served. Only a request that failed ended its session. Change: the session gets FATAL 57P01 right behind the response.

The pool and session tests of server, backend and frontend pass with -race.

Related paths, read and sound: a connection that ends between requests, a drain, a request that fails or times out: 57P01 each.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -136,7 +136,7 @@
 	if j := c.job; j != nil {
 		c.backend.endJob(j, c.closeOutcome())
 	} else if c.streamState != nil && c.reservedFor != nil {
-		c.reservedFor.Terminate(&pg.Error{Code: pg.AdminShutdown, Text: "the connection that this session kept has ended"})
+		c.reservedFor.Terminate(errKeptConnectionEnded)
 	}
 	c.drop()
 }
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -42,6 +42,9 @@
 	reservedFor       request.ClientSession      // session that the connection is reserved for; set only between its requests
 }
 
+// errKeptConnectionEnded ends a session whose own connection, and with it the state on it, is gone.
+var errKeptConnectionEnded = &pg.Error{Code: pg.AdminShutdown, Text: "the connection that this session kept has ended"}
+
 // expectedReply is a reply that is expected from the member, or that the router gives in its place.
 type expectedReply struct {
 	kind       pg.Kind                    // kind of the message being replied to
@@ -236,6 +239,9 @@
 		stream.Detach()
 	}
 	switch {
+	case !clean && outcome == router.Succeeded && clientSession.Sticky(): // a cancel request may still be on its way to the connection
+		c.drop()
+		stream.Client.Terminate(errKeptConnectionEnded)
 	case !clean || outcome != router.Succeeded && clientSession.Sticky():
 		c.drop()
 	case clientSession.Sticky():
