--- a/internal/server/secondcopy_test.go
+++ b/internal/server/secondcopy_test.go
@@ -92,6 +92,17 @@
 			return askAll(c, row2)
 		}
 	}
+	// withSettings asks for one row by a client whose settings the connection does not have.
+	withSettings := func(tag string) func(*testing.T, string, *copyingMember) string {
+		return func(t *testing.T, addr string, m *copyingMember) string {
+			t.Helper()
+			c := fakes.NewClient(t, addr, true)
+			askAll(c, "SET a.x = '1'")
+			askOnce(t, addr, row1)
+			m.arm(tag)
+			return askAll(c, row2)
+		}
+	}
 	for name, ask := range map[string]func(*testing.T, string, *copyingMember) string{
 		"the next query of a session":          next("", row1),
 		"the next query of a transaction":      next("", "BEGIN", row1),
@@ -107,20 +118,8 @@
 			m.arm("")
 			return askOnce(t, addr, row2)
 		},
-		"the settings of the next client": func(t *testing.T, addr string, m *copyingMember) string {
-			c := fakes.NewClient(t, addr, true)
-			askAll(c, "SET a.x = '1'")
-			askOnce(t, addr, row1)
-			m.arm("")
-			return askAll(c, row2)
-		},
-		"the first query behind its settings": func(t *testing.T, addr string, m *copyingMember) string {
-			c := fakes.NewClient(t, addr, true)
-			askAll(c, "SET a.x = '1'")
-			askOnce(t, addr, row1)
-			m.arm("SET")
-			return askAll(c, row2)
-		},
+		"the settings of the next client":     withSettings(""),
+		"the first query behind its settings": withSettings("SET"),
 		"the next client of a connection that was kept": func(t *testing.T, addr string, m *copyingMember) string {
 			c := fakes.NewClient(t, addr, true)
 			askAll(c, "CREATE TEMP TABLE t (a int)", row1)
