--- a/internal/lab/process_usage.go
+++ b/internal/lab/process_usage.go
@@ -62,14 +62,14 @@
 	return nanoseconds / nanosecondsPerSecond, nil
 }
 
-// readMemory reads a process's current and peak resident memory, in MiB.
-func readMemory(pid int) (resident, peak float64, err error) {
+// ReadMemory reads a process's current and peak resident memory, in MiB.
+func ReadMemory(pid int) (resident, peak float64, err error) {
 	numbers, err := readProcNumbers(pid, "status")
 	return numbers["VmRSS"] / kibibytesPerMebibyte, numbers["VmHWM"] / kibibytesPerMebibyte, err
 }
 
-// countDescriptors counts a process's open file descriptors.
-func countDescriptors(pid int) (int, error) {
+// CountDescriptors counts a process's open file descriptors.
+func CountDescriptors(pid int) (int, error) {
 	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
 	return len(entries), err
 }
@@ -95,3 +95,9 @@
 	}
 	return numbers, lines.Err()
 }
+
+// ReadCPU reads the CPU time of all current threads of a process, in seconds.
+func ReadCPU(pid int) (seconds float64, err error) {
+	usage, err := readUsage(pid)
+	return usage.cpuSeconds, err
+}
