eventloop: a connection is read and handled in turns, small responses go out together

Cause: the poller read up to 64 chunks of 16 KB of one connection before it served others and queued up to 256 chunks for the loop; the loop handled a whole chunk, 2,048 requests for encryption, as one event, with a write(2) for each answer. Timers of deadlines wait in the same mailbox.

Change: the loop reads by itself, at most 16 KB of a connection in a turn, and handles at most 64 messages in a turn; turns of several connections alternate, at most 8 in a batch of events. The poller only gives news (edge-triggered), so that nothing received waits as a copy in the mailbox. What is written to a client in one batch goes out in one write. With turns left the loop lets the poller's thread run. A third request for encryption ends the connection, as in PostgreSQL.

TestConn_EndWhilePollerReads blocked the poller between read and count; the poller now reads only ahead of the end of a connection, which the test forces instead. New: TestConn_UnreadIsNotQuiescent, TestConn_FloodIsReadInTurns, TestConn_PauseReading.

--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -22,7 +22,7 @@
 
 // Handler is notified on the loop of a connection's data and of its end.
 type Handler interface {
-	// Data receives bytes; the handler may retain the slice.
+	// Data receives bytes; the slice is valid until it returns.
 	Data(data []byte)
 	// Closed is called once when the connection has ended, unless it was closed locally by Close.
 	Closed()
@@ -36,17 +36,20 @@
 	closed  bool
 	inbound bool // accepted rather than dialled
 
-	// readMu is held while the poller reads and counts bytes, and while the loop checks for unread bytes and ends the connection.
+	// readMu is held during a read, by the loop or the poller, and while the loop checks for unread bytes and ends the connection.
 	readMu     sync.Mutex
-	received   atomic.Int64 // bytes read and not discarded; guarded by readMu
-	handled    int64        // received bytes that the loop has processed
-	unhandled  [][]byte     // data received before a handler was set; bounded by the mailbox
-	discarding atomic.Bool  // the poller discards further data
+	tail       []byte      // read by the poller before it closed the descriptor; guarded by readMu; bounded by drain
+	readPosted atomic.Bool // the mailbox holds readPostedData
+	turnQueued bool        // the loop's turns hold one of this connection
+	moreToRead bool        // there may be unread bytes of which the poller gives no further news
+	paused     bool        // by PauseReading
+	discarding atomic.Bool // further data is discarded
 
 	polledBatch  int64 // batch in which the descriptor was last polled
 	polledEvents int16 // result of that poll
 
 	submitted    int64        // bytes passed to Write
+	unflushed    []byte       // written in this batch and not sent yet; only of inbound connections
 	written      atomic.Int64 // bytes accepted by the operating system
 	delayedWrite []byte       // to be written when this host has memory again; bounded by maxUnsent
 	finishAt     atomic.Int64 // value of written at which the connection is finished; 0: it is not being finished
@@ -64,22 +67,22 @@
 		return err
 	}
 	var callErr error
-	return errors.Join(raw.Control(func(fd uintptr) { callErr = f(int(fd)) }), callErr)
+	controlErr := raw.Control(func(fd uintptr) { callErr = f(int(fd)) })
+	return errors.Join(controlErr, callErr)
 }
 
 // Handle sets the handler. Data that was received earlier, and an end of the connection that was already reported, are delivered to
 // it as well. A peer may send data or close the connection before the dialler is told that it is established; without this the
 // dialler would wait until its timeout.
 func (c *Conn) Handle(handler Handler) {
-	unhandled, closed := c.unhandled, c.closed
-	c.handler, c.unhandled = handler, nil
-	if unhandled == nil && !closed {
+	closed := c.closed
+	c.handler = handler
+	if !c.moreToRead && !closed {
 		return
 	}
+	c.moreToRead = false
 	c.loop.Defer(func() {
-		for _, data := range unhandled {
-			handler.Data(data)
-		}
+		c.readTurn()
 		if closed {
 			handler.Closed()
 		}
@@ -140,6 +143,7 @@
 func (c *Conn) FinishIfQuiescent() bool { return c.endIfQuiescent(c.Finish) }
 
 func (c *Conn) endIfQuiescent(end func()) bool {
+	c.flush()
 	c.readMu.Lock()
 	defer c.readMu.Unlock()
 	if c.closed || !c.Sent() || c.unreadLocked() {
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -8,22 +8,30 @@
 package eventloop
 
 import (
+	"runtime"
 	"sync"
 	"time"
 
 	"github.com/lesismal/nbio"
+	"golang.org/x/sys/unix"
 
 	"wayloft/internal/decide/clockoffset"
 	"wayloft/internal/failpoint"
 )
 
-// mailboxCapacity is the maximum number of queued events. Post blocks while the mailbox is full.
-const mailboxCapacity = 256
+const (
+	// mailboxCapacity is the maximum number of queued events. Post blocks while the mailbox is full.
+	mailboxCapacity = 256
+	// maxTurnsPerBatch limits the turns in one batch, so that events that arrive meanwhile wait only for these.
+	maxTurnsPerBatch = 8
+)
 
 // Loop is a single goroutine that handles events in batches, together with the mailbox, timers and poller that wake it.
 type Loop struct {
 	mailbox     chan func()
 	deferred    []func() // run on the loop after the current event
+	turns       []func() // run in later batches, in order
+	unflushed   []*Conn  // connections with writes that are sent at the end of the batch
 	start       time.Time
 	wallAtStart float64 // the machine's wall clock at start, Unix ms; used only as the origin of Clock
 	now         float64
@@ -32,7 +40,7 @@
 	engine      *nbio.Engine
 
 	clusterClock clockoffset.Estimate
-	readBuffer   []byte // used only by the poller
+	readBuffer   []byte // used only on the loop
 
 	maxUnsent int64 // limit of unsent bytes per connection; 0: unlimited
 
@@ -79,6 +87,10 @@
 // endBatch function of Run.
 func (l *Loop) Defer(f func()) { l.deferred = append(l.deferred, f) }
 
+// NextTurn queues f for a later batch, behind the turns that are queued already. Whoever has more to do than a bounded piece of work does the
+// rest in further turns, so that the loop serves others in between.
+func (l *Loop) NextTurn(f func()) { l.turns = append(l.turns, f) }
+
 // After schedules f to run on the loop after ms milliseconds, unless the timer is stopped before it fires. f may still run if the
 // timer has already posted it to the mailbox.
 func (l *Loop) After(ms float64, f func()) *time.Timer {
@@ -92,24 +104,56 @@
 func (l *Loop) Run(endBatch func()) {
 	failpoint.Hit("eventloop.starting")
 	for !l.stopping {
-		if len(l.deferred) == 0 {
+		if len(l.deferred)+len(l.turns) == 0 {
 			f := <-l.mailbox
 			l.beginBatch()
 			f()
 		} else {
+			yield()
 			l.beginBatch()
 		}
 		for n := len(l.mailbox); n > 0; n-- {
 			(<-l.mailbox)()
 		}
-		for len(l.deferred) > 0 {
-			deferred := l.deferred
-			l.deferred = nil
-			for _, f := range deferred {
-				f()
-			}
-		}
+		l.runTurns()
+		l.runDeferred()
 		endBatch()
+		l.flushWrites()
 	}
 	l.stopEngine()
 }
+
+// yield lets the poller run where there is one core: the operating system its thread, which has events, and then the Go runtime its goroutine.
+func yield() {
+	_, _, _ = unix.Syscall(unix.SYS_SCHED_YIELD, 0, 0, 0) // it never fails
+	runtime.Gosched()
+}
+
+// runTurns runs the first of the turns that were queued before this batch.
+func (l *Loop) runTurns() {
+	due := l.turns[:min(len(l.turns), maxTurnsPerBatch)]
+	l.turns = l.turns[len(due):]
+	for n, f := range due {
+		due[n] = nil
+		f()
+	}
+}
+
+func (l *Loop) runDeferred() {
+	for len(l.deferred) > 0 {
+		deferred := l.deferred
+		l.deferred = nil
+		for _, f := range deferred {
+			f()
+		}
+	}
+}
+
+// flushWrites sends what was written to inbound connections in this batch.
+func (l *Loop) flushWrites() {
+	for n, c := range l.unflushed {
+		l.unflushed[n] = nil
+		c.flush()
+	}
+	l.unflushed = l.unflushed[:0]
+}
--- a/internal/eventloop/poller.go
+++ b/internal/eventloop/poller.go
@@ -14,8 +14,8 @@
 	logging.SetLevel(logging.LevelNone)
 	engine := nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: []string{listener.Addr().String()}, NPoller: 1,
 		ReadBufferSize: readSize, MaxWriteBufferSize: maxUnsent,
-		// Level-triggered, because in edge-triggered mode nbio keeps reading from one connection for as long as its peer keeps sending.
-		EpollMod: nbio.EPOLLLT,
+		// Edge-triggered: what the loop leaves unread must not wake the poller over and over.
+		EpollMod: nbio.EPOLLET,
 		Listen:   func(string, string) (net.Listener, error) { return listener, nil }})
 	engine.OnOpen(func(nb *nbio.Conn) {
 		if nb.Session() != nil {
@@ -26,7 +26,7 @@
 	})
 	engine.OnRead(func(nb *nbio.Conn) {
 		if c := connOf(nb); c != nil {
-			c.receive()
+			c.readable()
 		}
 	})
 	engine.OnWrittenSize(func(nb *nbio.Conn, _ []byte, n int) {
--- a/internal/eventloop/race_test.go
+++ b/internal/eventloop/race_test.go
@@ -43,36 +43,145 @@
 	return l, <-accepted, peer.(*net.TCPConn), h
 }
 
-// Guards against ending a connection when the poller has read a request but not yet counted it. A failpoint stops the poller between the
-// two steps: meanwhile the connection can't be ended, and afterwards the request reaches the handler and the connection stays open.
+// Guards against ending a connection when the poller has read a request, ahead of the end of its client's sending, and the loop has not
+// handled it. The loop tries to end the connection while the poller reads: it has to wait, and then finds the request.
 func TestConn_EndWhilePollerReads(t *testing.T) {
 	for name, end := range map[string]func(*Conn) bool{"finish": (*Conn).FinishIfQuiescent, "drop": (*Conn).DropIfQuiescent} {
 		t.Run(name, func(t *testing.T) {
 			l, c, peer, h := connectedPair(t, 1<<20)
-			ended := make(chan bool, 1)
-			tryEnd := func() { l.Post(func() { ended <- end(c) }) }
+			draining, ended, blocked := make(chan bool), make(chan bool, 1), make(chan bool)
+			l.Post(func() { // until the poller reads, the loop does not
+				blocked <- true
+				<-draining
+				ended <- end(c)
+			})
+			<-blocked
 			unlocked := false
-			restore := failpoint.SetHook("eventloop.read", sync.OnceFunc(func() {
+			restore := failpoint.SetHook("eventloop.drain", sync.OnceFunc(func() {
 				if unlocked = c.readMu.TryLock(); unlocked { // the lock is not held: let the end happen now
 					c.readMu.Unlock()
-					tryEnd()
+					draining <- true
 					ended <- <-ended
 					return
 				}
-				tryEnd() // before the data reaches the handler
+				draining <- true
 			}))
 			if _, err := peer.Write([]byte("request")); err != nil {
 				t.Fatal(err)
 			}
+			if err := peer.CloseWrite(); err != nil {
+				t.Fatal(err)
+			}
 			wasEnded := <-ended
 			restore()
 			if wasEnded || unlocked {
-				t.Fatalf("connection ended despite a request that was already read: %v; read and count are not atomic: %v", wasEnded, unlocked)
+				t.Fatalf("connection ended despite a request that was already read: %v; read and record are not atomic: %v", wasEnded, unlocked)
 			}
 			if got := <-h.data; got != "request" {
 				t.Errorf("received %q", got)
 			}
+			<-h.closed
+		})
+	}
+}
+
+// Guards against ending a connection whose bytes the loop has not read yet: those that arrive while it is busy, and those beyond a turn.
+func TestConn_UnreadIsNotQuiescent(t *testing.T) {
+	l, c, peer, h := connectedPair(t, 1<<20)
+	blocked, sent, ended := make(chan bool), make(chan bool), make(chan bool, 2)
+	l.Post(func() {
+		blocked <- true
+		<-sent
+		ended <- c.DropIfQuiescent()
+		l.Post(func() { ended <- c.DropIfQuiescent() }) // behind the first turn
+	})
+	<-blocked
+	if _, err := peer.Write(make([]byte, 3*readSize)); err != nil {
+		t.Fatal(err)
+	}
+	sent <- true
+	for n := range 2 {
+		if <-ended {
+			t.Errorf("attempt %d: dropped although there are unread bytes", n)
+		}
+	}
+	for received := 0; received < 3*readSize; {
+		received += len(<-h.data)
+	}
+}
+
+// Guards against a peer that sends at full speed and holds the loop: others' events are handled after a bounded number of its bytes.
+func TestConn_FloodIsReadInTurns(t *testing.T) {
+	l := NewLoop(256)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	counter := &byteCounter{}
+	if err := l.Listen(listener, 1<<20, func(c *Conn) { c.Handle(counter) }); err != nil {
+		t.Fatal(err)
+	}
+	runLoop(t, l)
+	peer, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan bool)
+	go func() {
+		defer close(ended)
+		for buffer := make([]byte, 1<<16); ; {
+			if _, err := peer.Write(buffer); err != nil {
+				return
+			}
+		}
+	}()
+	defer func() { closeSocket(peer); <-ended }()
+	handled := make(chan int)
+	total := func() int {
+		l.Post(func() { handled <- counter.bytes })
+		return <-handled
+	}
+	for before := total(); before < 1<<20; before = total() {
+	}
+	for range 100 {
+		between := make(chan int, 2)
+		l.Post(func() {
+			between <- counter.bytes
+			l.Defer(func() { l.NextTurn(func() { between <- counter.bytes }) })
 		})
+		if bytes := -<-between + <-between; bytes > 2*maxTurnsPerBatch*maxReadsPerTurn*readSize {
+			t.Fatalf("%d bytes were read between an event and the next turn", bytes)
+		}
+	}
+}
+
+// A connection whose reading is paused delivers nothing, and then everything in order.
+func TestConn_PauseReading(t *testing.T) {
+	l, c, peer, h := connectedPair(t, 1<<20)
+	l.Post(c.PauseReading)
+	if _, err := peer.Write([]byte("first ")); err != nil {
+		t.Fatal(err)
+	}
+	paused := make(chan bool)
+	l.Post(func() { paused <- c.Unread() })
+	for !<-paused { // the bytes have not arrived yet
+		l.Post(func() { paused <- c.Unread() })
+	}
+	if _, err := peer.Write([]byte("second")); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case got := <-h.data:
+		t.Errorf("received %q while paused", got)
+	default:
+	}
+	l.Post(c.ResumeReading)
+	got := ""
+	for len(got) < len("first second") {
+		got += <-h.data
+	}
+	if got != "first second" {
+		t.Errorf("received %q", got)
 	}
 }
 
@@ -248,7 +357,7 @@
 		<-accepted
 	}
 	blocked, release := make(chan bool), make(chan bool)
-	defer failpoint.SetHook("eventloop.read", sync.OnceFunc(func() { blocked <- true; <-release }))()
+	defer failpoint.SetHook("eventloop.readable", sync.OnceFunc(func() { blocked <- true; <-release }))()
 	posted := 0
 	defer failpoint.SetHook("eventloop.posted", func() {
 		if posted++; posted == 2 { // the request; the first post is from the other connection
--- a/internal/eventloop/read.go
+++ b/internal/eventloop/read.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"syscall"
-	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -12,85 +11,175 @@
 )
 
 const (
-	// readSize is the size of the read buffer in bytes; together with mailboxCapacity it bounds the data queued for the loop.
+	// readSize is the size of the read buffer in bytes, and the most that one connection delivers in a turn.
 	readSize = 1 << 14
-	// maxReadsPerTurn is how often one connection is read in succession before the poller serves others.
-	maxReadsPerTurn = 64
-
-	retryPause = time.Duration(syscallerror.RetryPauseMs * float64(time.Millisecond))
+	// maxReadsPerTurn is how often one connection is read in a turn, whatever little each read returns.
+	maxReadsPerTurn = 8
 )
 
-// receive reads the available data, up to a limit, and posts it to the loop. It runs on the poller. The end of an inbound connection
-// is posted together with the bytes before it. Otherwise, if a client gives up while its request is still unread, the request would
-// be forwarded before the loop learns that the client has disconnected.
-func (c *Conn) receive() {
-	buffer := c.loop.readBuffer
-	var data []byte // read but not posted yet
-	defer func() { c.postData(data, false) }()
-	for range maxReadsPerTurn {
-		n, accepted, err := c.readOnce(buffer)
-		if data != nil {
-			c.postData(data, n == 0 && err == nil || endsConnection(err))
-			data = nil
-		}
-		if accepted {
-			data = append([]byte(nil), buffer[:n]...)
-		}
-		switch {
-		case errors.Is(err, syscall.EINTR):
-		case errors.Is(err, syscall.EAGAIN):
-			return
-		case endsConnection(err):
-			// The result is irrelevant: the descriptor is closed in any case, and the poller's OnClose reports the end.
-			_ = c.nb.CloseWithError(err)
-			return
-		case err != nil: // this host is short of memory: polling is level-triggered, so the unread data wakes the poller again
-			time.Sleep(retryPause)
-			return
-		case n == 0 || n < len(buffer) && !c.inbound:
-			return
+// readable handles the news that there is something to read, or that the connection has ended. It runs on the poller, which closes the
+// descriptor of an ended connection right afterwards.
+func (c *Conn) readable() {
+	failpoint.Hit("eventloop.readable")
+	if c.poll(unix.POLLRDHUP)&closedEvents != 0 {
+		c.drain()
+	}
+	if c.readPosted.CompareAndSwap(false, true) {
+		c.loop.Post(c.readPostedData)
+		failpoint.Hit("eventloop.posted")
+	}
+}
+
+// drain reads what precedes the end of a connection, since the descriptor is about to be closed. It runs on the poller. Of an inbound
+// connection whose peer has gone, only the first bytes can matter: a cancel request.
+func (c *Conn) drain() {
+	limit := int64(readSize)
+	if !c.inbound {
+		limit = c.loop.maxUnsent
+	}
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+	buffer := make([]byte, readSize)
+	for limit == 0 || int64(len(c.tail)) < limit {
+		n, err := c.readLocked(buffer)
+		c.tail = append(c.tail, buffer[:n]...)
+		if n == 0 && !errors.Is(err, syscall.EINTR) {
+			break
 		}
 	}
+	failpoint.Hit("eventloop.drain")
 }
 
-// endsConnection reports whether a read error means that the connection has ended.
-func endsConnection(err error) bool {
-	return err != nil && syscallerror.Classify(syscallerror.Read, err) == syscallerror.Peer
+// readPostedData reads after the poller's news.
+func (c *Conn) readPostedData() {
+	c.readPosted.Store(false) // news from here on is posted again
+	if !c.turnQueued {
+		c.readTurn()
+	}
 }
 
-// postData posts bytes to the loop, followed by the end of the connection if ended is set. Without bytes it posts nothing.
-func (c *Conn) postData(data []byte, ended bool) {
-	if data == nil {
+// readTurn reads and delivers a bounded number of bytes. If there may be more, it does so again in a later turn.
+func (c *Conn) readTurn() {
+	if c.handler == nil || c.paused {
+		c.moreToRead = true
+		return
+	}
+	if c.deliverTail() || c.closed {
 		return
 	}
-	c.loop.Post(func() {
-		c.handled += int64(len(data))
-		if c.handler == nil {
-			c.unhandled = append(c.unhandled, data)
-		} else if !c.closed {
-			c.handler.Data(data)
+	for delivered, reads := 0, 0; delivered < readSize && reads < maxReadsPerTurn; reads++ {
+		n, more := c.readAndDeliver()
+		if !more {
+			return
 		}
-		if ended {
-			c.notifyClosed()
+		delivered += n
+	}
+	c.queueTurn()
+}
+
+// readAndDeliver makes one read and delivers its bytes. more reports whether to read on at once.
+func (c *Conn) readAndDeliver() (n int, more bool) {
+	buffer := c.loop.readBuffer
+	n, err := c.readOnce(buffer)
+	if n > 0 && !c.discarding.Load() {
+		c.handler.Data(buffer[:n])
+	}
+	switch {
+	case c.closed || n == 0 && err == nil: // of the end of the connection the poller gives news
+		return n, false
+	case endsConnection(err):
+		if !c.deliverTail() { // the poller may have read and closed meanwhile
+			c.Drop()
 		}
+		return n, false
+	case isShortOfMemory(err):
+		c.moreToRead = true
+		c.loop.After(syscallerror.RetryPauseMs, c.continueReading)
+		return n, false
+	case c.paused:
+		c.moreToRead = true
+		return n, false
+	}
+	return n, n == len(buffer) || c.pollReadable() != 0
+}
+
+// queueTurn reads again in a later turn.
+func (c *Conn) queueTurn() {
+	if c.turnQueued {
+		return
+	}
+	c.turnQueued = true
+	c.loop.NextTurn(func() {
+		c.turnQueued = false
+		c.readTurn()
 	})
-	failpoint.Hit("eventloop.posted")
 }
 
-// readOnce reads from the connection and counts the bytes, atomically with respect to checks for unread bytes. If the connection
-// could be ended between the two, bytes read before the end would be discarded without their sender being able to tell. accepted
-// reports whether bytes were read that must not be discarded.
-func (c *Conn) readOnce(buffer []byte) (n int, accepted bool, err error) {
+// PauseReading stops reading. What the peer sends stays in the operating system, which lets it send no more at some point.
+func (c *Conn) PauseReading() { c.paused = true }
+
+// ResumeReading continues after PauseReading.
+func (c *Conn) ResumeReading() {
+	c.paused = false
+	c.continueReading()
+}
+
+// continueReading reads what an earlier turn has left unread.
+func (c *Conn) continueReading() {
+	if c.moreToRead && !c.paused {
+		c.moreToRead = false
+		c.queueTurn()
+	}
+}
+
+// deliverTail delivers what the poller has read before the end of the connection, together with the end. Otherwise, if a client gives up
+// while its request is still unread, the request would be forwarded before the loop learns that the client has disconnected. It reports
+// whether there was something.
+func (c *Conn) deliverTail() bool {
 	c.readMu.Lock()
-	defer c.readMu.Unlock()
-	if err = failpoint.Error("eventloop.read"); err == nil {
-		n, err = c.nb.Read(buffer[:failpoint.Limit("eventloop.read", len(buffer))])
+	tail := c.tail
+	c.tail = nil
+	c.readMu.Unlock()
+	if tail == nil {
+		return false
 	}
-	failpoint.Hit("eventloop.read")
-	if accepted = n > 0 && !c.discarding.Load(); accepted {
-		c.received.Add(int64(n))
+	if !c.discarding.Load() {
+		c.handler.Data(tail)
 	}
-	return n, accepted, err
+	c.notifyClosed()
+	return true
+}
+
+// endsConnection reports whether a read error means that the connection has ended.
+func endsConnection(err error) bool {
+	return err != nil && syscallerror.Classify(syscallerror.Read, err) == syscallerror.Peer
+}
+
+// isShortOfMemory reports whether a read has failed for want of this host's memory.
+func isShortOfMemory(err error) bool {
+	return err != nil && syscallerror.Classify(syscallerror.Read, err) == syscallerror.HostResources
+}
+
+// readOnce reads from the connection. It runs on the loop.
+func (c *Conn) readOnce(buffer []byte) (n int, err error) {
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+	n, err = c.readLocked(buffer)
+	failpoint.Hit("eventloop.read")
+	return n, err
+}
+
+// readLocked makes one read. It returns net.ErrClosed, which ends the connection, once the descriptor is closed.
+func (c *Conn) readLocked(buffer []byte) (n int, err error) {
+	err = c.control(func(fd int) error {
+		err := failpoint.Error("eventloop.read")
+		if err == nil {
+			n, err = syscall.Read(fd, buffer[:failpoint.Limit("eventloop.read", len(buffer))])
+		}
+		n = max(0, n)
+		return err
+	})
+	return n, err
 }
 
 // Unread reports whether there is something that the handler has not received yet: bytes, or the end of the connection.
@@ -102,13 +191,15 @@
 
 func (c *Conn) unreadLocked() bool {
 	c.polledEvents, c.polledBatch = c.pollReadable(), c.loop.batch
-	return c.received.Load() != c.handled || c.polledEvents != 0
+	return c.tail != nil || c.polledEvents != 0
 }
 
+// closedEvents are the events of a connection whose peer has closed it or its sending direction.
+const closedEvents = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+
 // PeerClosed reports whether the peer has closed the connection or its sending direction, even if the handler has not been notified
 // yet or unread bytes precede the end. Each call makes a system call.
 func (c *Conn) PeerClosed() bool {
-	const closedEvents = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
 	return c.closed || c.poll(unix.POLLRDHUP)&closedEvents != 0
 }
 
--- a/internal/eventloop/syscall_test.go
+++ b/internal/eventloop/syscall_test.go
@@ -93,7 +93,7 @@
 			const maxUnsent = 1 << 20
 			l, c, _, h := connectedPair(t, maxUnsent)
 			release := make(chan bool)
-			defer failpoint.SetHook("eventloop.read", func() { <-release })()
+			defer failpoint.SetHook("eventloop.readable", func() { <-release })()
 			_, restore := cycleErrors("eventloop.write", errno)
 			defer restore()
 			closed := make(chan bool)
--- a/internal/eventloop/write.go
+++ b/internal/eventloop/write.go
@@ -14,15 +14,45 @@
 
 var errTooMuchUnsent = errors.New("write: too many unsent bytes, the peer is not reading")
 
-// Write sends b, immediately or as the peer reads. If the write fails, the connection ends and the handler's Closed is called. Only
-// the poller may close the descriptor, but nbio closes it when a write fails: the descriptor number could then be reused at once, and
-// an event of the old connection that the poller has yet to handle would close the new one. Write therefore polls the connection
-// before the first write of a batch.
+// flushBytes is how much an inbound connection collects of what is written to it in one batch before it is sent.
+const flushBytes = 1 << 14
+
+// Write sends b, at the latest at the end of the batch or as the peer reads; b must not be changed before. What is written to an inbound
+// connection in one batch goes out together, since many small responses to what came in one read would cost a system call each. If the
+// write fails, the connection ends and the handler's Closed is called.
 func (c *Conn) Write(b []byte) {
-	if c.closed || c.finishAt.Load() > 0 {
+	if c.closed || c.finishAt.Load() > 0 || len(b) == 0 {
 		return
 	}
 	c.submitted += int64(len(b))
+	if !c.inbound {
+		c.writeNow(b)
+		return
+	}
+	if c.unflushed == nil {
+		c.unflushed = b[:len(b):len(b)]
+		c.loop.unflushed = append(c.loop.unflushed, c)
+	} else {
+		c.unflushed = append(c.unflushed, b...)
+	}
+	if len(c.unflushed) >= flushBytes {
+		c.flush()
+	}
+}
+
+// flush sends what has been collected in this batch.
+func (c *Conn) flush() {
+	b := c.unflushed
+	c.unflushed = nil
+	if b != nil && !c.closed {
+		c.writeNow(b)
+	}
+}
+
+// writeNow sends b, immediately or as the peer reads. Only the poller may close the descriptor, but nbio closes it when a write fails: the
+// descriptor number could then be reused at once, and an event of the old connection that the poller has yet to handle would close the new
+// one. It therefore polls the connection before the first write of a batch.
+func (c *Conn) writeNow(b []byte) {
 	var err error
 	if c.polledBatch != c.loop.batch {
 		c.polledEvents, c.polledBatch = c.pollReadable(), c.loop.batch
--- a/internal/frontend/errors.go
+++ b/internal/frontend/errors.go
@@ -21,6 +21,7 @@
 	errUnknownPool        = &pg.Error{Code: pg.InvalidCatalogName, Text: "no pool for this user and database"}
 	errCancelled          = &pg.Error{Code: pg.QueryCanceled, Text: "canceling statement due to user request"}
 	errSimpleQueriesOnly  = &pg.Error{Code: pg.FeatureNotSupported, Text: "simple queries only"}
+	errEncryptionRequests = &pg.Error{Code: pg.ProtocolViolation, Text: "encryption was declined already"}
 	errFunctionCall       = &pg.Error{Code: pg.FeatureNotSupported, Text: "function calls do not go through a router"}
 	errMayHaveTakenEffect = &pg.Error{Code: pg.TransactionResolutionUnknown, Text: "rolled back, it may have taken effect"}
 	errMayRunAgain        = &pg.Error{Code: pg.SerializationFailure, Text: lostBeforeCommit + "the transaction may run again"}
--- a/internal/frontend/pooled.go
+++ b/internal/frontend/pooled.go
@@ -65,6 +65,7 @@
 	unitMessages  []decide.Message // messages of the unit that is still incomplete
 	queue         []queuedMessage  // messages received behind a unit whose response must be awaited
 	queuedBytes   int              // size of unitMessages and queue
+	turnQueued    bool             // a turn of the event loop is queued that handles further messages of queue
 	inFlightBytes int              // size of the unit at a member, kept since it may have to be sent again
 }
 
@@ -136,9 +137,16 @@
 	p.queuedBytes = 0
 }
 
-// processQueue handles the messages that were queued while a response was awaited.
+// processQueue handles the messages that were queued while a response was awaited, a bounded number in each turn of the event loop.
 func (p *pooledSession) processQueue() {
-	for p.mayHandleNext() {
+	if p.turnQueued {
+		return
+	}
+	for handled := 0; p.mayHandleNext(); handled++ {
+		if handled == maxMessagesPerTurn {
+			p.queueTurn()
+			return
+		}
 		p.handleNext()
 	}
 	if len(p.queue) == 0 {
@@ -159,6 +167,15 @@
 	}
 }
 
+// queueTurn continues with the queue in a later turn.
+func (p *pooledSession) queueTurn() {
+	p.turnQueued = true
+	p.session.frontend.driver.NextTurn(func() {
+		p.turnQueued = false
+		p.processQueue()
+	})
+}
+
 // mayHandleNext reports whether the first message of the queue may be handled now.
 func (p *pooledSession) mayHandleNext() bool {
 	if p.state == pooledEnded || p.session.state >= sessionEnding || len(p.queue) == 0 {
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -12,10 +12,15 @@
 const (
 	// messageTimeoutMs is how long a client may take to send its first query, or the rest of a message.
 	messageTimeoutMs = 2000.0
+	// maxMessagesPerTurn is how many messages of a client are handled before the event loop serves others.
+	maxMessagesPerTurn = 64
 	// maxUnreadBytes limits the response bytes that a client leaves unread: at this limit its next message is not handled yet.
 	maxUnreadBytes = 1 << 16
 )
 
+// maxEncryptionRequests is how often a client may ask for encryption: once by TLS, once by GSSAPI.
+const maxEncryptionRequests = 2
+
 // tlsNotSupported is the response to an SSLRequest.
 const tlsNotSupported = 'N'
 
@@ -46,6 +51,10 @@
 	state    sessionState
 	pooled   *pooledSession
 
+	encryptionRequests int // number of requests for encryption received
+
+	inputQueued bool // a turn of the event loop is queued that handles further messages
+
 	// Fields of statement-comment mode. While request or penalized is set, no queued message is handled; both are never set together.
 	queue             []queuedMessage
 	request           *request.Request // the request in progress
@@ -117,9 +126,27 @@
 		s.restartInputTimeout()
 	}
 	s.reader.Feed(data)
-	for s.state == sessionOpen && s.receiveNext() {
+	s.handleInput()
+}
+
+// handleInput handles the messages received so far, a bounded number in each turn of the event loop. Until it has handled all, no more input is read.
+func (s *session) handleInput() {
+	if s.inputQueued {
+		return
+	}
+	for range maxMessagesPerTurn {
+		if s.state != sessionOpen || !s.receiveNext() {
+			s.conn.ResumeReading()
+			return
+		}
 		s.processQueue()
 	}
+	s.conn.PauseReading()
+	s.inputQueued = true
+	s.frontend.driver.NextTurn(func() {
+		s.inputQueued = false
+		s.handleInput()
+	})
 }
 
 // receiveNext handles the next message in the reader. It reports whether the queue may hold new work.
@@ -162,7 +189,7 @@
 	}
 	switch {
 	case m.Kind == pg.SSLRequest:
-		s.conn.Write([]byte{tlsNotSupported})
+		s.declineEncryption()
 	case m.Kind == pg.CancelRequest:
 		s.frontend.cancel(m.Key)
 		s.finish()
@@ -177,6 +204,16 @@
 	}
 }
 
+// declineEncryption answers a request for encryption. A client asks once for each kind and then goes on without; as in PostgreSQL, a further
+// request is a protocol error.
+func (s *session) declineEncryption() {
+	if s.encryptionRequests++; s.encryptionRequests > maxEncryptionRequests {
+		s.closeInput(errEncryptionRequests)
+		return
+	}
+	s.conn.Write([]byte{tlsNotSupported})
+}
+
 // processQueue handles the queued messages that can be handled now.
 func (s *session) processQueue() {
 	if s.pooled != nil {
