--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -15,6 +15,7 @@
 	iradix "github.com/hashicorp/go-immutable-radix/v2"
 
 	"wayloft/internal/decide/connpool"
+	"wayloft/internal/decide/memory"
 	"wayloft/internal/discovery"
 	"wayloft/internal/eventloop"
 	"wayloft/internal/pg"
@@ -39,6 +40,7 @@
 	HealthReports   bool             // health checks query the member's role and position
 	MaxResponse     int              // maximum size of one response in bytes
 	ResponseBudget  int              // maximum size in bytes of all incomplete responses together
+	Memory          *memory.Account  // memory that clients and members make the router hold
 	QueueStatements bool             // statements wait for a connection, set if there are fewer connections than clients
 	KeepRemoved     bool             // members that are removed from the list may still be used
 	MaxPrepared     int              // maximum number of prepared statements kept on a connection
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -124,6 +124,7 @@
 func (c *memberConn) unregister() {
 	delete(c.backend.conns, c.id)
 	c.backend.bufferedBytes -= c.bufferedBytes
+	c.backend.options.Memory.Change(-c.bufferedBytes)
 	c.bufferedBytes = 0
 }
 
--- a/internal/backend/response.go
+++ b/internal/backend/response.go
@@ -1,7 +1,10 @@
 package backend
 
 import (
+	"slices"
+
 	"wayloft/internal/decide/connpool"
+	"wayloft/internal/decide/memory"
 	"wayloft/internal/pg"
 	"wayloft/router"
 )
@@ -17,6 +20,9 @@
 	stageReady    // the final ReadyForQuery was received
 )
 
+// responseEndBytes is room for what follows the row of a response: its CommandComplete and ReadyForQuery.
+const responseEndBytes = 64
+
 // maxReceivedFactor times Options.MaxResponse is the number of bytes that may be received on a connection after its last job began.
 const maxReceivedFactor = 2
 
@@ -66,7 +72,8 @@
 // enforceBudget discards the incomplete response on this connection if all incomplete responses together exceed the budget, since there is no
 // memory for the rest of it. Its statement may have run.
 func (c *memberConn) enforceBudget() {
-	if c.backend.bufferedBytes > c.backend.options.ResponseBudget && c.job != nil && c.ready {
+	overBudget := c.backend.bufferedBytes > c.backend.options.ResponseBudget || c.backend.options.Memory.Exceeded()
+	if overBudget && c.bufferedBytes > memory.FreeBytes && c.job != nil && c.ready {
 		c.backend.OverBudget++
 		c.closeOnProtocolError()
 	}
@@ -74,8 +81,9 @@
 
 // updateBufferedBytes updates this connection's share of the buffered bytes of all responses.
 func (c *memberConn) updateBufferedBytes() {
-	buffered := len(c.rows) + c.reader.Buffered()
+	buffered := cap(c.rows) + c.reader.Cap()
 	c.backend.bufferedBytes += buffered - c.bufferedBytes
+	c.backend.options.Memory.Change(buffered - c.bufferedBytes)
 	c.bufferedBytes = buffered
 }
 
@@ -162,7 +170,7 @@
 	default:
 		return false
 	}
-	c.rows = append(c.rows, m.Raw...)
+	c.rows = append(slices.Grow(c.rows, len(m.Raw)+responseEndBytes), m.Raw...)
 	return true
 }
 
@@ -201,3 +209,6 @@
 	c.backend.endJob(j, outcome)
 	return true
 }
+
+// Drained implements eventloop.Handler.
+func (c *memberConn) Drained() {}
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -24,6 +24,8 @@
 type Handler interface {
 	// Data receives bytes; the slice is valid until it returns.
 	Data(data []byte)
+	// Drained is called after Data when nothing more can be read for now.
+	Drained()
 	// Closed is called once when the connection has ended, unless it was closed locally by Close.
 	Closed()
 }
@@ -43,6 +45,7 @@
 	turnQueued bool        // the loop's turns hold one of this connection
 	moreToRead bool        // there may be unread bytes of which the poller gives no further news
 	paused     bool        // by PauseReading
+	drained    bool        // nothing more could be read after the last Data
 	discarding atomic.Bool // further data is discarded
 
 	polledBatch  int64 // batch in which the descriptor was last polled
@@ -52,6 +55,7 @@
 	unflushed    []byte       // written in this batch and not sent yet; only of inbound connections
 	written      atomic.Int64 // bytes accepted by the operating system
 	delayedWrite []byte       // to be written when this host has memory again; bounded by maxUnsent
+	linger       *time.Timer  // drops a connection that is being finished; nil: it is not
 	finishAt     atomic.Int64 // value of written at which the connection is finished; 0: it is not being finished
 }
 
@@ -97,6 +101,7 @@
 			c.handler.Closed()
 		}
 	}
+	c.stopLinger()
 	failpoint.Hit("eventloop.closed")
 }
 
@@ -130,7 +135,7 @@
 	if c.Sent() {
 		c.shutdownWrite()
 	} else {
-		c.loop.After(unsentLingerFactor*float64(lingerTimeout.Milliseconds()), c.Drop)
+		c.dropAfter(unsentLingerFactor * lingerTimeout)
 	}
 }
 
@@ -157,7 +162,23 @@
 // shutdownWrite shuts down the sending direction, and drops the connection after lingerTimeout.
 func (c *Conn) shutdownWrite() {
 	c.shutdown(unix.SHUT_WR)
-	c.loop.After(float64(lingerTimeout.Milliseconds()), c.Drop)
+	c.dropAfter(lingerTimeout)
+}
+
+// dropAfter drops the connection after a timeout, in place of an earlier one.
+func (c *Conn) dropAfter(timeout time.Duration) {
+	c.stopLinger()
+	if !c.closed {
+		c.linger = c.loop.After(float64(timeout.Milliseconds()), c.Drop)
+	}
+}
+
+// stopLinger stops the timer of dropAfter, which would keep the connection and its handler in memory.
+func (c *Conn) stopLinger() {
+	if c.linger != nil {
+		c.linger.Stop()
+		c.linger = nil
+	}
 }
 
 // shutdown shuts down one or both directions. The poller closes a connection that is shut down in both.
--- a/internal/eventloop/driver.go
+++ b/internal/eventloop/driver.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"wayloft/internal/decide/requestid"
 	"wayloft/internal/invariant"
 	"wayloft/internal/pg"
 	"wayloft/internal/request"
@@ -36,6 +37,7 @@
 	requestList func()
 	onReport    func(member string, role router.Role, position float64)
 	requests    map[string]*openRequest // by request id
+	heldIDs     *requestid.Held         // ids of requests that have ended and may still run
 	hasInput    bool                    // the module has received an input in this batch
 	timer       *time.Timer
 
@@ -50,9 +52,13 @@
 
 // openRequest is a request that is unfinished or has an attempt in flight.
 type openRequest struct {
-	request  *request.Request
-	attempts int // started so far
-	inFlight int
+	request    *request.Request
+	class      *router.RequestClass
+	attempts   int // started so far
+	inFlight   int
+	mayHaveRun bool // an attempt has run, or may still
+	clientLeft bool
+	succeeded  bool
 }
 
 // The errors of Driver.Arrive. Clients receive their texts.
@@ -62,6 +68,9 @@
 	ErrFuturePosition      = errors.New("after lies in the future")
 )
 
+// maxHeldIDBytes limits the memory of the ids of requests that have ended and may still run.
+const maxHeldIDBytes = 512 << 10
+
 // MaxPositionAhead is how far, in ms, a position reported by a member or given by a client may be ahead of the cluster's clock.
 const MaxPositionAhead = 1000.0
 
@@ -74,6 +83,7 @@
 		classes:     classes,
 		requestList: requestList,
 		requests:    map[string]*openRequest{},
+		heldIDs:     requestid.NewHeld(maxHeldIDBytes),
 		confirming:  map[string]bool{},
 	}
 }
@@ -95,7 +105,7 @@
 
 // Arrive accepts a new request. It returns ErrUnknownRequestClass, ErrDuplicateID or ErrFuturePosition if the request is not accepted.
 func (d *Driver) Arrive(req *request.Request) error {
-	if d.requests[req.ID] != nil {
+	if d.requests[req.ID] != nil || d.heldIDs.Contains(req.ID, d.Now()) {
 		return ErrDuplicateID
 	}
 	class := d.classes[req.RequestClass]
@@ -114,7 +124,7 @@
 	if req.Stream != nil && req.Stream.Reserved != nil {
 		d.routerInput().Pin(req.ID, req.Stream.Reserved.Member())
 	}
-	d.requests[req.ID] = &openRequest{request: req}
+	d.requests[req.ID] = &openRequest{request: req, class: class}
 	return nil
 }
 
@@ -122,6 +132,7 @@
 // written are dropped: otherwise an attempt waiting for a connection to be established could be sent long after its client has left.
 func (d *Driver) ClientGone(req *request.Request) {
 	if req.ClientGone() {
+		d.requests[req.ID].clientLeft = true
 		d.routerInput().ClientGone(req.ID)
 		d.dropIfDone(req.ID)
 		d.backend.Abandon(req.ID)
@@ -135,13 +146,16 @@
 	// The client has received part of the response or has cancelled the request: it must not be retried.
 	noRetry := req.Stream != nil && (req.Stream.Started() || req.Stream.Cancelled())
 	done := req.Finished() || outcome == router.Succeeded || noRetry
+	open := d.requests[req.ID]
+	open.succeeded = open.succeeded || outcome == router.Succeeded
+	open.mayHaveRun = open.mayHaveRun || open.succeeded || outcome.MayHaveRun()
 	d.routerInput().AttemptEnded(req.ID, attempt, outcome, latency, done, role, d.positionOnLoop(position))
 	if outcome == router.Succeeded && !req.Finished() {
 		req.Succeed(rows)
 	} else if noRetry && !req.Finished() {
 		req.Fail()
 	}
-	d.requests[req.ID].inFlight--
+	open.inFlight--
 	d.dropIfDone(req.ID)
 }
 
@@ -219,11 +233,27 @@
 // ListInput returns the module to receive endpoint list inputs.
 func (d *Driver) ListInput() *router.Router { return d.routerInput() }
 
-// dropIfDone forgets a request that is finished and has no attempt in flight. Until then its id counts as in use.
+// dropIfDone forgets a request that is finished and has no attempt in flight. Until then its id counts as in use, and longer if it may still
+// run.
 func (d *Driver) dropIfDone(id string) {
-	if open := d.requests[id]; open.request.Finished() && open.inFlight == 0 {
-		delete(d.requests, id)
+	open := d.requests[id]
+	if !open.request.Finished() || open.inFlight > 0 {
+		return
+	}
+	delete(d.requests, id)
+	if open.holdsID() {
+		latest := max(d.Now(), open.request.Deadline) + max(open.class.IdempotencyWindow, open.class.Deadline)
+		d.heldIDs.Hold(id, d.Now(), latest)
+	}
+}
+
+// holdsID reports whether the id must not be used again for some time: the request has run or may still, must not run twice, and its client
+// was not told that it succeeded. Of an id that was made up here, there is no second use.
+func (open *openRequest) holdsID() bool {
+	if !open.mayHaveRun || open.class.Effect == router.Idempotent || open.request.GeneratedID {
+		return false
 	}
+	return open.clientLeft || !open.succeeded
 }
 
 // carryOutDecisions carries out the module's decisions at the end of a batch, if the module received an input in it.
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -41,6 +41,7 @@
 
 	clusterClock clockoffset.Estimate
 	readBuffer   []byte // used only on the loop
+	drainBuffer  []byte // used only by the poller
 
 	maxUnsent int64 // limit of unsent bytes per connection; 0: unlimited
 
@@ -58,6 +59,7 @@
 		start:       time.Now(),
 		wallAtStart: float64(wall.UnixMicro()) / 1000,
 		readBuffer:  make([]byte, readSize),
+		drainBuffer: make([]byte, readSize),
 	}
 	l.now = l.wallAtStart
 	nbio.MaxOpenFiles = 2*descriptors + 1024 // the size of nbio's connection table; the process's descriptor limit is lower
--- a/internal/eventloop/loop_test.go
+++ b/internal/eventloop/loop_test.go
@@ -115,7 +115,8 @@
 	}
 }
 
-func (c *byteCounter) Closed() {}
+func (c *byteCounter) Drained() {}
+func (c *byteCounter) Closed()  {}
 
 // Data received on a connection after Finish is discarded before it reaches the loop, and a peer that keeps sending does not prevent the
 // poller from serving another connection.
--- a/internal/eventloop/poller.go
+++ b/internal/eventloop/poller.go
@@ -6,6 +6,7 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
+	"github.com/lesismal/nbio/mempool"
 )
 
 // Listen starts the poller. accept is called on the loop for each inbound connection, before any of its data is delivered. A
@@ -16,7 +17,9 @@
 		ReadBufferSize: readSize, MaxWriteBufferSize: maxUnsent,
 		// Edge-triggered: what the loop leaves unread must not wake the poller over and over.
 		EpollMod: nbio.EPOLLET,
-		Listen:   func(string, string) (net.Listener, error) { return listener, nil }})
+		// Buffers for what peers don't read are as large as need be. Those of nbio's pool keep the largest size that they ever had.
+		BodyAllocator: mempool.NewSTD(),
+		Listen:        func(string, string) (net.Listener, error) { return listener, nil }})
 	engine.OnOpen(func(nb *nbio.Conn) {
 		if nb.Session() != nil {
 			return // dialled
--- a/internal/eventloop/race_test.go
+++ b/internal/eventloop/race_test.go
@@ -20,6 +20,7 @@
 }
 
 func (h *channelHandler) Data(b []byte) { h.data <- string(b) }
+func (h *channelHandler) Drained()      {}
 func (h *channelHandler) Closed()       { close(h.closed) }
 
 // connectedPair runs a loop until the test ends. It returns the loop, an inbound connection, the peer's end of it, and its handler.
@@ -328,6 +329,7 @@
 	}
 }
 func (log *eventLog) Data(b []byte) { log.record(string(b)) }
+func (log *eventLog) Drained()      {}
 func (log *eventLog) Closed()       { log.record("closed"); close(log.closed) }
 
 // A request and the end of its client's connection both arrive before the poller reads. The handler must be notified of the end in the
--- a/internal/eventloop/read.go
+++ b/internal/eventloop/read.go
@@ -13,6 +13,8 @@
 const (
 	// readSize is the size of the read buffer in bytes, and the most that one connection delivers in a turn.
 	readSize = 1 << 14
+	// inboundReadSize is the most that is delivered at once of an inbound connection, so that a crowd's first bytes take little memory.
+	inboundReadSize = 1 << 12
 	// maxReadsPerTurn is how often one connection is read in a turn, whatever little each read returns.
 	maxReadsPerTurn = 8
 )
@@ -39,7 +41,7 @@
 	}
 	c.readMu.Lock()
 	defer c.readMu.Unlock()
-	buffer := make([]byte, readSize)
+	buffer := c.loop.drainBuffer
 	for limit == 0 || int64(len(c.tail)) < limit {
 		n, err := c.readLocked(buffer)
 		c.tail = append(c.tail, buffer[:n]...)
@@ -70,6 +72,7 @@
 	for delivered, reads := 0, 0; delivered < readSize && reads < maxReadsPerTurn; reads++ {
 		n, more := c.readAndDeliver()
 		if !more {
+			c.notifyDrained()
 			return
 		}
 		delivered += n
@@ -77,11 +80,26 @@
 	c.queueTurn()
 }
 
+// notifyDrained tells the handler that nothing more can be read for now.
+func (c *Conn) notifyDrained() {
+	if !c.moreToRead && !c.closed && !c.drained {
+		c.drained = true
+		c.handler.Drained()
+	}
+}
+
+// InputDrained reports whether all that has arrived was delivered. While it was not, the end of the connection may be among it.
+func (c *Conn) InputDrained() bool { return c.drained }
+
 // readAndDeliver makes one read and delivers its bytes. more reports whether to read on at once.
 func (c *Conn) readAndDeliver() (n int, more bool) {
 	buffer := c.loop.readBuffer
+	if c.inbound {
+		buffer = buffer[:inboundReadSize]
+	}
 	n, err := c.readOnce(buffer)
 	if n > 0 && !c.discarding.Load() {
+		c.drained = false
 		c.handler.Data(buffer[:n])
 	}
 	switch {
@@ -144,6 +162,7 @@
 		return false
 	}
 	if !c.discarding.Load() {
+		c.drained = false
 		c.handler.Data(tail)
 	}
 	c.notifyClosed()
--- a/internal/frontend/clientclosed_test.go
+++ b/internal/frontend/clientclosed_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	decide "wayloft/internal/decide/session"
 	"wayloft/internal/eventloop"
 	"wayloft/internal/pg"
 	"wayloft/internal/request"
@@ -65,3 +66,49 @@
 type noBackend struct{ eventloop.Backend }
 
 func (noBackend) Abandon(string) {}
+
+// Guards against forwarding further statements of an open transaction, or COPY data, for a client that has closed its connection while the
+// event loop was busy.
+func TestTransaction_NothingForwardedOnceClientCloses(t *testing.T) {
+	classes := map[string]*router.RequestClass{"read": {LatencyObjective: 60000, Deadline: 60000, PriorityWeight: 1, LateWeightShare: 1}}
+	settings := &router.Settings{Routers: 1, MaxAttempts: 6, CanHealthCheck: true, RequestClasses: classes}
+	f := startTestFrontend(t, 10, settings, classes, noBackend{})
+	f.stopAtEnd()
+	for name, send := range map[string]func(p *pooledSession){
+		"a statement": func(p *pooledSession) {
+			p.state = unitNone
+			p.handle(pg.Message{Kind: pg.Query, Text: "SELECT 2", Raw: pg.AppendQuery(nil, "SELECT 2")}, f.driver.Now())
+		},
+		"COPY data": func(p *pooledSession) {
+			p.copying = true
+			p.receive(pg.Message{Kind: pg.CopyData, Raw: pg.AppendCopyData(nil, "row")})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := f.dial(pooledDatabase, false)
+			f.write(client, pg.AppendQuery(nil, "SELECT 1"))
+			f.waitUntil("the transaction is open", func() bool { return f.onlyRequest() != nil })
+			f.runOnLoop(func() {
+				p, member := f.onlySession().pooled, &countingConn{}
+				p.request.Stream.Attach(member)
+				before := member.sent
+				if err := client.Close(); err != nil {
+					t.Error(err)
+				}
+				send(p)
+				if member.sent != before {
+					t.Errorf("%d messages were forwarded after the client had closed", member.sent-before)
+				}
+			})
+			f.waitUntil("the session ends", func() bool { return len(f.frontend.sessions) == 0 })
+		})
+	}
+}
+
+// countingConn is a member's connection that counts the messages sent on it.
+type countingConn struct {
+	request.BackendConn
+	sent int
+}
+
+func (c *countingConn) Send(messages []decide.Message) { c.sent += len(messages) }
--- a/internal/frontend/clientsession.go
+++ b/internal/frontend/clientsession.go
@@ -21,7 +21,7 @@
 		out = append(out, messages[n].Raw...)
 		p.handleMemberMessage(messages[n].Kind)
 	}
-	p.session.conn.Write(out)
+	p.session.write(out)
 }
 
 // handleMemberMessage updates the session's state after a message from the member.
@@ -57,7 +57,7 @@
 	})
 	p.reportedParameters = parameters
 	if out != nil {
-		p.session.conn.Write(out)
+		p.session.write(out)
 	}
 }
 
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -11,6 +11,7 @@
 package frontend
 
 import (
+	"wayloft/internal/decide/memory"
 	"wayloft/internal/eventloop"
 	"wayloft/internal/pg"
 )
@@ -18,27 +19,27 @@
 const (
 	// rejectionSlots is how many connections are accepted beyond the session limit, so that their clients receive an error.
 	rejectionSlots = 16
-	// overBudgetFactor is the multiple of maxHeldBytes above which sessions are ended. Statements are rejected above maxHeldBytes.
-	overBudgetFactor = 2
 )
 
 // Frontend manages all client sessions.
 type Frontend struct {
 	driver          *eventloop.Driver
 	maxSessions     int
-	maxHeldBytes    int // limit of the bytes of complete and partial statements in all sessions together
+	memory          *memory.Account
 	maxMessageBytes int
 
 	pooling      *Pooling // nil: all sessions are in statement-comment mode
 	sessions     map[*session]bool
 	cancelKeys   map[pg.CancelKey]*pooledSession
 	generatedIDs uint64 // number of ids generated for requests without one from the client
-	heldBytes    int
 
 	gate           *gate
 	acceptSlots    chan struct{} // semaphore: one element for each accepted connection
 	endingSessions int           // number of sessions in the state sessionEnding
 
+	onScarce func(scarce bool)
+	scarce   bool // memory was scarce at the last sweep
+
 	sweepIndex     sweepIndex
 	sweepScheduled bool
 
@@ -52,17 +53,19 @@
 	ProtocolErrors int
 	// TimedOut counts sessions ended because the client took too long to send its first query or the rest of a message.
 	TimedOut int
+	// SlowReaders counts sessions ended because their unread responses took memory that was needed.
+	SlowReaders int
 	// RejectedSessions counts connections rejected because the session limit was reached.
 	RejectedSessions int
 }
 
-// New returns a Frontend without sessions. maxSessions limits the number of sessions, maxHeldBytes the memory that statements may take in
-// all sessions together, and maxMessageBytes the length of one message.
-func New(driver *eventloop.Driver, maxSessions, maxHeldBytes, maxMessageBytes int) *Frontend {
+// New returns a Frontend without sessions. maxSessions limits the number of sessions, account the memory that clients and members make the
+// router hold, and maxMessageBytes the length of one message.
+func New(driver *eventloop.Driver, maxSessions int, account *memory.Account, maxMessageBytes int) *Frontend {
 	return &Frontend{
 		driver:          driver,
 		maxSessions:     maxSessions,
-		maxHeldBytes:    maxHeldBytes,
+		memory:          account,
 		maxMessageBytes: maxMessageBytes,
 		sessions:        map[*session]bool{},
 		sweepIndex:      sweepIndex{active: map[*session]bool{}},
@@ -71,6 +74,18 @@
 	}
 }
 
+// OnMemoryScarce sets a function that is called when memory has become scarce, so that input is refused, and when it is no longer.
+func (f *Frontend) OnMemoryScarce(report func(scarce bool)) { f.onScarce = report }
+
+// reportMemory reports a change since the last call.
+func (f *Frontend) reportMemory() {
+	scarce := !f.memory.Allows(memory.InputAhead, 0)
+	if scarce != f.scarce && f.onScarce != nil {
+		f.onScarce(scarce)
+	}
+	f.scarce = scarce
+}
+
 // Accept creates a session for an accepted connection. If the session limit is reached, and no other session can be evicted, the client
 // is rejected.
 func (f *Frontend) Accept(conn *eventloop.Conn) {
@@ -110,9 +125,3 @@
 	}
 	return len(f.sessions), busy
 }
-
-// overBudget reports whether all sessions together exceed overBudgetFactor times maxHeldBytes, and a session that holds sessionBytes also
-// exceeds its share, maxHeldBytes/maxSessions. The share keeps a session with large statements from causing the end of others' sessions.
-func (f *Frontend) overBudget(sessionBytes int) bool {
-	return f.heldBytes > overBudgetFactor*f.maxHeldBytes && sessionBytes > f.maxHeldBytes/f.maxSessions
-}
--- a/internal/frontend/pooled.go
+++ b/internal/frontend/pooled.go
@@ -1,8 +1,11 @@
 package frontend
 
 import (
+	"unsafe"
+
 	iradix "github.com/hashicorp/go-immutable-radix/v2"
 
+	"wayloft/internal/decide/memory"
 	decide "wayloft/internal/decide/session"
 	"wayloft/internal/pg"
 	"wayloft/internal/request"
@@ -26,6 +29,20 @@
 	pooledEnded
 )
 
+// queuedMessage is a message that a pooled session has received behind a unit whose response must be awaited.
+type queuedMessage struct {
+	pg.Message
+	arrived float64 // ms on the loop's clock, when its last byte arrived: the time in the queue counts against the request's deadline
+}
+
+// queuedMessageBytes is what a queued message takes beside its content, in a queue that grows by doubling.
+const queuedMessageBytes = 2 * int(unsafe.Sizeof(queuedMessage{}))
+
+// cost returns the memory that a queued message takes.
+func (m *queuedMessage) cost() int {
+	return queuedMessageBytes + cap(m.Raw) + len(m.Text) + len(m.Name) + len(m.Portal)
+}
+
 // pooledSession is a session in transaction pooling mode: its requests are transactions. The client's messages are handled in order, up to
 // one whose response must be awaited. The state transitions:
 //
@@ -63,6 +80,7 @@
 	pendingError *pg.Error           // why a transaction ended while its client was not waiting for a response
 
 	unitMessages  []decide.Message // messages of the unit that is still incomplete
+	unitRejected  bool             // one of unitMessages is rejected: what follows it in the unit is skipped
 	queue         []queuedMessage  // messages received behind a unit whose response must be awaited
 	queuedBytes   int              // size of unitMessages and queue
 	turnQueued    bool             // a turn of the event loop is queued that handles further messages of queue
@@ -98,13 +116,15 @@
 	now := p.session.frontend.driver.Now()
 	switch {
 	case p.state == pooledEnded:
+	case m.Discarded && (p.copying || p.request != nil): // the transaction can't go on without it
+		p.session.closeInput(errOverBudget)
 	case p.forwardsCopy(m.Kind) && len(p.queue) == 0: // CopyDone must not overtake queued data
 		p.forwardCopy(m)
-	case p.state == unitAwaitingReady || len(p.queue) > 0 || p.session.conn.Unsent() >= maxUnreadBytes:
+	case p.state == unitAwaitingReady || len(p.queue) > 0 || !p.session.readsResponses():
 		m.Raw = append([]byte(nil), m.Raw...)
 		m.Tail = m.Raw[len(m.Raw)-len(m.Tail):]
 		p.queue = append(p.queue, queuedMessage{Message: m, arrived: now})
-		p.addQueuedBytes(len(m.Raw))
+		p.addQueuedBytes(p.queue[len(p.queue)-1].cost())
 	default:
 		p.handle(m, now)
 	}
@@ -120,16 +140,27 @@
 }
 
 func (p *pooledSession) forwardCopy(m pg.Message) {
+	if p.session.conn.PeerClosed() {
+		p.session.drop()
+		return
+	}
 	p.request.Stream.Send(p.decisions.Extended(m))
 }
 
-// addQueuedBytes counts pipelined bytes, and ends a session that pipelines too much.
+// queueFull reports whether no further message is read until some of the queue are handled. What a client sends ahead beyond that stays in
+// the operating system.
+func (p *pooledSession) queueFull() bool {
+	if len(p.queue) == 0 {
+		return false
+	}
+	scarce := !p.session.frontend.memory.Allows(memory.InputAhead, 0)
+	return scarce || len(p.queue) >= maxMessagesPerTurn || p.queuedBytes >= maxUnreadBytes
+}
+
+// addQueuedBytes counts the memory of queue and unitMessages.
 func (p *pooledSession) addQueuedBytes(n int) {
 	p.queuedBytes += n
 	p.session.addHeldBytes(n)
-	if p.queuedBytes > p.session.frontend.maxMessageBytes || p.session.frontend.overBudget(p.queuedBytes) {
-		p.session.closeInput(errTooMuchPipelined)
-	}
 }
 
 func (p *pooledSession) releaseQueuedBytes() {
@@ -153,6 +184,7 @@
 		p.queue = nil
 	}
 	s := p.session
+	s.resumeInput()
 	if p.state == pooledEnded || s.state >= sessionEnding {
 		return
 	}
@@ -184,14 +216,14 @@
 	if p.state == unitAwaitingReady && !p.forwardsCopy(p.queue[0].Kind) {
 		return false
 	}
-	return p.session.conn.Unsent() < maxUnreadBytes
+	return p.session.readsResponses()
 }
 
 func (p *pooledSession) handleNext() {
 	first := p.queue[0]
+	p.queue[0] = queuedMessage{}
 	p.queue = p.queue[1:]
-	p.queuedBytes -= len(first.Raw)
-	p.session.addHeldBytes(-len(first.Raw))
+	p.addQueuedBytes(-first.cost())
 	if p.state == unitAwaitingReady {
 		p.forwardCopy(first.Message)
 	} else {
--- a/internal/frontend/pooledrequest.go
+++ b/internal/frontend/pooledrequest.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"strconv"
 
+	"wayloft/internal/decide/memory"
 	decide "wayloft/internal/decide/session"
 	"wayloft/internal/eventloop"
 	"wayloft/internal/pg"
@@ -19,13 +20,19 @@
 func (p *pooledSession) startRequest(messages []decide.Message, arrived float64) {
 	f := p.session.frontend
 	p.addInFlightBytes(messages)
-	if f.heldBytes > f.maxHeldBytes {
+	if !f.memory.Allows(memory.Request, 0) {
 		f.RejectedRequests++
 		p.decisions.ConnectionLost(false)
 		p.failUnit(errOverBudget)
 		return
 	}
-	req := request.New(p.statement(), arrived, p.deliver)
+	statement := p.statement()
+	generatedID := statement.ID == ""
+	if generatedID {
+		statement.ID = f.nextID()
+	}
+	req := request.New(statement, arrived, p.deliver)
+	req.GeneratedID = generatedID
 	req.ClientClosed = p.session.conn.PeerClosed
 	f.limitWait(req)
 	req.Stream = &request.Stream{Pool: p.pool.Name, Client: p, Reserved: p.reserved}
@@ -39,7 +46,8 @@
 	}
 }
 
-// statement returns the attributes of the new request: from its statement comment, else from the session's settings, else from its pool.
+// statement returns the attributes of the new request: from its statement comment, else from the session's settings, else from its pool. The
+// ID is empty if the client gave none.
 func (p *pooledSession) statement() *pg.Statement {
 	f := p.session.frontend
 	attributes := p.decisions.RequestAttributes()
@@ -50,7 +58,6 @@
 		p.decisions.LastCommitPosition = 0
 	}
 	statement := &pg.Statement{
-		ID:           f.nextID(),
 		RequestClass: attributes.RequestClass,
 		Tenant:       attributes.Tenant,
 		TimeoutMs:    noWaitLimitMs,
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 
+	"wayloft/internal/decide/memory"
 	"wayloft/internal/eventloop"
 	"wayloft/internal/failpoint"
 	"wayloft/internal/pg"
@@ -53,10 +54,11 @@
 
 	encryptionRequests int // number of requests for encryption received
 
-	inputQueued bool // a turn of the event loop is queued that handles further messages
+	inputQueued  bool // a turn of the event loop is queued that handles further messages
+	inputBlocked bool // no further messages are handled until the pooled session's queue has room
 
 	// Fields of statement-comment mode. While request or penalized is set, no queued message is handled; both are never set together.
-	queue             []queuedMessage
+	queue             []queuedStatement
 	request           *request.Request // the request in progress
 	statementBytes    int              // size of request's statement
 	penalized         bool             // pausing after a client error
@@ -71,23 +73,60 @@
 	writtenAtSweep int64   // bytes written to the connection as of the last sweep
 	timers         sweepTimers
 
-	heldBytes    int // size of queued and in-flight messages, including partialBytes
-	partialBytes int // size of the part received of an incomplete message
+	heldBytes   int // memory held, of queued and in-flight messages and readerBytes
+	readerBytes int // memory of the reader
+	unreadBytes int // responses that the client has not read
 }
 
-// queuedMessage is a message that is queued to be handled, or an error that is queued to be written.
-type queuedMessage struct {
-	pg.Message
+// queuedStatement is a message in statement-comment mode that is queued to be handled, or an error that is queued to be written.
+type queuedStatement struct {
+	kind        pg.Kind
+	text        string    // of a query
 	arrived     float64   // ms on the loop's clock, when its last byte arrived: the time in the queue counts against the request's deadline
-	response    *pg.Error // the error to be written; nil: Message is to be handled
+	response    *pg.Error // the error to be written; nil: the message is to be handled
 	repeats     int       // number of further messages that get the same response
 	endsSession bool      // the session ends after response is written
 }
 
 // addHeldBytes adds n to the bytes that the session holds; n is negative for released bytes.
 func (s *session) addHeldBytes(n int) {
+	if s.state == sessionClosed { // all has been released
+		return
+	}
 	s.heldBytes += n
-	s.frontend.heldBytes += n
+	s.frontend.memory.Change(n)
+}
+
+// updateReaderBytes records the memory that the reader holds.
+func (s *session) updateReaderBytes() {
+	s.addHeldBytes(s.reader.Cap() - s.readerBytes)
+	s.readerBytes = s.reader.Cap()
+}
+
+// updateUnreadBytes records what the client has left unread of the responses written to it.
+func (s *session) updateUnreadBytes() {
+	if s.state < sessionEnding {
+		s.changeUnreadBytes(int(s.conn.Unsent()) - s.unreadBytes)
+	}
+}
+
+func (s *session) changeUnreadBytes(delta int) {
+	s.unreadBytes += delta
+	s.frontend.memory.ChangeUnread(delta)
+}
+
+// readsResponses reports whether the client reads its responses fast enough for a further one. While memory is scarce, it has to read all of
+// them first.
+func (s *session) readsResponses() bool {
+	unread := s.conn.Unsent()
+	return unread == 0 || unread < maxUnreadBytes && s.frontend.memory.Allows(memory.InputAhead, 0)
+}
+
+// write sends a response. If there is no memory for what clients leave unread, it ends the sessions that leave most.
+func (s *session) write(b []byte) {
+	s.conn.Write(b)
+	s.updateUnreadBytes()
+	s.frontend.endSlowReaders()
 }
 
 // noResponsePending reports whether all complete messages have got their responses. A pooled session must also be idle.
@@ -125,8 +164,30 @@
 	if s.sentQuery && (s.reader.Buffered() == 0 || s.pooled != nil) {
 		s.restartInputTimeout()
 	}
-	s.reader.Feed(data)
+	s.feed(data)
 	s.handleInput()
+	s.updateReaderBytes()
+}
+
+// feed passes bytes to the reader. If there is no memory for the rest of a message, it is discarded as it arrives, and the complete message
+// is rejected; of a startup message, the session ends.
+func (s *session) feed(data []byte) {
+	growth := s.reader.Growth(len(data))
+	small := s.reader.Cap()+growth <= memory.FreeBytes
+	if growth > 0 && !small && !s.frontend.memory.Allows(memory.InputAhead, growth) && !s.reader.DiscardMessage() && s.reader.Buffered() > 0 {
+		s.closeInput(errOverBudget)
+		s.processQueue()
+		return
+	}
+	s.reader.Feed(data)
+	s.updateReaderBytes()
+}
+
+// Drained starts a request that waited until all that the client has sent was read.
+func (s *session) Drained() {
+	if s.state == sessionOpen && len(s.queue) > 0 {
+		s.processQueue()
+	}
 }
 
 // handleInput handles the messages received so far, a bounded number in each turn of the event loop. Until it has handled all, no more input is read.
@@ -135,6 +196,11 @@
 		return
 	}
 	for range maxMessagesPerTurn {
+		if s.pooled != nil && s.pooled.queueFull() {
+			s.conn.PauseReading()
+			s.inputBlocked = true
+			return
+		}
 		if s.state != sessionOpen || !s.receiveNext() {
 			s.conn.ResumeReading()
 			return
@@ -146,9 +212,19 @@
 	s.frontend.driver.NextTurn(func() {
 		s.inputQueued = false
 		s.handleInput()
+		s.updateReaderBytes()
 	})
 }
 
+// resumeInput handles further messages, if that was given up because the queue was full.
+func (s *session) resumeInput() {
+	if s.inputBlocked && !s.pooled.queueFull() {
+		s.inputBlocked = false
+		s.handleInput()
+		s.updateReaderBytes()
+	}
+}
+
 // receiveNext handles the next message in the reader. It reports whether the queue may hold new work.
 func (s *session) receiveNext() bool {
 	message, complete, err := s.reader.Next()
@@ -162,12 +238,7 @@
 			s.restartInputTimeout()
 		}
 	default:
-		s.addHeldBytes(s.reader.Buffered() - s.partialBytes)
-		s.partialBytes = s.reader.Buffered()
-		if s.partialBytes == 0 || !s.frontend.overBudget(s.heldBytes) {
-			return false
-		}
-		s.closeInput(errOverBudget)
+		return false
 	}
 	return true
 }
@@ -179,7 +250,7 @@
 // closeInput stops reading input. The session ends with this error, after the responses to the messages already received.
 func (s *session) closeInput(e *pg.Error) {
 	s.state = max(s.state, sessionInputClosed)
-	s.queue = append(s.queue, queuedMessage{response: e, endsSession: true})
+	s.queue = append(s.queue, queuedStatement{response: e, endsSession: true})
 }
 
 // receive handles one complete message of the client.
@@ -198,7 +269,7 @@
 	case m.Kind == pg.Startup && s.frontend.pooling != nil && !s.frontend.pooling.usesStatementMode(m.Startup):
 		s.startPooled(m)
 	case m.Kind == pg.Startup:
-		s.conn.Write(pg.AppendStartupResponse(nil, m.MinorVersion))
+		s.write(pg.AppendStartupResponse(nil, m.MinorVersion))
 	default:
 		s.enqueue(m)
 	}
@@ -211,7 +282,7 @@
 		s.closeInput(errEncryptionRequests)
 		return
 	}
-	s.conn.Write([]byte{tlsNotSupported})
+	s.write([]byte{tlsNotSupported})
 }
 
 // processQueue handles the queued messages that can be handled now.
@@ -273,6 +344,8 @@
 	if s.state == sessionEnding {
 		s.frontend.endingSessions--
 	}
+	s.addHeldBytes(-s.heldBytes)
+	s.changeUnreadBytes(-s.unreadBytes)
 	s.state, s.queue = sessionClosed, nil
 	if s.pooled != nil {
 		s.pooled.end()
@@ -281,7 +354,6 @@
 		s.frontend.driver.ClientGone(s.request)
 		s.request = nil
 	}
-	s.frontend.heldBytes -= s.heldBytes
 	delete(s.frontend.sessions, s)
 	s.frontend.sweepIndex.remove(s)
 	<-s.frontend.acceptSlots
--- a/internal/frontend/startup.go
+++ b/internal/frontend/startup.go
@@ -51,7 +51,7 @@
 	s.reader.EnableExtended()
 	p.cancelKey = s.frontend.newCancelKey()
 	s.frontend.cancelKeys[p.cancelKey] = p
-	s.conn.Write(p.greeting(settings, m.MinorVersion))
+	s.write(p.greeting(settings, m.MinorVersion))
 }
 
 // greeting returns the response to the startup message.
--- a/internal/frontend/statementmode.go
+++ b/internal/frontend/statementmode.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"strings"
+	"unsafe"
 
+	"wayloft/internal/decide/memory"
 	"wayloft/internal/pg"
 	"wayloft/internal/request"
 )
@@ -23,25 +25,35 @@
 func (s *session) enqueue(m pg.Message) {
 	f := s.frontend
 	full := len(s.queue) >= maxPipelined
+	use := memory.Request
+	if s.request != nil || len(s.queue) > 0 {
+		use = memory.InputAhead
+	}
 	switch {
-	case m.Kind == pg.Query && (full || f.heldBytes+len(m.Text) > f.maxHeldBytes):
+	case m.Kind == pg.Query && (full || m.Discarded || !f.memory.Allows(use, statementBytes(m.Text))):
 		s.rejectExcess()
 	case full:
 		s.closeInput(errTooMuchPipelined)
 	default:
 		s.sentQuery = s.sentQuery || m.Kind == pg.Query
-		s.addHeldBytes(len(m.Text))
-		s.queue = append(s.queue, queuedMessage{Message: m, arrived: f.driver.Now()})
+		s.addHeldBytes(statementBytes(m.Text))
+		s.queue = append(s.queue, queuedStatement{kind: m.Kind, text: m.Text, arrived: f.driver.Now()})
 	}
 }
 
+// queuedStatementBytes is what a queued statement takes beside its text, in a queue that grows by doubling.
+const queuedStatementBytes = 2 * int(unsafe.Sizeof(queuedStatement{}))
+
+// statementBytes returns the memory that a queued or running statement takes.
+func statementBytes(text string) int { return queuedStatementBytes + len(text) }
+
 // rejectExcess queues the rejection of one more query: the client expects a response to each query that it has sent.
 func (s *session) rejectExcess() {
 	s.frontend.RejectedRequests++
 	last := len(s.queue) - 1
 	switch {
 	case last < 0 || s.queue[last].response != errOverBudget:
-		s.queue = append(s.queue, queuedMessage{response: errOverBudget})
+		s.queue = append(s.queue, queuedStatement{response: errOverBudget})
 	case s.queue[last].repeats < maxExcessPipelined:
 		s.queue[last].repeats++
 	default:
@@ -73,56 +85,71 @@
 	if s.request != nil || s.penalized || s.state >= sessionEnding || len(s.queue) == 0 {
 		return false
 	}
-	return s.handledSinceSweep < maxPipelined && s.conn.Unsent() < maxUnreadBytes
+	if s.state == sessionOpen && !s.inputDrained() && s.queue[0].startsRequest() { // the client may have left behind what it has sent
+		return false
+	}
+	return s.handledSinceSweep < maxPipelined && s.readsResponses()
 }
 
+// inputDrained reports whether all that the client has sent so far has been handled.
+func (s *session) inputDrained() bool { return s.conn.InputDrained() && !s.inputQueued }
+
 // dequeue removes the first message from the queue and returns it.
-func (s *session) dequeue() queuedMessage {
+func (s *session) dequeue() queuedStatement {
 	first := s.queue[0]
 	if first.repeats > 0 {
 		s.queue[0].repeats--
 	} else {
-		s.queue = s.queue[1:]
+		s.queue[0] = queuedStatement{}
+		if s.queue = s.queue[1:]; len(s.queue) == 0 {
+			s.queue = nil
+		}
+	}
+	if first.response == nil {
+		s.addHeldBytes(-statementBytes(first.text))
 	}
 	return first
 }
 
 // respond writes the response to a message, or starts a request for it.
-func (s *session) respond(m queuedMessage) {
+func (s *session) respond(m queuedStatement) {
 	switch {
 	case m.endsSession:
 		s.frontend.ProtocolErrors++
 		s.finishWithError(m.response)
-	case m.Kind == pg.Sync:
+	case m.kind == pg.Sync:
 		s.skippingToSync = false
-		s.conn.Write(pg.AppendReadyIdle(nil))
+		s.write(pg.AppendReadyIdle(nil))
 	case s.skippingToSync && m.response == nil:
-		s.addHeldBytes(-len(m.Text))
 	case m.response != nil:
 		s.writeError(m.response)
-	case m.Kind == pg.Terminate:
+	case m.kind == pg.Terminate:
 		s.finish()
-	case m.Kind == pg.ExtendedQuery:
+	case m.kind == pg.ExtendedQuery:
 		s.skippingToSync = true
 		s.frontend.ProtocolErrors++
-		s.conn.Write(pg.AppendError(nil, errSimpleQueriesOnly, false))
-	case m.Kind == pg.FunctionCall:
+		s.write(pg.AppendError(nil, errSimpleQueriesOnly, false))
+	case m.kind == pg.FunctionCall:
 		s.writeError(errSimpleQueriesOnly)
-	case isEmptyQuery(m.Text):
-		s.addHeldBytes(-len(m.Text))
-		s.conn.Write(pg.AppendReadyIdle(pg.AppendEmptyQuery(nil)))
+	case isEmptyQuery(m.text):
+		s.write(pg.AppendReadyIdle(pg.AppendEmptyQuery(nil)))
 	default:
-		s.startRequest(m.Text, m.arrived)
+		s.startRequest(m.text, m.arrived)
 	}
 }
 
+// startsRequest reports whether handling the statement sends it to a member.
+func (m *queuedStatement) startsRequest() bool {
+	return m.response == nil && m.kind == pg.Query && !isEmptyQuery(m.text)
+}
+
 func isEmptyQuery(sql string) bool {
 	return strings.TrimSpace(strings.TrimRight(sql, "; \t\r\n")) == ""
 }
 
 // writeError sends an error as the response to one query.
 func (s *session) writeError(e *pg.Error) {
-	s.conn.Write(pg.AppendReadyIdle(pg.AppendError(nil, e, false)))
+	s.write(pg.AppendReadyIdle(pg.AppendError(nil, e, false)))
 }
 
 // writeErrorAndPause sends a client error as the response to a query, and stops handling messages for errorPenaltyMs.
@@ -143,10 +170,10 @@
 func (s *session) startRequest(text string, arrived float64) {
 	req, err := s.submit(text, arrived)
 	if err == nil {
-		s.request, s.statementBytes = req, len(text)
+		s.request, s.statementBytes = req, statementBytes(text)
+		s.addHeldBytes(s.statementBytes)
 		return
 	}
-	s.addHeldBytes(-len(text))
 	var statementError *pg.Error
 	if !errors.As(err, &statementError) {
 		statementError = arrivalError(err)
@@ -159,7 +186,7 @@
 	if err != nil {
 		return nil, err
 	}
-	req := request.New(statement, arrived, func(response request.Response) { s.deliver(response, len(text)) })
+	req := request.New(statement, arrived, func(response request.Response) { s.deliver(response, statementBytes(text)) })
 	req.ClientClosed = s.conn.PeerClosed
 	s.frontend.limitWait(req)
 	return req, s.frontend.driver.Arrive(req)
@@ -172,7 +199,7 @@
 	s.addHeldBytes(-statementBytes)
 	switch {
 	case response.Rows != nil:
-		s.conn.Write(pg.AppendReadyIdle(response.Rows))
+		s.write(pg.AppendReadyIdle(response.Rows))
 	case response.Rejected:
 		s.writeError(rejectedError(response.RetryAfter))
 	case response.StatementError != nil:
--- a/internal/frontend/sweep.go
+++ b/internal/frontend/sweep.go
@@ -40,6 +40,7 @@
 		f.sweepIndex.deactivateIfIdle(s)
 	}
 	f.endLongestIdle(now, f.maxSessions/idleShareDivisor)
+	f.reportMemory()
 	if f.drainPhase == drainEndingSessions {
 		f.endIdleSessions()
 	}
@@ -50,6 +51,7 @@
 	if s.pooled != nil || len(s.queue) > 0 {
 		s.processQueue()
 	}
+	s.updateUnreadBytes()
 	if written := s.conn.Written(); s.conn.Unsent() == 0 || written != s.writtenAtSweep {
 		s.writtenAtSweep, s.readProgressAt = written, now
 	}
--- a/internal/frontend/unit.go
+++ b/internal/frontend/unit.go
@@ -1,10 +1,18 @@
 package frontend
 
 import (
+	"wayloft/internal/decide/memory"
 	decide "wayloft/internal/decide/session"
 	"wayloft/internal/pg"
 )
 
+const (
+	// unitMessageBytes is what a message of a unit takes beside its content, with what the session's decisions keep of it.
+	unitMessageBytes = 256
+	// maxUnitFactor times the longest message is how much memory a unit may take.
+	maxUnitFactor = 2
+)
+
 // handle handles a message. arrived is its arrival time. It must not be called while a complete unit is at a member.
 func (p *pooledSession) handle(m pg.Message, arrived float64) {
 	switch {
@@ -14,6 +22,8 @@
 	case m.Kind == pg.Sync && p.discarding():
 		p.endDiscarding(arrived)
 	case p.discarding() || isCopy(m.Kind):
+	case m.Discarded:
+		p.refuseUnit(m.Kind == pg.Query)
 	case m.Kind == pg.Query:
 		p.handleQuery(m, arrived)
 	case m.Kind == pg.FunctionCall:
@@ -41,7 +51,7 @@
 	}
 	reply, messages := p.decisions.Query(m.Text, append([]byte(nil), m.Raw...), p.request != nil)
 	if reply != nil {
-		p.session.conn.Write(reply)
+		p.session.write(reply)
 		return
 	}
 	p.dispatch(messages, unitAwaitingReady, arrived)
@@ -49,16 +59,24 @@
 
 // handleExtended collects the messages of an extended query, and dispatches them at a Sync or Flush.
 func (p *pooledSession) handleExtended(m pg.Message, arrived float64) {
-	p.unitMessages = append(p.unitMessages, p.decisions.Extended(m)...)
-	p.addQueuedBytes(len(m.Raw))
-	if p.session.state != sessionOpen {
+	endsPart := m.Kind == pg.Sync || m.Kind == pg.Flush
+	if p.unitRejected && !endsPart { // skipped, as the member would
+		return
+	}
+	messages := p.decisions.Extended(m)
+	p.unitMessages = append(p.unitMessages, messages...)
+	for _, message := range messages {
+		p.unitRejected = p.unitRejected || message.Action == decide.Reject
+	}
+	p.addQueuedBytes(unitMessageBytes + len(m.Raw))
+	if p.unitTooLarge() {
 		return
 	}
-	if m.Kind != pg.Sync && m.Kind != pg.Flush {
+	if !endsPart {
 		return
 	}
 	unit := p.unitMessages
-	p.unitMessages = nil
+	p.unitMessages, p.unitRejected = nil, false
 	p.releaseQueuedBytes()
 	if m.Kind == pg.Sync {
 		p.dispatch(unit, unitAwaitingReady, arrived)
@@ -67,9 +85,44 @@
 	}
 }
 
+// unitTooLarge refuses the incomplete unit if it takes too much memory. It reports whether it did.
+func (p *pooledSession) unitTooLarge() bool {
+	f := p.session.frontend
+	switch {
+	case p.queuedBytes > maxUnitFactor*f.maxMessageBytes:
+		p.session.closeInput(errTooMuchPipelined)
+	case p.queuedBytes > memory.FreeBytes && !f.memory.Allows(memory.InputAhead, 0) && p.request != nil:
+		p.session.closeInput(errOverBudget) // the transaction can't go on without it
+	case p.queuedBytes > memory.FreeBytes && !f.memory.Allows(memory.InputAhead, 0):
+		p.refuseUnit(false)
+	default:
+		return false
+	}
+	return true
+}
+
+// refuseUnit answers a unit for which there is no memory, and drops it. complete reports whether its last message has been received; the
+// rest is discarded otherwise.
+func (p *pooledSession) refuseUnit(complete bool) {
+	p.session.frontend.RejectedRequests++
+	p.unitMessages, p.unitRejected = nil, false
+	p.releaseQueuedBytes()
+	p.decisions.ConnectionLost(false)
+	if complete {
+		p.writeErrorAndReady(errOverBudget)
+		return
+	}
+	p.state = unitDiscarding
+	p.session.write(pg.AppendError(nil, errOverBudget, false))
+}
+
 // dispatch sends a unit, or a part of one, to the member, unless the router can respond to it by itself. arrived is when its last byte
 // arrived. next is the state while it is at the member: unitAwaitingReady, or unitFlushed for a part.
 func (p *pooledSession) dispatch(messages []decide.Message, next pooledState, arrived float64) {
+	if p.request != nil && p.session.conn.PeerClosed() { // nothing of a client that has left goes on to a member
+		p.session.drop()
+		return
+	}
 	if p.request != nil {
 		p.state = next
 		p.addInFlightBytes(messages)
@@ -77,7 +130,7 @@
 		return
 	}
 	if reply, local := p.decisions.LocalReply(messages); local {
-		p.session.conn.Write(reply)
+		p.session.write(reply)
 		return
 	}
 	if p.deliverPendingError() {
@@ -90,7 +143,7 @@
 		return
 	}
 	if p.decisions.TransactionStatus() == decide.StatusFailed {
-		p.session.conn.Write(p.decisions.FailedTransactionReply(messages))
+		p.session.write(p.decisions.FailedTransactionReply(messages))
 		return
 	}
 	p.state = next
@@ -102,7 +155,7 @@
 func (p *pooledSession) addInFlightBytes(messages []decide.Message) {
 	n := 0
 	for _, message := range messages {
-		n += len(message.Raw)
+		n += unitMessageBytes + len(message.Raw)
 	}
 	p.inFlightBytes += n
 	p.session.addHeldBytes(n)
@@ -129,7 +182,7 @@
 		p.writeErrorAndReady(e)
 	case unitFlushed, unitFlushedFailed:
 		p.state = unitFlushedFailed
-		p.session.conn.Write(pg.AppendError(nil, e, false))
+		p.session.write(pg.AppendError(nil, e, false))
 	default:
 		p.pendingError = e
 	}
@@ -142,15 +195,15 @@
 	if p.pendingError == nil || p.request != nil {
 		return false
 	}
-	p.session.conn.Write(pg.AppendError(nil, p.pendingError, false))
+	p.session.write(pg.AppendError(nil, p.pendingError, false))
 	p.pendingError = nil
 	return true
 }
 
 func (p *pooledSession) writeReady() {
-	p.session.conn.Write(pg.AppendReadyForQuery(nil, p.decisions.TransactionStatus()))
+	p.session.write(pg.AppendReadyForQuery(nil, p.decisions.TransactionStatus()))
 }
 
 func (p *pooledSession) writeErrorAndReady(e *pg.Error) {
-	p.session.conn.Write(pg.AppendReadyForQuery(pg.AppendError(nil, e, false), p.decisions.TransactionStatus()))
+	p.session.write(pg.AppendReadyForQuery(pg.AppendError(nil, e, false), p.decisions.TransactionStatus()))
 }
--- a/internal/lab/hostile/hostile_test.go
+++ b/internal/lab/hostile/hostile_test.go
@@ -107,5 +107,8 @@
 	play(t, "startup, short fields", "logins, short fields", "comment, short fields")
 }
 
+// Guards against requests that are sent on after their client has closed its connection, and ids that run twice when they come again.
+func TestLeavers(t *testing.T) { play(t, "leaves, much unread", "same id again") }
+
 // Guards against responses that clients don't read.
 func TestCrowd_UnreadResponses(t *testing.T) { play(t, "never read") }
--- a/internal/lab/hostile/process.go
+++ b/internal/lab/hostile/process.go
@@ -106,6 +106,7 @@
 	}
 	command := exec.Command(run.Program, "serve", "--config", configPath)
 	command.Stdout, command.Stderr = log, log
+	command.Env = append(os.Environ(), "GOMAXPROCS=1") // a router has one core
 	if err := command.Start(); err != nil {
 		return err
 	}
--- a/internal/pg/decode_client.go
+++ b/internal/pg/decode_client.go
@@ -1,9 +1,15 @@
 package pg
 
-import "encoding/binary"
+import (
+	"bytes"
+	"encoding/binary"
+)
 
 const startupPlace = "startup message"
 
+// maxStartupParameters limits the parameters of a startup message. Each costs far more than the few bytes that it may have.
+const maxStartupParameters = 128
+
 // decodeStartup decodes the first message on a client connection: a StartupMessage, CancelRequest or request for encryption.
 func decodeStartup(body []byte) (Message, error) {
 	if len(body) < 4 {
@@ -22,6 +28,9 @@
 	if len(parameters) == 0 || parameters[len(parameters)-1] != 0 {
 		return Message{}, newDecodeError(startupPlace, ProtocolViolation, "startup message without its end")
 	}
+	if fields := bytes.Count(parameters, []byte{0}); fields > 2*maxStartupParameters {
+		return Message{}, newDecodeError(startupPlace, ProgramLimitExceeded, "startup message with more than %d parameters", maxStartupParameters)
+	}
 	return Message{Kind: Startup, MinorVersion: int(minor), Startup: decodeStartupParameters(parameters)}, nil
 }
 
--- a/internal/pg/message.go
+++ b/internal/pg/message.go
@@ -71,6 +71,7 @@
 	FirstColumn  []byte    // DataRow: the value of the first column, or nil for NULL
 	Raw          []byte    // the encoded message: RowDescription, DataRow, CommandComplete, and all messages after EnableExtended
 	Error        *Error    // ErrorResponse
+	Discarded    bool      // the content was dropped for want of memory; only Kind is set
 }
 
 // CancelKey identifies a session in a CancelRequest.
--- a/internal/pg/reader_test.go
+++ b/internal/pg/reader_test.go
@@ -69,6 +69,7 @@
 	{"cancel request", false, "\x00\x00\x00\x10\x04\xd2\x16\x2e12345678", "CancelRequest"},
 	{"unknown version", false, "\x00\x00\x00\x08\x00\x02\x00\x00", "error 0A000"},
 	{"startup without terminator", false, "\x00\x00\x00\x0c\x00\x03\x00\x00user", "error 08P01"},
+	{"startup with too many parameters", false, "\x00\x00\x02\x11\x00\x03\x00\x00" + strings.Repeat("a\x00b\x00", 130) + "\x00", "error 54000"},
 	{"length too small", false, "\x00\x00\x00\x03", "error 08P01"},
 	{"length too large", false, "\x7f\x00\x00\x00", "error 54000"},
 	{"unknown type", false, string(AppendStartup(nil, "a", "b")) + "?\x00\x00\x00\x04", "Startup; error 08P01"},
@@ -253,3 +254,61 @@
 		t.Fatalf("messages of %d bytes in an input of %d bytes", size, len(b))
 	}
 }
+
+// A message that is discarded for want of memory is returned without its content, once it is complete, and what follows it is decoded, for
+// any split of the bytes. Meanwhile the buffer holds nothing of it.
+func TestReader_DiscardMessage(t *testing.T) {
+	large, next := string(AppendQuery(nil, strings.Repeat("x", 3000))), string(AppendQuery(nil, "next"))
+	for split := headerSize; split < len(large); split += 97 {
+		r := NewReader(false, 1<<12)
+		r.Feed(AppendStartup(nil, "a", "b"))
+		readAll(r)
+		r.Feed([]byte(large[:split]))
+		readAll(r)
+		if !r.DiscardMessage() {
+			t.Fatalf("split at %d: not discarded", split)
+		}
+		if r.Cap() != 0 || r.Buffered() == 0 {
+			t.Fatalf("split at %d: capacity %d, buffered %d", split, r.Cap(), r.Buffered())
+		}
+		if growth := r.Growth(len(large) - split); growth != 0 {
+			t.Fatalf("split at %d: the buffer would grow by %d for the rest", split, growth)
+		}
+		last := len(large) - 1
+		r.Feed([]byte(large[split:last]))
+		if _, ok, err := r.Next(); ok || err != nil {
+			t.Fatalf("split at %d: a message before its last byte, %v", split, err)
+		}
+		r.Feed([]byte(large[last:] + next))
+		m, ok, err := r.Next()
+		if !ok || err != nil || m.Kind != Query || !m.Discarded || m.Text != "" {
+			t.Fatalf("split at %d: %+v, %v, %v", split, m, ok, err)
+		}
+		if got := readAll(r); got != "Query next" {
+			t.Fatalf("split at %d: then %q", split, got)
+		}
+	}
+}
+
+// The buffer of an incomplete message never takes more than twice what has arrived of it, nor more than the message.
+func TestReader_BufferGrowth(t *testing.T) {
+	const chunk = 100
+	large := AppendQuery(nil, strings.Repeat("x", 3000))
+	r := NewReader(false, 1<<12)
+	r.Feed(AppendStartup(nil, "a", "b"))
+	readAll(r)
+	for fed := 0; fed < len(large); fed += chunk {
+		part := large[fed:min(fed+chunk, len(large))]
+		growth, before := r.Growth(len(part)), r.Cap()
+		r.Feed(part)
+		if r.Cap()-before != growth {
+			t.Fatalf("after %d bytes: grew by %d, announced %d", fed, r.Cap()-before, growth)
+		}
+		if limit := max(2*(fed+chunk), maxIdleBufferBytes); r.Cap() > min(limit, max(len(large), maxIdleBufferBytes)) {
+			t.Fatalf("after %d bytes: capacity %d", fed, r.Cap())
+		}
+	}
+	if got := readAll(r); !strings.HasPrefix(got, "Query xxx") || r.Cap() != 0 {
+		t.Fatalf("%.20q, capacity %d", got, r.Cap())
+	}
+}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -24,6 +24,8 @@
 	Deadline float64 // ms on the event loop's clock
 	Stream   *Stream // set for a request of several messages, otherwise nil
 
+	GeneratedID bool // the id is not the client's
+
 	// ClientClosed asks the operating system whether the client has closed its connection; nil: the system can't be asked.
 	ClientClosed func() bool
 
--- a/internal/server/config.go
+++ b/internal/server/config.go
@@ -26,6 +26,7 @@
 	path                    string // empty if it was not read from a file
 	seed                    uint64
 	memoryBytes             int
+	cores                   float64 // that the process may use; 0: as many as there are
 	maxDescriptors          int
 	maxSessions             int
 	maxConnections          int                     // to members
--- a/internal/server/config_json.go
+++ b/internal/server/config_json.go
@@ -75,6 +75,7 @@
 func (c *Config) decodeLimits(limits *settings.Fields) {
 	c.memoryBytes = int(limits.Number("memory_mb") * bytesPerMB)
 	c.maxDescriptors = int(limits.Number("sockets"))
+	c.cores = limits.OptionalNumber("cores")
 	if limits.Err == nil && c.maxDescriptors < minDescriptors {
 		limits.Fail("sockets", fmt.Sprintf("at least %d", minDescriptors))
 	}
--- a/internal/server/parts.go
+++ b/internal/server/parts.go
@@ -5,6 +5,7 @@
 
 	"wayloft/internal/backend"
 	"wayloft/internal/decide/connpool"
+	"wayloft/internal/decide/memory"
 	"wayloft/internal/decide/session"
 	"wayloft/internal/eventloop"
 	"wayloft/internal/frontend"
@@ -15,8 +16,7 @@
 // Fractions of the configured memory, as divisors.
 const (
 	messageDivisor        = 32 // one message from a client or a member
-	requestBudgetDivisor  = 6  // all requests together
-	responseBudgetDivisor = 6  // all responses together
+	responseBudgetDivisor = 6  // all responses together, at most
 )
 
 // maxMessageBytes returns the size of the longest message that a client or a member may send.
@@ -45,8 +45,8 @@
 }
 
 // newFrontend builds the frontend. knownParameters returns the server parameters that a pool's members have reported.
-func newFrontend(driver *eventloop.Driver, config *Config, knownParameters func(pool string) *iradix.Tree[string]) *frontend.Frontend {
-	f := frontend.New(driver, config.maxSessions, config.memoryBytes/requestBudgetDivisor, config.maxMessageBytes())
+func newFrontend(driver *eventloop.Driver, config *Config, account *memory.Account, knownParameters func(pool string) *iradix.Tree[string]) *frontend.Frontend {
+	f := frontend.New(driver, config.maxSessions, account, config.maxMessageBytes())
 	if config.pools == nil {
 		return f
 	}
@@ -77,12 +77,13 @@
 }
 
 // newBackend builds the backend with its connection pool.
-func newBackend(driver *eventloop.Driver, config *Config) *backend.Backend {
+func newBackend(driver *eventloop.Driver, config *Config, account *memory.Account) *backend.Backend {
 	options := backend.Options{
 		DialTimeoutMs:   config.runtime.DialTimeoutMs,
 		HealthReports:   config.runtime.HealthReports,
 		MaxResponse:     config.maxMessageBytes(),
-		ResponseBudget:  config.memoryBytes / responseBudgetDivisor,
+		ResponseBudget:  min(account.Limit(), config.memoryBytes/responseBudgetDivisor),
+		Memory:          account,
 		QueueStatements: config.queuesStatements(),
 		KeepRemoved:     config.Router.SoftRemoval,
 		MaxPrepared:     session.MaxPreparedPerConnection,
--- a/internal/server/processlimits.go
+++ b/internal/server/processlimits.go
@@ -3,25 +3,32 @@
 import (
 	"fmt"
 	"math"
+	"runtime"
 	"runtime/debug"
 	"syscall"
 
 	"github.com/sirupsen/logrus"
+
+	"wayloft/internal/decide/memory"
 )
 
 // reservedDescriptors is the number of descriptors kept for everything other than sessions and member connections, and for sessions and
 // connections that are still being opened.
 const reservedDescriptors = 64
 
-// heapTenths is the share of the configured memory that the Go runtime may use, in tenths; the rest is for memory that the kernel uses.
-const heapTenths = 7
-
-// ApplyProcessLimits checks the configuration against this process's descriptor limit and sets the runtime's memory limit.
+// ApplyProcessLimits checks the configuration against this process's descriptor limit, and sets the runtime's limits of memory and cores.
 func (c *Config) ApplyProcessLimits() error {
 	if err := checkDescriptorLimit(c, processDescriptorLimit()); err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(int64(c.memoryBytes) / 10 * heapTenths)
+	if c.memoryBytes < memory.LeastBytes {
+		return fmt.Errorf("%s: the memory limit of %d MiB is too small to serve: at least %d MiB", c.path, c.memoryBytes/bytesPerMB, memory.LeastBytes/bytesPerMB)
+	}
+	if cores := int(math.Ceil(c.cores)); cores > 0 {
+		runtime.GOMAXPROCS(min(cores, runtime.GOMAXPROCS(0)))
+	}
+	debug.SetGCPercent(memory.CollectionPercent)
+	debug.SetMemoryLimit(int64(memory.HeapLimit(c.memoryBytes)))
 	return nil
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"wayloft/internal/backend"
+	"wayloft/internal/decide/memory"
 	"wayloft/internal/discovery"
 	"wayloft/internal/eventloop"
 	"wayloft/internal/failpoint"
@@ -23,6 +24,7 @@
 type server struct {
 	config   *Config
 	driver   *eventloop.Driver
+	memory   *memory.Account // what clients and members make the process hold
 	frontend *frontend.Frontend
 	backend  *backend.Backend
 	watcher  *discovery.Watcher // nil: the members are those listed in the configuration
@@ -50,6 +52,7 @@
 	s.followList(ctx)
 	go s.handleSignals(ctx, signals)
 	s.driver.After(statusIntervalMs, s.logPeriodicStatus)
+	releaseProgramPages()
 	s.driver.Run()
 	if s.fleet != nil {
 		s.fleet.close()
@@ -65,8 +68,10 @@
 	s.startTimes = eventloop.NewStartTimes(loop)
 	module := router.New(config.Router, config.seed)
 	s.driver = eventloop.New(loop, module, config.Router.RequestClasses, s.requestList)
-	s.frontend = newFrontend(s.driver, config, s.knownParameters)
-	s.backend = newBackend(s.driver, config)
+	s.memory = memory.NewAccount(memory.PeersLimit(config.memoryBytes))
+	s.frontend = newFrontend(s.driver, config, s.memory, s.knownParameters)
+	s.frontend.OnMemoryScarce(s.logMemory)
+	s.backend = newBackend(s.driver, config, s.memory)
 	s.driver.SetBackend(s.backend)
 	s.driver.OnClockSettled(s.convertPendingStarts)
 	if config.Router.CanHealthCheck && config.runtime.HealthReports {
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -14,6 +14,20 @@
 	s.driver.After(statusIntervalMs, s.logPeriodicStatus)
 }
 
+// logMemory logs that memory for clients has become scarce, or is no longer.
+func (s *server) logMemory(scarce bool) {
+	sessions, active := s.frontend.SessionCounts()
+	entry := logrus.WithFields(logrus.Fields{
+		"held_bytes": s.memory.Held(), "held_limit": s.memory.Limit(), "sessions": sessions, "active_sessions": active,
+		"rejected_requests": s.frontend.RejectedRequests, "slow_readers_closed": s.frontend.SlowReaders,
+	})
+	if scarce {
+		entry.Warn("memory for clients is scarce; refusing large and pipelined requests")
+		return
+	}
+	entry.Info("memory for clients is available again")
+}
+
 // logStatus logs the current numbers of sessions, connections and queued attempts, and counters since the start.
 func (s *server) logStatus(event string) {
 	sessions, active := s.frontend.SessionCounts()
@@ -31,6 +45,9 @@
 		"queue_timeouts":           s.backend.QueueTimeouts,
 		"idle_transactions_closed": s.backend.IdleTransactions,
 		"member_protocol_errors":   s.backend.ProtocolErrors,
+		"slow_readers_closed":      s.frontend.SlowReaders,
+		"held_bytes":               s.memory.Held(),
+		"held_limit":               s.memory.Limit(),
 	})
 	if violations := invariant.Violations(); len(violations) > 0 {
 		entry.WithField("invariant_violations", violations).Error(event)
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -50,7 +50,7 @@
 	if outcome == NotSent && !finished {
 		a.undoNotSent(r.now)
 	}
-	if req.mayHaveRunSince == Never && outcome.mayHaveRun() {
+	if req.mayHaveRunSince == Never && outcome.MayHaveRun() {
 		req.mayHaveRunSince, req.mayHaveRunZone = a.sentAt, m.zone
 	}
 	if req.finished || finished {
--- a/router/types.go
+++ b/router/types.go
@@ -27,8 +27,8 @@
 	return o == Succeeded || o == ServerError || o == Overloaded || o == Misrouted
 }
 
-// mayHaveRun reports whether an attempt with this outcome may have taken effect although it did not succeed.
-func (o Outcome) mayHaveRun() bool {
+// MayHaveRun reports whether an attempt with this outcome may have taken effect although it did not succeed.
+func (o Outcome) MayHaveRun() bool {
 	return o == ServerError || o == TimedOut || o == Reset || o == Canceled
 }
 
