--- a/internal/frontend/statementmode.go
+++ b/internal/frontend/statementmode.go
@@ -24,7 +24,11 @@
 // enqueue queues a message. If too much is queued, it queues an error in place of the message.
 func (s *session) enqueue(m pg.Message) {
 	f := s.frontend
-	full := len(s.queue) >= maxPipelined
+	ahead := len(s.queue)
+	if s.request == nil && ahead > 0 { // the first of them is next
+		ahead--
+	}
+	full := ahead >= maxPipelined
 	use := memory.Request
 	if s.request != nil || len(s.queue) > 0 {
 		use = memory.InputAhead
--- a/internal/lab/hostile/process.go
+++ b/internal/lab/hostile/process.go
@@ -38,9 +38,12 @@
 "profiles":[{"name":"look","target":500000,"deadline":3000000,"worth":1,"idempotency":"retryable"},
 {"name":"order","target":500000,"deadline":3000000,"worth":1,"idempotency":"fragile"}]}}`
 
-// memberGroup is the group of all members.
+// memberGroup is the group of all members in the platform's form.
 const memberGroup = 2
 
+// groups are the groups of all members.
+var groups = map[Form]int{Platform: memberGroup, Pool: 0}
+
 // routerProcess is a router under measurement, with the processes that keep its core busy.
 type routerProcess struct {
 	address   string
