--- a/internal/decide/memory/memory.go
+++ b/internal/decide/memory/memory.go
@@ -65,13 +65,13 @@
 const (
 	bytesPerMiB = 1 << 20
 	// programBytes is the resident memory beside the Go runtime's: the program's code, the C library and its threads.
-	programBytes = 17 * bytesPerMiB
+	programBytes = 22 * bytesPerMiB
 	// baseHeapBytes is the heap of a router with the most sessions and none of their requests, with the runtime's own structures.
-	baseHeapBytes = 6 * bytesPerMiB
+	baseHeapBytes = 5 * bytesPerMiB
 	// garbageFactor is the heap per byte in use, between two collections.
 	garbageFactor = 3
 	// LeastBytes is the least memory with which a router serves.
-	LeastBytes = 24 * bytesPerMiB
+	LeastBytes = 30 * bytesPerMiB
 
 	// Parts of the configured memory, as divisors.
 	leastHeapDivisor  = 4  // the least that the heap may take
