--- a/internal/decide/memory/memory.go
+++ b/internal/decide/memory/memory.go
@@ -75,7 +75,7 @@
 
 	// Parts of the configured memory, as divisors.
 	leastHeapDivisor  = 4  // the least that the heap may take
-	leastPeersDivisor = 16 // the least that clients and members may make the router hold
+	leastPeersDivisor = 24 // the least that clients and members may make the router hold
 	kernelDivisor     = 3  // left for what else counts as the process's memory, where there is more than enough
 )
 
