--- a/internal/decide/memory/memory.go
+++ b/internal/decide/memory/memory.go
@@ -67,7 +67,7 @@
 	// programBytes is the resident memory beside the Go runtime's: the program's code, the C library and its threads.
 	programBytes = 22 * bytesPerMiB
 	// baseHeapBytes is the heap of a router with the most sessions and none of their requests, with the runtime's own structures.
-	baseHeapBytes = 5 * bytesPerMiB
+	baseHeapBytes = 4 * bytesPerMiB
 	// garbageFactor is the heap per byte in use, between two collections.
 	garbageFactor = 3
 	// LeastBytes is the least memory with which a router serves.
@@ -75,7 +75,7 @@
 
 	// Parts of the configured memory, as divisors.
 	leastHeapDivisor  = 4  // the least that the heap may take
-	leastPeersDivisor = 24 // the least that clients and members may make the router hold
+	leastPeersDivisor = 16 // the least that clients and members may make the router hold: twice the longest message
 	kernelDivisor     = 3  // left for what else counts as the process's memory, where there is more than enough
 )
 
