--- a/internal/server/programpages_test.go
+++ b/internal/server/programpages_test.go
@@ -5,6 +5,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 )
 
@@ -34,15 +35,21 @@
 
 // A process goes on after its pages are released: it starts threads, which goes through the C library, and collects garbage.
 func TestReleaseProgramPages_ProcessGoesOn(t *testing.T) {
+	const count = 20
 	for range 3 {
 		releaseProgramPages()
 		var threads sync.WaitGroup
-		for range 20 {
+		var ended atomic.Int64
+		for range count {
 			threads.Go(func() {
 				runtime.LockOSThread() // the thread ends with the goroutine
 				runtime.GC()
+				ended.Add(1)
 			})
 		}
 		threads.Wait()
+		if ended.Load() != count {
+			t.Errorf("%d threads ran to their end, want %d", ended.Load(), count)
+		}
 	}
 }
