Review case 10: a role outlives RESET ALL and reaches the next client

Cause: RESET ALL at a member counts as if it had reset the role too. Change: a script with two buyers on one connection, and the claim.

--- a/review/second/cases_test.go
+++ b/review/second/cases_test.go
@@ -19,7 +19,8 @@
 	}
 }
 
-func TestCase6(t *testing.T) { runScript(t, "../6/run.sh") }
-func TestCase7(t *testing.T) { runScript(t, "../7/run.sh") }
-func TestCase8(t *testing.T) { runScript(t, "../8/run.sh") }
-func TestCase9(t *testing.T) { runScript(t, "../9/run.sh") }
+func TestCase6(t *testing.T)  { runScript(t, "../6/run.sh") }
+func TestCase7(t *testing.T)  { runScript(t, "../7/run.sh") }
+func TestCase8(t *testing.T)  { runScript(t, "../8/run.sh") }
+func TestCase9(t *testing.T)  { runScript(t, "../9/run.sh") }
+func TestCase10(t *testing.T) { runScript(t, "../10/run.sh") }
