Review case 8 counts the orders of both primaries after the switchover

Need: the record gave each member's orders since the switchover began, which says nothing of the time with two primaries.

--- a/review/second/case_handover.go
+++ b/review/second/case_handover.go
@@ -72,13 +72,14 @@
 	})
 	b.record("operator", "the command ended: %v", switchoverErr)
 	<-managed
+	undone := time.Now()
 	time.Sleep(time.Until(began.Add(watchPeriod)))
 	first := b.primaries()
 	time.Sleep(sampleGap)
 	second := b.primaries()
 	stop()
-	for name, orders := range c.committedSince(began) {
-		b.record("case", "%s has committed %d orders since the switchover began", name, orders)
+	for name, orders := range c.committedSince(undone) {
+		b.record("case", "%s has committed %d orders since the switchover ended", name, orders)
 	}
 	if len(first) > 1 && len(second) > 1 {
 		broken = append(broken, fmt.Sprintf("%v both take writes, and still do %v later", first, sampleGap))
