--- a/review/second/case_stale.go
+++ b/review/second/case_stale.go
@@ -24,7 +24,7 @@
 	}
 	replica := members[1]
 	replica.setLag(usualLag)
-	addr, err := b.startPool(ctx, members, "refuses", 8)
+	addr, err := b.startPool(ctx, members, "waits", 8)
 	if err != nil {
 		return nil, err
 	}
--- a/review/second/extended.go
+++ b/review/second/extended.go
@@ -13,10 +13,11 @@
 		if d.status == 'I' && !d.skipping {
 			d.commit()
 		}
-		d.skipping = false
+		d.skipping, d.sent.kept = false, nil
 		d.ready()
 		return
 	}
+	_, d.wasFlush = message.(*pgproto3.Flush)
 	if d.skipping {
 		return
 	}
--- a/review/second/member.go
+++ b/review/second/member.go
@@ -47,6 +47,7 @@
 	work    time.Duration               // that a write takes
 
 	after      func(statement string) // called after each statement of the extended protocol
+	copies     int                    // of how many flushed answers one is sent a second time; 0: none
 	readBuffer int                    // of the sockets, in bytes; 0: the system's
 }
 
@@ -160,6 +161,9 @@
 type backend struct {
 	m           *member
 	out         *pgproto3.Backend
+	sent        *recorder // what the backend writes
+	flushed     int       // answers up to a Flush
+	wasFlush    bool      // the last message was a Flush
 	settings    map[string]string
 	sessionRole map[string]string // role and session_authorization, which RESET ALL leaves as they are
 	prepared    map[string]string
@@ -186,8 +190,10 @@
 		m.mu.Unlock()
 		_ = conn.Close()
 	}()
-	d := &backend{m: m, out: pgproto3.NewBackend(conn, conn), settings: map[string]string{}, sessionRole: map[string]string{},
+	d := &backend{m: m, settings: map[string]string{}, sessionRole: map[string]string{},
 		prepared: map[string]string{}, parsed: map[string]string{}, status: 'I'}
+	d.sent = &recorder{to: conn}
+	d.out = pgproto3.NewBackend(conn, d.sent)
 	if _, err := d.out.ReceiveStartupMessage(); err != nil {
 		return
 	}
@@ -198,6 +204,7 @@
 	}
 	d.ready()
 	for d.out.Flush() == nil {
+		d.sendCopy(conn)
 		message, err := d.out.Receive()
 		if err != nil {
 			return
@@ -205,6 +212,7 @@
 		d.m.awaitResume()
 		switch message := message.(type) {
 		case *pgproto3.Query:
+			d.sent.kept = nil
 			if d.run(message.String) {
 				reset(conn)
 				return
@@ -252,7 +260,7 @@
 			continue
 		}
 		empty = false
-		if after > d.m.position() {
+		if !d.m.reaches(after) {
 			d.fail(&stateError{"72000", "too far behind"})
 			d.ready()
 			return false
@@ -343,6 +351,19 @@
 	return sql
 }
 
+// reaches waits for a while until the member has applied a position, and reports whether it has.
+func (m *member) reaches(position float64) bool {
+	for began := time.Now(); position > m.position(); time.Sleep(time.Millisecond) {
+		if time.Since(began) > longestWait {
+			return false
+		}
+	}
+	return true
+}
+
+// longestWait is how long a member waits that is too far behind for a read, before it turns it away.
+const longestWait = 50 * time.Millisecond
+
 // requiredPosition returns the position that a statement's comment asks for, or 0.
 func requiredPosition(statement string) float64 {
 	comment, _, _ := strings.Cut(statement, "*/")
@@ -431,3 +452,16 @@
 	}
 	return text
 }
+
+// setCopies sets one in how many flushed answers is sent twice.
+func (m *member) setCopies(share int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.copies = share
+}
+
+func (m *member) copyShare() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.copies
+}
--- a/review/second/statement.go
+++ b/review/second/statement.go
@@ -179,11 +179,7 @@
 	switch lower := strings.ToLower(sql); {
 	case strings.Contains(lower, "from rows"):
 		at := d.m.position()
-		parts := strings.Split(sql, "'")
-		if len(parts) < 2 {
-			return &stateError{"42601", "syntax error in SELECT"}
-		}
-		found := d.m.cluster.rows(parts[1], at)
+		found := d.m.cluster.rows(strings.Trim(words[len(words)-1], "'"), at)
 		if len(found) == 0 {
 			d.row("blob")
 		} else {
