Review case 10 shows second copies between Flush and Sync in place of the role

Cause: the empty query that tells a copy apart is left out while a unit is open, and the copy has the form of the next answer.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -8,7 +8,7 @@
 RUN=$(sed -n 's/^run *= *"\(.*\)"$/\1/p' deploy/balancer.toml)
 RECORD=$PWD/review/10/record.txt
 export RUN RECORD
-timeout -k 5 115 bin/review2 role &
+timeout -k 5 115 bin/review2 copies &
 pid=$!
 trap 'kill "$pid"' TERM INT
 wait "$pid"
--- a/review/second/cases_test.go
+++ b/review/second/cases_test.go
@@ -9,12 +9,12 @@
 // scriptsVariable has the tests start the scripts of the cases. They take up to two minutes each, and need review/build-2.sh.
 const scriptsVariable = "REVIEW_SECOND"
 
-func runScript(t *testing.T, path string) {
+func runScript(t *testing.T, path string, arguments ...string) {
 	t.Helper()
 	if os.Getenv(scriptsVariable) == "" {
 		t.Skipf("starts a script of the review only where %s is set", scriptsVariable)
 	}
-	if out, err := exec.Command(path).CombinedOutput(); err != nil {
+	if out, err := exec.Command(path, arguments...).CombinedOutput(); err != nil {
 		t.Fatalf("%s: %v\n%s", path, err, out)
 	}
 }
