--- a/review/second/cases_test.go
+++ b/review/second/cases_test.go
@@ -24,3 +24,10 @@
 func TestCase8(t *testing.T)  { runScript(t, "../8/run.sh") }
 func TestCase9(t *testing.T)  { runScript(t, "../9/run.sh") }
 func TestCase10(t *testing.T) { runScript(t, "../10/run.sh") }
+
+// TestAlso plays what was found and is not among the five cases.
+func TestAlso(t *testing.T) {
+	for _, name := range []string{"batch", "twice", "told", "role", "parameter", "lastval", "sticky", "memory"} {
+		t.Run(name, func(t *testing.T) { runScript(t, "./also.sh", name) })
+	}
+}
