Pools: a second copy behind a Flush is discarded, not served as the next read

Callers saw: between Flush and Sync, after a member's second copy of a response, each read was answered with the row of the read before. Cause: within a unit the response to a part was known by its form alone; the empty query (barrier) that tells a copy apart would end the unit. Change: ahead of each part but the first goes a marker, Close of the unnamed statement or, where the response before begins with CloseComplete, Parse of an empty one. What comes ahead of its reply is a copy, which is known by its digest (decide/duplicate) and discarded, or ends the connection. A client that never flushes gets no marker, and no response of its is hashed. Why it works: the marker's reply can't be the first message of a copy of the response before it, and a copy comes before the next response. Also: the fake client reads by one loop.

--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -40,6 +40,7 @@
 	clientOpsWritten  bool                       // some of the client's operations were written
 	unsynced          bool                       // extended query messages were written since the last Sync or simple query
 	reservedFor       request.ClientSession      // session that the connection is reserved for; set only between its requests
+	parts             unitParts                  // of the unit that is at the member
 }
 
 // errKeptConnectionEnded ends a session whose own connection, and with it the state on it, is gone.
@@ -50,6 +51,7 @@
 	kind       pg.Kind                    // kind of the message being replied to
 	forClient  bool                       // the reply is delivered to the client
 	barrier    bool                       // the reply to a barrier, after which nothing of an earlier response can arrive
+	startsPart bool                       // the first reply to what follows a Flush
 	completed  bool                       // for a simple query: everything was received except ReadyForQuery
 	localReply []byte                     // the router's own reply; nothing was sent to the member
 	statement  *session.PreparedStatement // statement being prepared, bound or described
--- a/internal/backend/stream_error.go
+++ b/internal/backend/stream_error.go
@@ -61,6 +61,9 @@
 		}
 		c.expected = c.expected[1:]
 	}
+	if c.parts.flushed && len(c.expected) > 0 {
+		c.expected[0].startsPart = true
+	}
 }
 
 // canReplay reports whether an error means that a prepared plan is missing or invalid, and no part of the request has run. The request is
--- a/internal/backend/stream_reply.go
+++ b/internal/backend/stream_reply.go
@@ -38,6 +38,11 @@
 
 // handleStreamMessage processes one message on a connection for streams. It returns false if the message violates the protocol.
 func (c *memberConn) handleStreamMessage(m *pg.Message) bool {
+	if c.parts.flushed {
+		if handled, ok := c.skipDuplicate(m); handled {
+			return ok
+		}
+	}
 	switch m.Kind {
 	case pg.AuthenticationOK, pg.Ignored:
 		return true
@@ -177,6 +182,7 @@
 	}
 	stream := j.request.Stream
 	c.transactionStatus = m.Status
+	c.parts = unitParts{}
 	stale := c.staleStatement
 	c.staleStatement = nil
 	if stale != nil && m.Status == session.StatusIdle {
--- a/internal/backend/stream_send.go
+++ b/internal/backend/stream_send.go
@@ -58,10 +58,7 @@
 	}
 	for n, op := range ops {
 		if op.Action != session.ForwardDiscardReply {
-			before := len(out)
-			if out = c.encode(out, op); len(out) > before {
-				c.recordWritten(op.Kind)
-			}
+			out = c.encodeOperation(out, op)
 			continue
 		}
 		out = append(out, op.Raw...)
@@ -76,12 +73,26 @@
 	return out
 }
 
+// encodeOperation appends an operation, encoded for this member, behind the marker of its part if one is due.
+func (c *memberConn) encodeOperation(out []byte, op session.Message) []byte {
+	out = c.beginPart(out, op)
+	bytesBefore, expectedBefore := len(out), len(c.expected)
+	out = c.encode(out, op)
+	if len(out) > bytesBefore {
+		c.recordFirstReply(expectedBefore)
+		c.recordWritten(op.Kind)
+	}
+	return out
+}
+
 // recordWritten records whether a message that is written leaves the unit open: a Sync or a simple query ends it.
 func (c *memberConn) recordWritten(kind pg.Kind) {
 	switch kind {
 	case pg.Query, pg.Sync:
 		c.unsynced = false
-	case pg.Flush, pg.CopyData, pg.CopyDone, pg.CopyFail: // neither begin nor end a unit
+	case pg.Flush:
+		c.parts.endPart()
+	case pg.CopyData, pg.CopyDone, pg.CopyFail: // neither begin nor end a unit
 	default:
 		c.unsynced = true
 	}
--- a/internal/fakes/client.go
+++ b/internal/fakes/client.go
@@ -1,6 +1,7 @@
 package fakes
 
 import (
+	"errors"
 	"net"
 	"strings"
 	"testing"
@@ -14,6 +15,7 @@
 	t *testing.T
 	net.Conn
 	reader *pg.Reader
+	buffer []byte
 	Key    pg.CancelKey // the cancel key that the server sent
 }
 
@@ -25,7 +27,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { closeSocket(c) })
-	client := &Client{t: t, Conn: c, reader: pg.NewReader(true, maxMessageBytes)}
+	client := &Client{t: t, Conn: c, reader: pg.NewReader(true, maxMessageBytes), buffer: make([]byte, readBufferBytes)}
 	client.reader.EnableExtended()
 	if start {
 		client.Send(string(pg.AppendStartup(nil, "api", "ledger")))
@@ -53,24 +55,54 @@
 // ReadUntil reads up to the next message of a kind and returns it. It fails the test if the connection ends first.
 func (c *Client) ReadUntil(kind pg.Kind) pg.Message {
 	c.t.Helper()
-	buffer := make([]byte, readBufferBytes)
-	_ = c.SetReadDeadline(time.Now().Add(waitTimeout)) // it fails only on a closed connection, which the next read reports
 	for {
-		m, ok, err := c.reader.Next()
+		m, err := c.next()
 		if err != nil {
-			c.t.Fatal(err)
+			c.t.Fatalf("no message of kind %d: %v", kind, err)
 		}
-		if ok && m.Kind == kind {
+		if m.Kind == kind {
 			return m
 		}
-		if ok {
-			continue
+	}
+}
+
+// ReadTypes reads up to the next message of a kind. It returns the type byte of each message, with the first value of a row behind it, such
+// as "1 2 D=VALUE C". It fails the test if the connection ends first.
+func (c *Client) ReadTypes(last pg.Kind) string {
+	c.t.Helper()
+	var out []string
+	for {
+		m, err := c.next()
+		if err != nil {
+			c.t.Fatalf("no message of kind %d behind %q: %v", last, out, err)
+		}
+		word := string(m.Raw[:1])
+		if m.Kind == pg.DataRow {
+			word += "=" + string(m.FirstColumn)
 		}
-		n, err := c.Read(buffer)
+		out = append(out, word)
+		if m.Kind == last {
+			return strings.Join(out, " ")
+		}
+	}
+}
+
+// errEnded means that the connection has ended, or that no message arrived in time.
+var errEnded = errors.New("closed")
+
+// next reads the next message.
+func (c *Client) next() (pg.Message, error) {
+	for {
+		m, complete, err := c.reader.Next()
+		if complete || err != nil {
+			return m, err
+		}
+		_ = c.SetReadDeadline(time.Now().Add(waitTimeout)) // it fails only on a closed connection, which the read reports
+		n, err := c.Read(c.buffer)
 		if err != nil {
-			c.t.Fatalf("no message of kind %d: %v", kind, err)
+			return m, errEnded
 		}
-		c.reader.Feed(buffer[:n])
+		c.reader.Feed(c.buffer[:n])
 	}
 }
 
@@ -78,19 +110,11 @@
 // ready", "CODE ready", "empty ready" or "CODE closed".
 func (c *Client) ReadResponse() string {
 	var out []string
-	buffer := make([]byte, readBufferBytes)
-	_ = c.SetReadDeadline(time.Now().Add(waitTimeout)) // it fails only on a closed connection, which the next read reports
 	for {
-		m, ok, err := c.reader.Next()
+		m, err := c.next()
 		switch {
 		case err != nil:
 			return strings.Join(append(out, err.Error()), " ")
-		case !ok:
-			n, err := c.Read(buffer)
-			if err != nil {
-				return strings.Join(append(out, "closed"), " ")
-			}
-			c.reader.Feed(buffer[:n])
 		case m.Kind == pg.BackendKeyData:
 			c.Key = m.Key
 		case m.Kind == pg.DataRow:
