Pools: a unit of which a part is committed is never sent again

Cause: the router took a unit for one transaction; a COMMIT within it makes final what stood before it. The short answer stood in four places. Change: decide/session, effect.go, says what of a unit may be permanent, from the commands, the replies and the transaction status on the way; memberOutcome, canReplay, closeOutcome, closeIfUnsent and ConnectionLost ask it. Once a part is committed a non-idempotent unit gets the member's response as it is. CALL and DO outside a block count as able to commit.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -36,16 +36,17 @@
 
 // Options holds the limits and options of a Backend.
 type Options struct {
-	DialTimeoutMs   float64          // timeout in ms for a connection to become ready, and for a health check
-	HealthReports   bool             // health checks query the member's role and position
-	MaxResponse     int              // maximum size of one response in bytes
-	ResponseBudget  int              // maximum size in bytes of all incomplete responses together
-	Memory          *memory.Account  // memory that clients and members make the router hold
-	QueueStatements bool             // statements wait for a connection, set if there are fewer connections than clients
-	KeepRemoved     bool             // members that are removed from the list may still be used
-	MaxPrepared     int              // maximum number of prepared statements kept on a connection
-	Logins          map[string]Login // by pool name
-	PrimaryClasses  map[string]bool  // request classes that require the primary
+	DialTimeoutMs     float64          // timeout in ms for a connection to become ready, and for a health check
+	HealthReports     bool             // health checks query the member's role and position
+	MaxResponse       int              // maximum size of one response in bytes
+	ResponseBudget    int              // maximum size in bytes of all incomplete responses together
+	Memory            *memory.Account  // memory that clients and members make the router hold
+	QueueStatements   bool             // statements wait for a connection, set if there are fewer connections than clients
+	KeepRemoved       bool             // members that are removed from the list may still be used
+	MaxPrepared       int              // maximum number of prepared statements kept on a connection
+	Logins            map[string]Login // by pool name
+	PrimaryClasses    map[string]bool  // request classes that require the primary
+	IdempotentClasses map[string]bool  // request classes whose requests may run more than once
 }
 
 // Driver is the part of the event loop that the backend uses. It also receives the outcomes of attempts and health checks. eventloop.Driver
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -142,11 +142,10 @@
 	c.drop()
 }
 
-// closeOutcome returns the outcome of the job when its connection ends. A job whose last byte was not written did not run; a complete
-// response or an error that was received before the connection ended still counts.
+// closeOutcome returns the outcome of the job when its connection ends. A job that can't be running did not run; a complete response or an error that was received before the connection ended still counts.
 func (c *memberConn) closeOutcome() router.Outcome {
 	switch {
-	case c.streamState != nil && c.querySent() && c.internalPending == 0 && !c.nothingExpected():
+	case c.streamState != nil && c.mayBeRunning() && c.internalPending == 0 && !c.nothingExpected():
 		return router.Reset
 	case c.streamState != nil: // the stream was waiting for its client, or only internal queries were sent
 		return router.ConnectFailed
@@ -172,15 +171,19 @@
 // querySent reports whether the last byte of the job's query was written, in which case it may be running.
 func (c *memberConn) querySent() bool { return c.queryWritten && c.conn.Sent() }
 
-// closeIfUnsent closes the connection if the last byte of the job's query was not written, and reports whether it never will be. The
-// poller may be writing the rest concurrently, so the check is repeated after Close, when nothing more can be written.
+// mayBeRunning reports whether the member may have run the job's query, or committed a part of it.
+func (c *memberConn) mayBeRunning() bool {
+	return c.querySent() || c.streamState != nil && c.clientOpsWritten && c.job.request.Stream.Client.Session().CommitsBeforeEnd()
+}
+
+// closeIfUnsent closes the connection if the job's query can't be running yet, and reports whether it never will be. The poller may be writing the rest concurrently, so the check is repeated after Close, when nothing more can be written.
 func (c *memberConn) closeIfUnsent() bool {
-	if c.querySent() {
+	if c.mayBeRunning() {
 		return false
 	}
 	failpoint.Hit("backend.unsent")
 	c.conn.Close()
-	return !c.querySent()
+	return !c.mayBeRunning()
 }
 
 // returnToPool releases the connection to the pool for reuse. It closes the connection instead if unparsed bytes are left on it.
--- a/internal/backend/stream_error.go
+++ b/internal/backend/stream_error.go
@@ -1,6 +1,8 @@
 package backend
 
 import (
+	"slices"
+
 	"wayloft/internal/decide/session"
 	"wayloft/internal/pg"
 	"wayloft/router"
@@ -39,7 +41,7 @@
 	if failed.replyError != nil {
 		m.Error, m.Raw = failed.replyError, pg.AppendError(nil, failed.replyError, false)
 	}
-	if c.canReplay(failed, m.Error.Code) {
+	if c.canReplay(failed, m) {
 		c.replayed, c.staleStatement = true, failed.statement
 		if c.staleStatement == nil {
 			c.staleStatement = c.lastBound
@@ -66,20 +68,21 @@
 	}
 }
 
-// canReplay reports whether an error means that a prepared plan is missing or invalid, and no part of the request has run. The request is
+// canReplay reports whether an error means that a prepared plan is missing or invalid, and no part of the request has taken effect. The request is
 // then replayed, at most once, with the statement prepared again.
-func (c *memberConn) canReplay(failed expectedReply, code string) bool {
+func (c *memberConn) canReplay(failed expectedReply, m *pg.Message) bool {
 	stream := c.job.request.Stream
 	if stream.Cancelled() || stream.Started() || c.replayed || c.transactionStatus != session.StatusIdle {
 		return false
 	}
-	switch code {
+	invalidPlan := false
+	switch m.Error.Code {
 	case pg.InvalidSQLStatementName:
-		return failed.replyError == nil
+		invalidPlan = failed.replyError == nil
 	case pg.FeatureNotSupported: // "cached plan must not change result type"
-		return failed.kind != pg.Query && failed.kind != pg.Parse
+		invalidPlan = failed.kind != pg.Query && failed.kind != pg.Parse
 	}
-	return false
+	return invalidPlan && !c.partCommitted(*m)
 }
 
 // replay sends a request again of which no part has run. It closes the stale statement first, so that the statement is prepared again.
@@ -90,12 +93,22 @@
 	c.job.request.Stream.Replay()
 }
 
+// partCommitted reports whether a part of the failed unit may have been committed, and must not run twice. The client then receives the
+// member's response as it is, which shows up to where the unit has run. more is what was not passed to the stream yet.
+func (c *memberConn) partCommitted(more ...pg.Message) bool {
+	if c.backend.options.IdempotentClasses[c.job.request.RequestClass] {
+		return false
+	}
+	stream := c.job.request.Stream
+	return stream.Client.Session().PartCommitted(slices.Concat(stream.Buffered(), more))
+}
+
 // memberOutcome returns the outcome for an error that is caused by the member rather than the statement. The driver is notified before the
 // error is delivered to the client, so that the request can be retried.
 func (c *memberConn) memberOutcome() (router.Outcome, bool) {
 	stream := c.job.request.Stream
 	e := stream.Failure()
-	if e == nil || stream.Started() {
+	if e == nil || stream.Started() || c.partCommitted() {
 		return 0, false
 	}
 	switch e.Code[:min(sqlStateClassLength, len(e.Code))] {
--- a/internal/decide/session/extended.go
+++ b/internal/decide/session/extended.go
@@ -73,7 +73,7 @@
 	if !found {
 		return reject(m.Kind, &pg.Error{Code: pg.InvalidCursorName, Text: `portal "` + m.Portal + `" does not exist`})
 	}
-	s.expectCompletion(command)
+	s.expectCompletion(command, false)
 	return forward(m)
 }
 
--- a/internal/decide/session/loss.go
+++ b/internal/decide/session/loss.go
@@ -21,7 +21,7 @@
 // anything was sent to the member. The result reports whether the transaction may have committed nevertheless. The session then behaves
 // as after a failed transaction.
 func (s *Session) ConnectionLost(sent bool) (mayHaveCommitted bool) {
-	mayHaveCommitted = sent && s.mayCommit
+	mayHaveCommitted = sent && s.effect.atEnd
 	if s.status != StatusIdle { // to the client the transaction is still open, so it must end it
 		s.status = StatusFailed
 	}
@@ -29,7 +29,8 @@
 	s.beginTransaction()
 	s.prepared = s.confirmed
 	clear(s.portals)
-	s.expected, s.errorReceived, s.mayCommit = nil, false, false
+	s.expected, s.errorReceived = nil, false
+	s.effect = unitEffect{}
 	s.firstCommand, s.deferred = nil, deferredBegin{}
 	if sent {
 		s.resetSticky()
@@ -60,6 +61,7 @@
 		s.status = StatusIdle
 	}
 	s.expected, s.firstCommand, s.prepared = nil, nil, s.confirmed
+	s.effect = unitEffect{}
 	if s.status == StatusFailed {
 		return errorReply(errTransactionAborted, StatusFailed)
 	}
--- a/internal/decide/session/query.go
+++ b/internal/decide/session/query.go
@@ -33,7 +33,7 @@
 	}
 	messages = s.FlushDeferredBegin()
 	for _, c := range commands {
-		s.expectCompletion(c)
+		s.expectCompletion(c, true)
 	}
 	return nil, append(messages, Message{Kind: pg.Query, Raw: raw})
 }
--- a/internal/decide/session/server.go
+++ b/internal/decide/session/server.go
@@ -13,9 +13,14 @@
 	command  Command                          // for CommandComplete: the completed command
 }
 
-// expectCompletion records a statement, whose effects are applied once the member reports its completion.
-func (s *Session) expectCompletion(c Command) {
+// expectCompletion records a statement, whose effects are applied once the member reports its completion. wholeUnit means that it runs only
+// once the member has received the whole unit.
+func (s *Session) expectCompletion(c Command, wholeUnit bool) {
 	s.recordCommand(c)
+	if !s.effect.begun {
+		s.effect = unitEffect{begun: true, inTransaction: s.status != StatusIdle}
+	}
+	s.effect.add(c, wholeUnit)
 	s.expected = append(s.expected, expectedReply{kind: pg.CommandComplete, command: c})
 }
 
@@ -34,7 +39,6 @@
 	if c.StickyReason != "" {
 		s.stickyReason = c.StickyReason
 	}
-	s.mayCommit = s.mayCommit || c.Kind == pg.Commit || s.status == StatusIdle && c.Kind != pg.Begin
 }
 
 // ServerMessage handles a message from the member that is passed on to the client.
--- a/internal/decide/session/session.go
+++ b/internal/decide/session/session.go
@@ -68,7 +68,7 @@
 	firstCommand  *Command        // first command of the transaction, by which the request is classified
 	expected      []expectedReply // expected replies of the member, in order
 	errorReceived bool            // an error has been received since the last ReadyForQuery
-	mayCommit     bool            // a command sent to the member may commit
+	effect        unitEffect      // what the commands of the current unit may make permanent
 }
 
 // New returns a session for a client with the given startup settings.
--- a/internal/decide/session/transaction.go
+++ b/internal/decide/session/transaction.go
@@ -58,6 +58,7 @@
 		clear(s.portals)
 		s.firstCommand = nil
 	}
-	s.status, s.errorReceived, s.expected, s.mayCommit = status, false, nil, false
+	s.status, s.errorReceived, s.expected = status, false, nil
+	s.effect = unitEffect{}
 	s.prepared = s.confirmed
 }
--- a/internal/pg/command.go
+++ b/internal/pg/command.go
@@ -26,14 +26,15 @@
 // Command is the effect of a statement on its session. Statements are classified by their leading keywords without a full SQL parse; a
 // statement that is not recognized is an OtherCommand.
 type Command struct {
-	Kind         CommandKind
-	Name         string
-	Settings     []Setting // lower-case names, and values as written or empty for DEFAULT
-	Local        bool      // SET LOCAL: until the end of the transaction
-	ReadOnly     bool
-	ReadWrite    bool
-	Simple       bool   // contains only known transaction mode keywords, so that a server accepts it
-	StickyReason string // the connection state that the statement creates and that can't move to another connection; empty if none
+	Kind          CommandKind
+	Name          string
+	Settings      []Setting // lower-case names, and values as written or empty for DEFAULT
+	Local         bool      // SET LOCAL: until the end of the transaction
+	ReadOnly      bool
+	ReadWrite     bool
+	Simple        bool   // contains only known transaction mode keywords, so that a server accepts it
+	CommitsItself bool   // outside a transaction block it may commit, also if it fails later
+	StickyReason  string // the connection state that the statement creates and that can't move to another connection; empty if none
 }
 
 // ParseCommand classifies a single statement by its effect on the session.
@@ -61,10 +62,23 @@
 	case "deallocate":
 		return parseDeallocate(&l)
 	default:
-		return Command{StickyReason: stickyReason(&l, word)}
+		return Command{CommitsItself: commitsItself(l, word), StickyReason: stickyReason(&l, word)}
 	}
 }
 
+// commitsItself reports whether a statement may commit something apart from the end of its transaction: a procedure or an anonymous block may
+// contain COMMIT, and a prepared transaction outlives its session. Statements that a server runs in transactions of their own, such as VACUUM,
+// are not among them, since they change nothing if they run a second time.
+func commitsItself(l lexer, firstWord string) bool {
+	switch firstWord {
+	case "call", "do":
+		return true
+	case "prepare":
+		return l.keyword() == "transaction"
+	}
+	return false
+}
+
 func parseDiscard(l *lexer) Command {
 	if strings.EqualFold(l.next(), "all") {
 		return Command{Kind: DiscardAll}
--- a/internal/pg/transaction.go
+++ b/internal/pg/transaction.go
@@ -88,7 +88,7 @@
 	}
 	switch {
 	case word == "prepared":
-		return Command{}
+		return Command{CommitsItself: true}
 	case word == "to" && kind == Rollback:
 		return Command{Kind: RollbackTo, Name: l.savepointName()}
 	}
--- a/internal/request/stream.go
+++ b/internal/request/stream.go
@@ -112,6 +112,9 @@
 	}
 }
 
+// Buffered returns the member's messages that the client has not received yet.
+func (s *Stream) Buffered() []pg.Message { return s.buffered }
+
 // Failure returns the first error among the buffered messages, or nil.
 func (s *Stream) Failure() *pg.Error {
 	for _, message := range s.buffered {
--- a/internal/server/parts.go
+++ b/internal/server/parts.go
@@ -79,16 +79,17 @@
 // newBackend builds the backend with its connection pool.
 func newBackend(driver *eventloop.Driver, config *Config, account *memory.Account) *backend.Backend {
 	options := backend.Options{
-		DialTimeoutMs:   config.runtime.DialTimeoutMs,
-		HealthReports:   config.runtime.HealthReports,
-		MaxResponse:     config.maxMessageBytes(),
-		ResponseBudget:  min(account.Limit(), config.memoryBytes/responseBudgetDivisor),
-		Memory:          account,
-		QueueStatements: config.queuesStatements(),
-		KeepRemoved:     config.Router.SoftRemoval,
-		MaxPrepared:     session.MaxPreparedPerConnection,
-		Logins:          logins(config),
-		PrimaryClasses:  config.primaryClasses(),
+		DialTimeoutMs:     config.runtime.DialTimeoutMs,
+		HealthReports:     config.runtime.HealthReports,
+		MaxResponse:       config.maxMessageBytes(),
+		ResponseBudget:    min(account.Limit(), config.memoryBytes/responseBudgetDivisor),
+		Memory:            account,
+		QueueStatements:   config.queuesStatements(),
+		KeepRemoved:       config.Router.SoftRemoval,
+		MaxPrepared:       session.MaxPreparedPerConnection,
+		Logins:            logins(config),
+		PrimaryClasses:    config.primaryClasses(),
+		IdempotentClasses: config.idempotentClasses(),
 	}
 	pool := connpool.New(connpool.Settings{
 		MaxTotal:     config.maxConnections,
