Pools: ReadyForQuery follows an invalid plan behind a Flush

Callers saw: a statement that runs up to a Flush and whose plan has become invalid (26000, 0A000) gets its error, and its Sync no ReadyForQuery until the request is out of time. Cause: whether the unit may be sent again was decided ahead of the error's delivery; behind a Flush the client has it at once, so that ReadyForQuery was kept back for a second run of messages that were not kept any more. Change: the unit is sent again only if the client has not received the error.

--- a/internal/backend/stream_error.go
+++ b/internal/backend/stream_error.go
@@ -41,13 +41,14 @@
 	if failed.replyError != nil {
 		m.Error, m.Raw = failed.replyError, pg.AppendError(nil, failed.replyError, false)
 	}
-	if c.canReplay(failed, m) {
+	replay := c.canReplay(failed, m)
+	stream.Receive(*m)
+	if replay && !stream.Started() { // behind a Flush the client has received the error
 		c.replayed, c.staleStatement = true, failed.statement
 		if c.staleStatement == nil {
 			c.staleStatement = c.lastBound
 		}
 	}
-	stream.Receive(*m)
 	c.awaitClientBehindFlush()
 	return true
 }
--- a/internal/server/poolfailure_test.go
+++ b/internal/server/poolfailure_test.go
@@ -333,3 +333,42 @@
 		t.Errorf("afterwards: %q", got)
 	}
 }
+
+// Guards against a ReadyForQuery that is kept from a client which has received the error of an invalid plan already, behind a Flush.
+func TestPool_InvalidPlanBehindFlush(t *testing.T) {
+	var mu sync.Mutex
+	code := ""
+	addr, _ := startPooledRouter(t, 1, lab.Pool{PerMember: 1}, func(s *pgserver.Server) {
+		s.InjectFault = func(_ int, m *pg.Message) *pgserver.Fault {
+			mu.Lock()
+			defer mu.Unlock()
+			if m.Kind != pg.Bind || code == "" {
+				return nil
+			}
+			fault := &pgserver.Fault{Error: code}
+			code = ""
+			return fault
+		}
+	})
+	c := fakes.NewClient(t, addr, true)
+	sync := string(pg.AppendSync(nil))
+	c.Send(parseMessage("s", "SELECT 1") + sync)
+	c.ReadResponse()
+	for _, invalid := range []string{pg.InvalidSQLStatementName, pg.FeatureNotSupported} {
+		mu.Lock()
+		code = invalid
+		mu.Unlock()
+		c.Send(bindAndExecute("s") + flushMessage())
+		if got := c.ReadTypes(pg.ErrorResponse); got != "E" {
+			t.Errorf("%s: got %q", invalid, got)
+		}
+		c.Send(sync)
+		if got := c.ReadTypes(pg.ReadyForQuery); got != "Z" {
+			t.Errorf("%s, the Sync: got %q", invalid, got)
+		}
+		c.Send(bindAndExecute("s") + sync)
+		if got := c.ReadResponse(); got != "1 ok ready" {
+			t.Errorf("%s, afterwards: got %q", invalid, got)
+		}
+	}
+}
