Pools: a marker only where two parts may be answered alike

Change: a marker goes ahead of a part only if its response may begin like the one before; of equal parts that is every other one. A response between parts is told from a copy by the digest of its first message, so that the list of the markers' replies is gone.

--- a/internal/backend/stream_parts.go
+++ b/internal/backend/stream_parts.go
@@ -1,19 +1,21 @@
 package backend
 
 import (
+	"slices"
+
 	"wayloft/internal/decide/duplicate"
 	"wayloft/internal/decide/session"
 	"wayloft/internal/pg"
 )
 
 // unitParts tells the responses to the parts of one unit apart. A part is what the client sends up to a Flush, or the rest up to Sync. The
-// member may send a second copy of its response to a part, which has the form of the response to the next one. So a marker goes ahead of each
-// part but the first: a message without an effect, whose reply can't be the first message of the response before it. What arrives before that
-// reply is a copy, which is discarded, or a violation of the protocol. No marker is needed ahead of a Sync, whose reply is no part's first
-// message, and none is sent to the member for a client that never sends Flush.
+// member may send a second copy of its response to a part, ahead of its response to the next one. So a part must be answered with another
+// first message than the part before it. Where it may not be, a marker goes ahead of it: a message without an effect, with another reply.
+// What arrives between two responses is then a copy, which is discarded, or a violation of the protocol. A client that never sends Flush has
+// no marker.
 type unitParts struct {
 	flushed       bool    // a part of the unit has ended
-	markerDue     bool    // nothing of the part behind the last Flush was written
+	begins        bool    // nothing to which the member replies was written since the last Flush
 	firstReplyTo  pg.Kind // the message of the current part to which the member replies first; noReply until it is written
 	previousFirst pg.Kind // the same of the part before
 	duplicates    duplicate.Detector
@@ -30,48 +32,55 @@
 	if p.firstReplyTo == noReply {
 		return
 	}
-	p.flushed, p.markerDue = true, true
+	p.flushed, p.begins = true, true
 	p.previousFirst, p.firstReplyTo = p.firstReplyTo, noReply
 }
 
-// beginPart prepares for the first operation of a part to which the member replies. It appends the marker if one is due.
-func (c *memberConn) beginPart(out []byte, op session.Message) []byte {
-	if !c.parts.markerDue || op.Kind == pg.Sync || !c.memberReplies(op) {
-		return out
-	}
-	c.parts.markerDue = false
-	if c.parts.previousFirst == pg.Close {
-		c.expectFirstOfPart(pg.Parse)
-		return pg.AppendParse(out, "", emptyStatement)
+// distinctReplies has the kinds of messages whose replies begin with a message that begins no reply to a message of another kind.
+var distinctReplies = map[pg.Kind]bool{pg.Parse: true, pg.Bind: true, pg.Close: true, pg.Sync: true}
+
+// needsMarker reports whether the response to a part may begin like the one before it. first is the message to which the member replies first.
+func (p *unitParts) needsMarker(first pg.Kind) bool {
+	if first == p.previousFirst {
+		return true
 	}
-	c.expectFirstOfPart(pg.Close)
-	return pg.AppendClose(out, statementTarget, "")
+	return !distinctReplies[first] && !distinctReplies[p.previousFirst]
 }
 
-func (c *memberConn) expectFirstOfPart(kind pg.Kind) {
-	c.expected = append(c.expected, expectedReply{kind: kind, startsPart: true})
-	c.parts.firstReplyTo = kind
+// encodeFirstOfPart appends an operation that may be the first of a part behind a Flush, and the marker ahead of it if one is needed.
+func (c *memberConn) encodeFirstOfPart(out []byte, op session.Message) []byte {
+	expectedBefore := len(c.expected)
+	encoded := c.encode(nil, op)
+	if len(encoded) == 0 || len(c.expected) == expectedBefore { // the member does not reply to it
+		return append(out, encoded...)
+	}
+	c.parts.begins = false
+	if c.parts.needsMarker(c.expected[expectedBefore].kind) {
+		marker := pg.Close
+		if c.parts.previousFirst == pg.Close {
+			marker = pg.Parse
+		}
+		c.expected = slices.Insert(c.expected, expectedBefore, expectedReply{kind: marker})
+		out = appendMarker(out, marker)
+	}
+	c.expected[expectedBefore].startsPart = true
+	return append(out, encoded...)
 }
 
-// memberReplies reports whether the member, rather than the router, replies to an operation.
-func (c *memberConn) memberReplies(op session.Message) bool {
-	switch op.Kind {
-	case pg.Flush, pg.CopyData, pg.CopyDone, pg.CopyFail:
-		return false
+// appendMarker appends a Close of the unnamed statement, which is never used on a member, or a Parse of an empty one.
+func appendMarker(out []byte, kind pg.Kind) []byte {
+	if kind == pg.Parse {
+		return pg.AppendParse(out, "", emptyStatement)
 	}
-	return op.Action != session.AnswerLocally && (op.Action != session.Prepare || !c.hasPrepared(op.Statement))
+	return pg.AppendClose(out, statementTarget, "")
 }
 
-// recordFirstReply records the first reply that the member owes to the current part. before is the number of expected replies ahead of the
-// operation that was just written.
-func (c *memberConn) recordFirstReply(before int) {
-	if c.parts.firstReplyTo != noReply || before == len(c.expected) {
-		return
+// recordFirstReply records the first reply that the member owes to the current part. expectedBefore is the number of expected replies ahead
+// of the operation that was just written.
+func (c *memberConn) recordFirstReply(expectedBefore int) {
+	if c.parts.firstReplyTo == noReply && expectedBefore < len(c.expected) {
+		c.parts.firstReplyTo = c.expected[expectedBefore].kind
 	}
-	first := &c.expected[before]
-	c.parts.firstReplyTo = first.kind
-	first.startsPart = c.parts.markerDue // a Sync
-	c.parts.markerDue = false
 }
 
 // skipDuplicate handles a message that arrives between the responses to two parts of the unit. handled is false for any other message. ok is
@@ -89,30 +98,18 @@
 	case pg.ReadyForQuery:
 		return duplicates.Copying(), false // no part's response contains it
 	}
-	if !duplicates.Copying() && !c.betweenParts(m) {
-		duplicates.Record(m.Raw)
-		return false, true
-	}
-	duplicates.Complete()
-	verdict := duplicates.Skip(m.Raw)
-	return verdict != duplicate.Other, verdict == duplicate.Copy
-}
-
-// betweenParts reports whether a message arrives when the response to a part is complete, and does not begin the response to the next one.
-func (c *memberConn) betweenParts(m *pg.Message) bool {
-	if len(c.expected) == 0 {
-		return true
+	if duplicates.Copying() || c.betweenParts() {
+		duplicates.Complete()
+		if verdict := duplicates.Skip(m.Raw); verdict != duplicate.Other {
+			return true, verdict == duplicate.Copy
+		}
 	}
-	first := c.expected[0]
-	if !first.startsPart {
-		return false
+	duplicates.Record(m.Raw)
+	if len(c.expected) > 0 {
+		c.expected[0].startsPart = false // its first message has arrived
 	}
-	c.parts.duplicates.Complete()
-	return first.kind == pg.Sync || m.Kind != markerReplies[first.kind]
+	return false, true
 }
 
-// markerReplies maps the kinds of markers to those of the replies.
-var markerReplies = map[pg.Kind]pg.Kind{
-	pg.Parse: pg.ParseComplete,
-	pg.Close: pg.CloseComplete,
-}
+// betweenParts reports whether the response to a part is complete, and nothing of the response to the next one has arrived.
+func (c *memberConn) betweenParts() bool { return len(c.expected) == 0 || c.expected[0].startsPart }
--- a/internal/backend/stream_send.go
+++ b/internal/backend/stream_send.go
@@ -73,11 +73,14 @@
 	return out
 }
 
-// encodeOperation appends an operation, encoded for this member, behind the marker of its part if one is due.
+// encodeOperation appends an operation, encoded for this member.
 func (c *memberConn) encodeOperation(out []byte, op session.Message) []byte {
-	out = c.beginPart(out, op)
 	bytesBefore, expectedBefore := len(out), len(c.expected)
-	out = c.encode(out, op)
+	if c.parts.begins {
+		out = c.encodeFirstOfPart(out, op)
+	} else {
+		out = c.encode(out, op)
+	}
 	if len(out) > bytesBefore {
 		c.recordFirstReply(expectedBefore)
 		c.recordWritten(op.Kind)
--- a/internal/server/partcopy_test.go
+++ b/internal/server/partcopy_test.go
@@ -96,6 +96,21 @@
 	return exchange{string(pg.AppendDescribe(out, 'S', name)) + flushMessage(), "1 t T", pg.RowDescription}
 }
 
+// flushedBind binds the unnamed portal to a prepared statement, up to a Flush.
+func flushedBind(name string) exchange {
+	return exchange{string(pg.AppendBind(nil, "", name, []byte{0, 0, 0, 0, 0, 0})) + flushMessage(), "2", pg.BindComplete}
+}
+
+// flushedBindOf prepares a statement that reads a row, and binds the unnamed portal to it, up to a Flush.
+func flushedBindOf(name, n string) exchange {
+	return exchange{parseMessage(name, readRowSQL(n)) + flushedBind(name).send, "1 2", pg.BindComplete}
+}
+
+// flushedDescription describes a prepared statement that reads a row, up to a Flush.
+func flushedDescription(name string) exchange {
+	return exchange{string(pg.AppendDescribe(nil, 'S', name)) + flushMessage(), "t T", pg.RowDescription}
+}
+
 // portalClose closes the unnamed portal, whose reply is the same as that to one of the router's own messages.
 func portalClose() exchange {
 	return exchange{string(pg.AppendClose(nil, 'P', "")) + flushMessage(), "3", pg.CloseComplete}
@@ -114,6 +129,7 @@
 var (
 	syncExchange  = exchange{string(pg.AppendSync(nil)), "Z", pg.ReadyForQuery}
 	failedRead    = exchange{extendedQuery("SELEKT") + flushMessage(), "1 2 E", pg.ErrorResponse}
+	flushedRun    = exchange{string(pg.AppendExecute(nil, "")) + flushMessage(), "D=v1 C", pg.CommandComplete}
 	copyToStdout  = exchange{extendedQuery("COPY rows TO STDOUT") + flushMessage(), "1 2 H d d d c C", pg.CommandComplete}
 	beginExchange = simpleExchange("BEGIN", "C Z")
 )
@@ -129,6 +145,12 @@
 		"messages that close":        {portalClose(), portalClose(), portalClose(), flushedRead("1"), closeAndRead("2"), closeAndRead("3"), portalClose(), syncExchange},
 		"an error":                   {flushedRead("1"), failedRead, syncExchange, flushedRead("2"), flushedRead("3"), syncExchange},
 		"an error in a transaction":  {beginExchange, flushedRead("1"), failedRead, syncExchange, simpleExchange("ROLLBACK", "C Z")},
+		"a portal that is run apart": {flushedPreparation("a", "1"), flushedBind("a"), flushedRun, flushedBind("a"), flushedRun, syncExchange},
+		"COPY in a portal that is run apart": {
+			{parseMessage("c", "COPY rows TO STDOUT") + flushMessage(), "1", pg.ParseComplete},
+			flushedBind("c"), {flushedRun.send, "H d d d c C", pg.CommandComplete}, flushedBind("c"), syncExchange,
+		},
+		"descriptions":               {flushedBindOf("a", "1"), flushedDescription("a"), flushedBind("a"), flushedDescription("a"), flushedRun, syncExchange},
 		"COPY TO STDOUT":             {copyToStdout, flushedRead("1"), copyToStdout, copyToStdout, syncExchange},
 		"a part without a response":  {flushedRead("1"), {send: flushMessage()}, flushedRead("2"), syncExchange},
 		"a simple query ends a unit": {flushedRead("1"), simpleExchange(readRowSQL("2"), "T D=v2 C Z"), flushedRead("3"), syncExchange},
