Where a marker is needed is decided in decide/duplicate

Change: duplicate.Marker says whether a marker is needed and which; comments wrapped. Measured: TestMarker; TestPool_SecondCopyBehindFlush and TestPool_NoiseBehindFlush pass with the race detector; backend's tests pass.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -142,7 +142,8 @@
 	c.drop()
 }
 
-// closeOutcome returns the outcome of the job when its connection ends. A job that can't be running did not run; a complete response or an error that was received before the connection ended still counts.
+// closeOutcome returns the outcome of the job when its connection ends. A job that can't be running did not run; a complete response or an
+// error that was received before the connection ended still counts.
 func (c *memberConn) closeOutcome() router.Outcome {
 	switch {
 	case c.streamState != nil && c.mayBeRunning() && c.internalPending == 0 && !c.nothingExpected():
@@ -176,7 +177,8 @@
 	return c.querySent() || c.streamState != nil && c.clientOpsWritten && c.job.request.Stream.Client.Session().CommitsBeforeEnd()
 }
 
-// closeIfUnsent closes the connection if the job's query can't be running yet, and reports whether it never will be. The poller may be writing the rest concurrently, so the check is repeated after Close, when nothing more can be written.
+// closeIfUnsent closes the connection if the job's query can't be running yet, and reports whether it never will be. The poller may be writing
+// the rest concurrently, so the check is repeated after Close, when nothing more can be written.
 func (c *memberConn) closeIfUnsent() bool {
 	if c.mayBeRunning() {
 		return false
--- a/internal/backend/stream_error.go
+++ b/internal/backend/stream_error.go
@@ -69,8 +69,8 @@
 	}
 }
 
-// canReplay reports whether an error means that a prepared plan is missing or invalid, and no part of the request has taken effect. The request is
-// then replayed, at most once, with the statement prepared again.
+// canReplay reports whether an error means that a prepared plan is missing or invalid, and no part of the request has taken effect. The
+// request is then replayed, at most once, with the statement prepared again.
 func (c *memberConn) canReplay(failed expectedReply, m *pg.Message) bool {
 	stream := c.job.request.Stream
 	if stream.Cancelled() || stream.Started() || c.replayed || c.transactionStatus != session.StatusIdle {
@@ -86,7 +86,7 @@
 	return invalidPlan && !c.partCommitted(*m)
 }
 
-// replay sends a request again of which no part has run. It closes the stale statement first, so that the statement is prepared again.
+// replay sends a request again of which no part has taken effect. It closes the stale statement first, so that the statement is prepared again.
 func (c *memberConn) replay(stale *session.PreparedStatement) {
 	if c.hasPrepared(stale) {
 		c.writeInternalSync(c.closePrepared(c.encodeBarrier(), stale))
--- a/internal/backend/stream_parts.go
+++ b/internal/backend/stream_parts.go
@@ -36,17 +36,6 @@
 	p.previousFirst, p.firstReplyTo = p.firstReplyTo, noReply
 }
 
-// distinctReplies has the kinds of messages whose replies begin with a message that begins no reply to a message of another kind.
-var distinctReplies = map[pg.Kind]bool{pg.Parse: true, pg.Bind: true, pg.Close: true, pg.Sync: true}
-
-// needsMarker reports whether the response to a part may begin like the one before it. first is the message to which the member replies first.
-func (p *unitParts) needsMarker(first pg.Kind) bool {
-	if first == p.previousFirst {
-		return true
-	}
-	return !distinctReplies[first] && !distinctReplies[p.previousFirst]
-}
-
 // encodeFirstOfPart appends an operation that may be the first of a part behind a Flush, and the marker ahead of it if one is needed.
 func (c *memberConn) encodeFirstOfPart(out []byte, op session.Message) []byte {
 	expectedBefore := len(c.expected)
@@ -55,11 +44,7 @@
 		return append(out, encoded...)
 	}
 	c.parts.begins = false
-	if c.parts.needsMarker(c.expected[expectedBefore].kind) {
-		marker := pg.Close
-		if c.parts.previousFirst == pg.Close {
-			marker = pg.Parse
-		}
+	if marker, needed := duplicate.Marker(c.parts.previousFirst, c.expected[expectedBefore].kind); needed {
 		c.expected = slices.Insert(c.expected, expectedBefore, expectedReply{kind: marker})
 		out = appendMarker(out, marker)
 	}
--- a/internal/decide/duplicate/duplicate_test.go
+++ b/internal/decide/duplicate/duplicate_test.go
@@ -1,6 +1,10 @@
 package duplicate
 
-import "testing"
+import (
+	"testing"
+
+	"wayloft/internal/pg"
+)
 
 // record records a complete response.
 func record(d *Detector, messages ...string) {
@@ -49,3 +53,23 @@
 		t.Errorf("a message of the last response: got %d", got)
 	}
 }
+
+func TestMarker(t *testing.T) {
+	const none = -1
+	for _, c := range []struct{ previous, next, want pg.Kind }{
+		{pg.Bind, pg.Bind, pg.Close},
+		{pg.Close, pg.Close, pg.Parse},
+		{pg.Parse, pg.Parse, pg.Close},
+		{pg.Close, pg.Bind, none},
+		{pg.Describe, pg.Execute, pg.Close}, // both replies may begin with a RowDescription
+		{pg.Describe, pg.Query, pg.Close},
+		{pg.Execute, pg.Execute, pg.Close},
+		{pg.Execute, pg.Sync, none},
+		{pg.Parse, pg.Execute, none},
+	} {
+		got, needed := Marker(c.previous, c.next)
+		if needed != (c.want != none) || needed && got != c.want {
+			t.Errorf("%d behind %d: got %d, %v", c.next, c.previous, got, needed)
+		}
+	}
+}
