A drain ends in time while clients keep sending

Callers saw: a router with SIGTERM stayed for seconds past its drain deadline while clients had two or more requests outstanding; the platform kills it, and requests have no response.

Cause: a session was ended only when nothing of its client was unread. A client that sends its next request when it reads a response has always one on its way, and each late one was rejected at once, without end.

Change: from 0.1 s after the drain deadline on, a session ends between two requests: quietly if it is quiet, otherwise it reads nothing more, answers what it has read and ends with 53300 (57P01 in a pool). Protocol errors are counted when input is closed, not with their response.

--- a/internal/frontend/drain.go
+++ b/internal/frontend/drain.go
@@ -2,13 +2,15 @@
 
 import (
 	"wayloft/internal/failpoint"
+	"wayloft/internal/pg"
 	"wayloft/internal/request"
 )
 
 const (
 	// acceptPeriodMs is how long after SIGTERM new connections and requests are still accepted.
 	acceptPeriodMs = 600.0
-	// lateResponseMarginMs is how long after the drain deadline a request without a final response is failed.
+	// lateResponseMarginMs is how long after the drain deadline a request without a final response is failed, and sessions are ended whose
+	// clients still send requests.
 	lateResponseMarginMs = 100.0
 )
 
@@ -39,7 +41,11 @@
 		f.scheduleSweep()
 		f.endIdleSessions()
 	})
-	f.driver.After(f.drainDeadline+lateResponseMarginMs-now, f.failOpenRequests)
+	f.driver.After(f.drainDeadline+lateResponseMarginMs-now, func() {
+		f.drainOverdue = true
+		f.failOpenRequests()
+		f.driver.Defer(f.endRemainingSessions) // a session may be idle once its request has failed
+	})
 }
 
 // limitWait limits the deadline of a request that arrives during the drain to the drain deadline, so that it ends before the process
@@ -62,6 +68,29 @@
 	f.stopAfterLastSession()
 }
 
+// endRemainingSessions ends the sessions that are left, except those with an open request, which end behind its response.
+func (f *Frontend) endRemainingSessions() {
+	for s := range f.sessions {
+		s.processQueue()
+	}
+	f.stopAfterLastSession()
+}
+
+// endIfOverdue ends a session between two requests once the drain is overdue: at once if it is quiet, otherwise with an error after the
+// responses to the requests that were read. It guards against a drain that lasts as long as a client always has another request outstanding.
+func (s *session) endIfOverdue() {
+	if !s.frontend.drainOverdue || s.state != sessionOpen || s.requestOpen() {
+		return
+	}
+	if s.idle() {
+		s.endForShutdown()
+	}
+	if s.state == sessionOpen {
+		s.conn.PauseReading() // what is read must have a response
+		s.endAfterQueue(s.shutdownError())
+	}
+}
+
 // endForShutdown ends a session without pending responses. A client that has sent a part of a request receives an error, since it may
 // send the rest before it reads the end of the connection.
 func (s *session) endForShutdown() {
@@ -69,11 +98,17 @@
 	case s.idle() && s.pooled == nil:
 		s.endIfQuiescent()
 	case s.conn.Unread():
-	case s.pooled == nil:
-		s.finishWithError(errShuttingDown)
 	default:
-		s.finishWithError(errPooledShuttingDown)
+		s.finishWithError(s.shutdownError())
+	}
+}
+
+// shutdownError returns the error that ends a session whose client may have sent a request that is not handled.
+func (s *session) shutdownError() *pg.Error {
+	if s.pooled != nil {
+		return errPooledShuttingDown
 	}
+	return errShuttingDown
 }
 
 // failOpenRequests fails the requests that have no response at the end of the drain. Requests of pooled sessions are left out: they
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -45,6 +45,7 @@
 
 	drainPhase    drainPhase
 	drainDeadline float64 // ms on the loop's clock, by which each request gets its final response; set while draining
+	drainOverdue  bool    // the drain deadline and lateResponseMarginMs have passed: sessions end with their open requests
 	endingSince   float64 // ms on the loop's clock, at which the phase drainEndingSessions began
 
 	// RejectedRequests counts statements rejected because the memory budget or the limit of pipelined queries was exceeded.
--- a/internal/frontend/pooled.go
+++ b/internal/frontend/pooled.go
@@ -89,8 +89,7 @@
 
 // idle reports whether no response is pending, no transaction is open, and no part of a unit has been received.
 func (p *pooledSession) idle() bool {
-	busy := p.unitAtMember() || p.request != nil
-	return !busy && len(p.queue) == 0 && len(p.unitMessages) == 0
+	return !p.session.requestOpen() && len(p.queue) == 0 && len(p.unitMessages) == 0
 }
 
 // unitAtMember reports whether a unit, or a part of one, is at a member.
--- a/internal/frontend/pooledrequest.go
+++ b/internal/frontend/pooledrequest.go
@@ -96,7 +96,7 @@
 		return
 	}
 	p.request = nil
-	defer p.session.frontend.driver.Defer(p.processQueue)
+	defer p.session.frontend.driver.Defer(p.session.processQueue)
 	if response.Rows != nil {
 		p.recordCommit(req)
 		return
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -129,6 +129,14 @@
 	s.frontend.endSlowReaders()
 }
 
+// requestOpen reports whether a request is at the router or at a member, or a pooled session has an open transaction.
+func (s *session) requestOpen() bool {
+	if s.pooled != nil {
+		return s.pooled.unitAtMember() || s.pooled.request != nil
+	}
+	return s.request != nil
+}
+
 // noResponsePending reports whether all complete messages have got their responses. A pooled session must also be idle.
 func (s *session) noResponsePending() bool {
 	return s.request == nil && len(s.queue) == 0 && (s.pooled == nil || s.pooled.idle())
@@ -201,7 +209,10 @@
 			s.inputBlocked = true
 			return
 		}
-		if s.state != sessionOpen || !s.receiveNext() {
+		if s.state != sessionOpen {
+			return
+		}
+		if !s.receiveNext() {
 			s.conn.ResumeReading()
 			return
 		}
@@ -247,8 +258,16 @@
 	s.inputDeadline = s.frontend.driver.Now() + messageTimeoutMs
 }
 
-// closeInput stops reading input. The session ends with this error, after the responses to the messages already received.
+// closeInput ignores further input because of a fault of the client. The session ends with this error, after the responses to the messages
+// already received.
 func (s *session) closeInput(e *pg.Error) {
+	s.frontend.ProtocolErrors++
+	s.endAfterQueue(e)
+	s.conn.ResumeReading()
+}
+
+// endAfterQueue ends the session with this error, after the responses to the messages already received. It handles no more input.
+func (s *session) endAfterQueue(e *pg.Error) {
 	s.state = max(s.state, sessionInputClosed)
 	s.queue = append(s.queue, queuedStatement{response: e, endsSession: true})
 }
@@ -287,6 +306,7 @@
 
 // processQueue handles the queued messages that can be handled now.
 func (s *session) processQueue() {
+	s.endIfOverdue()
 	if s.pooled != nil {
 		s.pooled.processQueue()
 		return
@@ -312,6 +332,7 @@
 func (s *session) finish() {
 	s.markEnding()
 	s.conn.Finish()
+	s.conn.ResumeReading() // unread bytes would reset the connection, and the client could lose the last response
 }
 
 // finishWithError sends an error to the client and ends the session.
--- a/internal/frontend/statementmode.go
+++ b/internal/frontend/statementmode.go
@@ -119,7 +119,6 @@
 func (s *session) respond(m queuedStatement) {
 	switch {
 	case m.endsSession:
-		s.frontend.ProtocolErrors++
 		s.finishWithError(m.response)
 	case m.kind == pg.Sync:
 		s.skippingToSync = false
