Switchovers promote only once no other member takes writes

Cause: which member is the primary was asked once, at the start. A cluster's own takeover has no fencing token, so guard rows don't see it.

Change: the transaction of a promotion, forward or back, commits after all other members have answered that they take no writes. A member ends a transaction that waits longer than a step may take. Undoing is repeated until it is known or "stuck"; after three failures it claimed success.

IgnoreGuardRow is tested with the question off, in both runs: it finds the same late promotions, so that a row that is ignored was not seen any more.

--- a/internal/decide/switchover/executor.go
+++ b/internal/decide/switchover/executor.go
@@ -11,7 +11,6 @@
 	countIntervalMs       = 10.0 // minimum ms between two commands to a router whose writes are still running
 	maxCommandFailures    = 3    // consecutive failures of a command, after which a router is skipped
 	maxPriorFailures      = 6    // consecutive failures of the previous command, after which a router is not sent ReleaseWrites
-	maxRestoreAttempts    = 3    // retries of promoting the old primary again
 	promoteTimeoutFactor  = 4.0  // times MaxHoldMs since the start, after which a promotion of unknown outcome is rolled back
 	rollbackTimeoutFactor = 8.0  // times MaxHoldMs since the start, after which an operator must intervene
 	retryDelayDivisor     = 4.0  // an unsuccessful step is retried after StepTimeoutMs divided by this
@@ -37,6 +36,7 @@
 	routers                map[string]*routerState
 	decisions              []Decision
 	reason                 string // why the switchover is undone
+	superseded             bool   // the cluster has made another member the primary meanwhile
 	finished               bool
 	outcome                string // how the order ended; empty: another lease holder executes it
 }
@@ -136,12 +136,25 @@
 		e.finished = true // another process holds the lease now
 	case Succeeded:
 		e.nextStage()
+	case Superseded:
+		e.handleSuperseded(reason)
 	default:
 		e.handleUnsuccessfulStep(outcome, reason)
 	}
 	e.advancePhase()
 }
 
+// handleSuperseded undoes the switchover without promoting the old primary again: another member is the primary.
+func (e *Executor) handleSuperseded(reason string) {
+	if e.phase != phaseRollback {
+		e.undo(reason)
+		return
+	}
+	e.superseded = true
+	e.reason += "; " + reason
+	e.nextStage()
+}
+
 // handleUnsuccessfulStep undoes the switchover, gives up, or schedules a retry of the step. Steps are idempotent.
 func (e *Executor) handleUnsuccessfulStep(outcome Outcome, reason string) {
 	elapsed := e.now - e.startedAt
@@ -153,9 +166,8 @@
 	case e.phase == phaseRollback && e.stage == stageFirst && elapsed > rollbackTimeoutFactor*e.settings.MaxHoldMs:
 		// Only the new primary knows whether it was promoted. Promoting the old primary again could result in two members that accept writes.
 		e.endOrder("stuck: nobody can tell whether " + e.newPrimary + " takes writes, and " + e.oldPrimary + " takes none; an operator must look: " + reason)
-	case e.phase == phaseRollback && e.stage == stageSecond && e.attempts >= maxRestoreAttempts: // no option is left
-		e.reason += "; " + reason
-		e.nextStage()
+	case e.phase == phaseRollback && elapsed > rollbackTimeoutFactor*e.settings.MaxHoldMs:
+		e.endOrder("stuck: nobody can tell which member takes writes; an operator must look: " + reason)
 	default:
 		e.attempts++
 		e.stageStarted = e.now
@@ -252,6 +264,10 @@
 }
 
 func (e *Executor) endReverted() {
+	if e.superseded {
+		e.endOrder("taken back, the cluster has made another member the primary: " + e.reason)
+		return
+	}
 	e.endOrder("taken back, " + e.oldPrimary + " is the primary: " + e.reason)
 }
 
--- a/internal/decide/switchover/executor_test.go
+++ b/internal/decide/switchover/executor_test.go
@@ -23,6 +23,7 @@
 	now       float64
 	guardRows map[string]int // by member: the highest guard value seen, as guardValue returns it
 	primary   map[string]bool
+	silent    string // a member that doesn't answer whether it accepts writes; empty: none
 	steps     []leasestate.Step
 	outcome   string
 	token     int
@@ -53,6 +54,9 @@
 	if token < c.guardRows[member] {
 		return Fenced
 	}
+	if outcome := c.confirmNoPrimary(member); step == Promote && outcome != Succeeded {
+		return outcome
+	}
 	c.guardRows[member] = token
 	if step != FenceMember {
 		c.primary[member] = step == Promote
@@ -61,6 +65,19 @@
 	return Succeeded
 }
 
+// confirmNoPrimary simulates the question to all members but one whether they accept writes.
+func (c *cluster) confirmNoPrimary(except string) Outcome {
+	for member, primary := range c.primary {
+		if primary && member != except {
+			return Superseded
+		}
+	}
+	if c.silent != "" && c.silent != except {
+		return Unknown
+	}
+	return Succeeded
+}
+
 // guardValue returns the number that a step presents to the guard row: the fencing token and the rank.
 func (c *cluster) guardValue(d Decision) int { return c.token<<RankBits | int(d.Rank) }
 
@@ -76,16 +93,19 @@
 	case CommandRouter:
 		c.executor.RouterAnswered(d.Target, d.Command, true, 0)
 	case CommandMember:
-		c.executor.StepDone(c.applyStep(d.Target, d.Step, c.guardValue(d)), "")
+		c.executor.StepDone(c.applyStep(d.Target, d.Step, c.guardValue(d)), c.silent)
 	case EndOrder:
 		c.outcome, c.steps = d.Text, nil
 	}
 }
 
+// maxRunSteps of 20 ms are longer than the time after which an order ends as stuck.
+const maxRunSteps = 2000
+
 // run executes decisions until the order has ended.
 func (c *cluster) run(t testingT) {
 	t.Helper()
-	for range 1000 {
+	for range maxRunSteps {
 		for d, more := c.executor.Next(); more; d, more = c.executor.Next() {
 			c.execute(d)
 		}
@@ -260,3 +280,32 @@
 		}
 	})
 }
+
+// Guards against two primaries after an undone switchover: once the cluster has made another member the primary by itself, neither the new
+// nor the old primary is promoted, whenever that happened.
+func TestExecutor_NoPromotionBesideAnother(t *testing.T) {
+	for _, before := range []Phase{phasePromote, phaseRollback} {
+		t.Run(string(before), func(t *testing.T) {
+			c := newCluster()
+			c.steps = []leasestate.Step{{Text: string(before) + " m1 m2"}}
+			c.primary["m1"], c.primary["m3"] = false, true
+			startExecutor(t, c)
+			c.run(t)
+			if !slices.Equal(c.primaries(), []string{"m3"}) || !strings.HasPrefix(c.outcome, "taken back, the cluster has made another member the primary: ") {
+				t.Errorf("%v accept writes, outcome %q\n%v", c.primaries(), c.outcome, c.log)
+			}
+		})
+	}
+}
+
+// While a member doesn't answer whether it accepts writes, no other is promoted. The order ends with the name of that member.
+func TestExecutor_UnansweredQuestionKeepsItUndone(t *testing.T) {
+	c := newCluster()
+	c.steps = []leasestate.Step{{Text: string(phasePromote) + " m1 m2"}}
+	c.primary["m1"], c.silent = false, "m3"
+	startExecutor(t, c)
+	c.run(t)
+	if len(c.primaries()) > 0 || !strings.HasPrefix(c.outcome, "stuck: ") || !strings.Contains(c.outcome, "m3") {
+		t.Errorf("%v accept writes, outcome %q\n%v", c.primaries(), c.outcome, c.log)
+	}
+}
--- a/internal/decide/switchover/switchover.go
+++ b/internal/decide/switchover/switchover.go
@@ -8,6 +8,9 @@
 // If a step of a former lease holder arrives late, it could release writes to a primary that has stepped down, or promote a second member.
 // Therefore each step carries the fencing token under which its sender holds the lease. A router that has seen a higher token refuses the
 // step; so does a member, which checks its guard row in the same transaction as the step.
+//
+// The cluster may also replace a primary by itself, and does so under no token. Therefore a promotion commits only after all other members of
+// the group have answered that they accept no writes.
 package switchover
 
 import (
@@ -73,10 +76,11 @@
 
 // Outcomes of a member step. The numeric values appear in the audit log.
 const (
-	Succeeded Outcome = iota // the member performed the step
-	Fenced                   // the member has seen a higher fencing token
-	Failed                   // the step had no effect
-	Unknown                  // the step may have had an effect
+	Succeeded  Outcome = iota // the member performed the step
+	Fenced                    // the member has seen a higher fencing token
+	Failed                    // the step had no effect
+	Unknown                   // the step may have had an effect
+	Superseded                // a promotion had no effect, since another member accepts writes
 )
 
 // Decision is one action for the caller to perform. Only the fields that belong to its Action are set.
--- a/internal/fleet/switchover.go
+++ b/internal/fleet/switchover.go
@@ -248,9 +248,12 @@
 func (n *Node) commandMember(task *switchoverTask, d switchover.Decision) {
 	executor := task.executor
 	address := ""
+	var others []Member
 	for _, member := range n.groups[task.group] {
 		if member.ID == d.Target {
 			address = member.Addr
+		} else {
+			others = append(others, member)
 		}
 	}
 	go func() { // ends with Run's context, or the step's timeout
@@ -258,7 +261,7 @@
 		outcome, err := switchover.Failed, fmt.Errorf("%s is not in the list", d.Target)
 		if address != "" {
 			ctx, cancel := context.WithTimeout(n.ctx, milliseconds(n.settings.Adapter.StepTimeoutMs))
-			outcome, err = n.settings.Adapter.runStep(ctx, address, d.Step, task.token, d.Rank)
+			outcome, err = n.settings.Adapter.runStep(ctx, address, others, d, task.token)
 			cancel()
 			failpoint.Point("stepped." + string(d.Step))
 		}
--- a/internal/lab/fleet/scenario.go
+++ b/internal/lab/fleet/scenario.go
@@ -71,6 +71,7 @@
 //	switchover MEMBER                            places an order to promote the member
 //	await-switchover TEXT ...                    until it has ended; the result must contain the text
 //	await-primary MEMBER                         until this member and no other accepts writes
+//	take-over FORMER NEXT                        the cluster makes a member the primary by itself
 //
 // The policy:
 //
--- a/internal/lab/fleet/simulation/simulation.go
+++ b/internal/lab/fleet/simulation/simulation.go
@@ -32,6 +32,7 @@
 	SeededDefects SeededDefects
 	Schedule      func(*World)   // schedules the events of the run, instead of random faults
 	Switchover    bool           // run switchovers of a group's primary while clients write
+	PrimaryHangs  bool           // the primary hangs from time to time, also for as long as the cluster takes to replace it
 	Policy        *PolicyOptions // run policy changes; nil: none
 	MaxHolders    int            // number of routers that request leases; 0: all
 }
@@ -52,6 +53,7 @@
 	OvercountLease     bool // holders use a negative safety margin and consider a lease valid after it expired
 	SameEpoch          bool // coordinator nodes that lost their state restart in the same epoch
 	IgnoreGuardRow     bool // members execute steps that their guard rows should reject
+	PromoteUnasked     bool // a member is promoted although no other member was asked whether it accepts writes
 	Policy             policy.SeededDefects
 	SkipCompareAndSet  bool // a proposal is accepted whatever its base version
 	AcknowledgeUnsaved bool // a coordinator node acknowledges entries before the disk write
--- a/internal/lab/fleet/simulation/switchover_executor.go
+++ b/internal/lab/fleet/simulation/switchover_executor.go
@@ -146,7 +146,7 @@
 	})
 }
 
-// commandMember sends a step to a member.
+// commandMember sends a step to a member. A promotion is committed once the other members have answered that they accept no writes.
 func (p *Process) commandMember(held *switchoverLease, d switchover.Decision) {
 	w, to, executor, token := p.world, p.world.processes[d.Target], held.executor, held.token
 	held.pendingStep = d.Step
@@ -158,14 +158,58 @@
 				p.updateExecutor(held, executor, func(e *switchover.Executor) { e.StepDone(outcome, reason) })
 			}
 		}
-		w.send(p, to, commandBytes, func() {
-			outcome := w.executeStep(to, token, d)
-			w.send(to, p, stepResponseBytes, func() { end(outcome, "") })
+		run := func(step func(*Process, lease.Token, switchover.Decision) switchover.Outcome, done func(switchover.Outcome)) {
+			w.send(p, to, commandBytes, func() {
+				outcome := step(to, token, d)
+				w.send(to, p, stepResponseBytes, func() { done(outcome) })
+			})
+		}
+		run(w.executeStep, func(outcome switchover.Outcome) {
+			if outcome != switchover.Succeeded || d.Step != switchover.Promote {
+				end(outcome, "")
+				return
+			}
+			p.confirmNoPrimary(to, func(primary string) {
+				switch {
+				case bool(ended): // the step has timed out: the transaction is not committed
+				case primary != "":
+					end(switchover.Superseded, primary+" takes writes")
+				default:
+					run(w.commitPromotion, func(outcome switchover.Outcome) { end(outcome, "") })
+				}
+			})
 		})
 		p.later(memberTimeoutMs, func() { end(switchover.Unknown, "no answer") })
 	})
 }
 
+// confirmNoPrimary asks all members but one whether they accept writes. It calls done once, with a member that does, or with "" when all have
+// answered that they don't.
+func (p *Process) confirmNoPrimary(except *Process, done func(primary string)) {
+	w := p.world
+	if w.options.SeededDefects.PromoteUnasked {
+		done("")
+		return
+	}
+	missing := groupMembers - 1
+	var ended once
+	for _, m := range w.switchovers.members {
+		if m == except {
+			continue
+		}
+		w.send(p, m, commandBytes, func() {
+			primary := m.member.primary
+			w.send(m, p, stepResponseBytes, func() {
+				if missing--; primary && ended.first() {
+					done(m.Name)
+				} else if missing == 0 && ended.first() {
+					done("")
+				}
+			})
+		})
+	}
+}
+
 // commandRouter commands a router to hold, release or count its writes.
 func (p *Process) commandRouter(held *switchoverLease, d switchover.Decision) {
 	w, to, executor := p.world, p.world.processes[d.Target], held.executor
--- a/internal/lab/fleet/simulation/switchover_members.go
+++ b/internal/lab/fleet/simulation/switchover_members.go
@@ -40,6 +40,8 @@
 	endedOrders map[string]int // by result
 	writes      int
 	fencedSteps int // steps rejected by the guard row of a member
+	takeovers   int // primaries that the cluster manager replaced
+	manager     clusterManager
 }
 
 // member is a simulated member of the group. It keeps its state across restarts.
@@ -47,6 +49,14 @@
 	primary    bool
 	guardToken lease.Token // the guard row
 	guardRank  uint64
+	promotion  *stagedPromotion // by the open transaction of a step; nil: none
+}
+
+// stagedPromotion is a promotion whose transaction is open.
+type stagedPromotion struct {
+	token    lease.Token
+	rank     uint64
+	stagedMs float64
 }
 
 // groupLogEntry is a commit or a promotion. The log has those of all members in the order in which they happened.
@@ -66,6 +76,11 @@
 		w.processes[p.Name] = p
 	}
 	run.groupLog = append(run.groupLog, groupLogEntry{member: "m1", promoted: true})
+	run.manager.primary = run.members[0]
+	w.watchPrimary()
+	if w.options.PrimaryHangs {
+		w.schedulePrimaryHangs()
+	}
 	for at := float64(firstOrderMs); at < w.options.FaultsMs+lastOrderMs; at += minOrderIntervalMs + w.rand.Float64()*orderJitterMs {
 		w.After(at, func() { w.placeOrder(run.members[w.rand.IntN(groupMembers)].Name, 0) })
 	}
@@ -88,24 +103,59 @@
 	}
 }
 
-// executeStep executes an executor's step on a member, unless the member's guard row rejects it.
+// executeStep executes an executor's step on a member, unless the member's guard row rejects it. A promotion is only staged.
 func (w *World) executeStep(p *Process, token lease.Token, d switchover.Decision) switchover.Outcome {
 	m := p.member
-	order := token.Compare(m.guardToken)
-	if outdated := order < 0 || order == 0 && d.Rank < m.guardRank; outdated && !w.options.SeededDefects.IgnoreGuardRow {
-		w.switchovers.fencedSteps++
+	if w.rejectedByGuardRow(m, token, d.Rank) {
 		return switchover.Fenced
 	}
+	switch d.Step {
+	case switchover.Promote:
+		m.promotion = &stagedPromotion{token: token, rank: d.Rank, stagedMs: w.Now}
+		return switchover.Succeeded
+	case switchover.StepDown:
+		m.primary = false
+	}
 	m.guardToken, m.guardRank = token, d.Rank
-	if d.Step == switchover.Promote && !m.primary {
-		w.switchovers.groupLog = append(w.switchovers.groupLog, groupLogEntry{member: p.Name, promoted: true})
+	return switchover.Succeeded
+}
+
+// commitPromotion commits the staged promotion of a member. It fails if the transaction has been open for longer than a step may take.
+func (w *World) commitPromotion(p *Process, token lease.Token, d switchover.Decision) switchover.Outcome {
+	m := p.member
+	staged := m.promotion
+	if staged == nil || staged.token != token || staged.rank != d.Rank || w.Now-staged.stagedMs > memberTimeoutMs {
+		return switchover.Unknown
 	}
-	if d.Step != switchover.FenceMember {
-		m.primary = d.Step == switchover.Promote
+	m.promotion = nil
+	if w.rejectedByGuardRow(m, token, d.Rank) {
+		return switchover.Fenced
 	}
+	m.guardToken, m.guardRank = token, d.Rank
+	w.promote(p)
 	return switchover.Succeeded
 }
 
+// rejectedByGuardRow reports whether a member has seen a higher token, or a higher rank under the same one.
+func (w *World) rejectedByGuardRow(m *member, token lease.Token, rank uint64) bool {
+	order := token.Compare(m.guardToken)
+	outdated := order < 0 || order == 0 && rank < m.guardRank
+	if !outdated || w.options.SeededDefects.IgnoreGuardRow {
+		return false
+	}
+	w.switchovers.fencedSteps++
+	return true
+}
+
+// promote makes a member accept writes.
+func (w *World) promote(p *Process) {
+	if !p.member.primary {
+		w.switchovers.groupLog = append(w.switchovers.groupLog, groupLogEntry{member: p.Name, promoted: true})
+	}
+	p.member.primary = true
+	w.switchovers.manager.primary = p
+}
+
 // checkWrites checks the group's log: a write that succeeded for its client is committed exactly once, a rejected one is not committed,
 // no write is committed twice, and only the member that was promoted last commits writes.
 func (w *World) checkWrites() (violations []string) {
--- a/internal/lab/fleet/simulation/switchover_test.go
+++ b/internal/lab/fleet/simulation/switchover_test.go
@@ -14,9 +14,11 @@
 
 // Under random faults, no write is lost, committed twice, or committed by a member after another was promoted, and orders end.
 func TestSwitchovers_RandomFaults(t *testing.T) {
-	fencedSteps, orders, succeeded, ended := 0, 0, 0, map[string]int{}
+	fencedSteps, takeovers, orders, succeeded, ended := 0, 0, 0, 0, map[string]int{}
 	for seed := range uint64(*schedules / 2) {
-		w := Run(switchoverOptions(seed))
+		o := switchoverOptions(seed)
+		o.PrimaryHangs = seed%2 == 1
+		w := Run(o)
 		if len(w.Violations) > 0 {
 			t.Fatalf("seed %d: %v\n%v", seed, w.Violations, w.Faults)
 		}
@@ -29,10 +31,12 @@
 			}
 		}
 		fencedSteps, orders = fencedSteps+w.switchovers.fencedSteps, orders+w.switchovers.orders
+		takeovers += w.switchovers.takeovers
 	}
-	t.Logf("%d schedules, %d orders, ended %v, %d writes succeeded, %d steps rejected by members", *schedules/2, orders, ended, succeeded, fencedSteps)
-	if ended["done"] < *schedules/2 || succeeded < 100**schedules {
-		t.Errorf("only %d switchovers and %d successful writes: coverage is too low", ended["done"], succeeded)
+	t.Logf("%d schedules, %d orders, ended %v, %d writes succeeded, %d steps rejected by members, %d takeovers by the cluster",
+		*schedules/2, orders, ended, succeeded, fencedSteps, takeovers)
+	if ended["done"] < *schedules/2 || succeeded < 100**schedules || takeovers == 0 {
+		t.Errorf("only %d switchovers, %d successful writes and %d takeovers: coverage is too low", ended["done"], succeeded, takeovers)
 	}
 }
 
@@ -86,11 +90,13 @@
 	return held != nil && held.executor != nil && held.executor.Phase() == "take" && held.pendingStep == switchover.Promote
 }
 
-// A member that ignores its guard row causes a violation, and there is none without that defect.
+// A member that ignores its guard row causes a violation, and there is none without that defect. Both are without the question to the other
+// members, which finds the same late promotions.
 func TestSeededDefects_IgnoredGuardRowIsFound(t *testing.T) {
 	for seed := range uint64(100) {
 		o := switchoverOptions(seed)
 		o.Schedule = pauseHolderDuringPromotion
+		o.SeededDefects.PromoteUnasked = true
 		if w := Run(o); len(w.Violations) > 0 {
 			t.Fatalf("seed %d, with guard rows: %v", seed, w.Violations)
 		}
@@ -102,3 +108,56 @@
 	}
 	t.Error("no seed found the defect")
 }
+
+// hangPrimaryDuringSwitchover pauses the primary while a switchover waits for it, for as long as the cluster takes to replace it.
+func hangPrimaryDuringSwitchover(w *World) {
+	for at := 3000.0; at < w.options.FaultsMs; at += 9000 {
+		w.After(at, func() {
+			primary := w.switchovers.manager.primary
+			for _, next := range w.switchovers.members {
+				if next != primary {
+					w.placeOrder(next.Name, 0)
+					break
+				}
+			}
+			for wait := 1.0; wait < 400; wait++ { // until the first step is recorded
+				w.After(wait, func() {
+					if p := w.Holder(switchover.LeaseName(0)); p != nil && p.switchoverPhase() == "yield" && !primary.paused {
+						w.PauseFor(primary, 6800)
+					}
+				})
+			}
+		})
+	}
+}
+
+// switchoverPhase returns the phase of the switchover that this process executes; empty: none.
+func (p *Process) switchoverPhase() switchover.Phase {
+	if held := p.switchover; held != nil && held.executor != nil {
+		return held.executor.Phase()
+	}
+	return ""
+}
+
+// A primary that hangs during a switchover, and is replaced by its cluster, is not promoted again when the switchover is undone. Without the
+// question to the other members it is.
+func TestSeededDefects_PromotionBesideTakeoverIsFound(t *testing.T) {
+	takeovers, found := 0, false
+	for seed := range uint64(100) {
+		o := switchoverOptions(seed)
+		o.Schedule = hangPrimaryDuringSwitchover
+		w := Run(o)
+		if len(w.Violations) > 0 {
+			t.Fatalf("seed %d, with the question: %v", seed, w.Violations)
+		}
+		takeovers += w.switchovers.takeovers
+		o.SeededDefects.PromoteUnasked = true
+		if w := Run(o); len(w.Violations) > 0 && !found {
+			t.Logf("seed %d: %.200s", seed, w.Violations[0])
+			found = true
+		}
+	}
+	if !found || takeovers == 0 {
+		t.Errorf("found the defect: %v, %d takeovers", found, takeovers)
+	}
+}
--- a/internal/lab/fleet/steps.go
+++ b/internal/lab/fleet/steps.go
@@ -47,6 +47,7 @@
 	"switchover":         parseSwitchover,
 	"await-switchover":   parseAwaitSwitchover,
 	"await-primary":      parseAwaitPrimary,
+	"take-over":          parseTakeOver,
 	// steps_policy.go
 	"write-policy":            parseWritePolicy,
 	"propose":                 parsePropose,
--- a/internal/lab/fleet/steps_coordinator.go
+++ b/internal/lab/fleet/steps_coordinator.go
@@ -148,6 +148,12 @@
 	}
 }
 
+// parseTakeOver parses take-over FORMER NEXT: the cluster makes a member the primary by itself.
+func parseTakeOver(a *arguments) action {
+	former, next := a.process(), a.process()
+	return func(r *runner) error { return r.fleet.Promote(former.text(r), next.text(r)) }
+}
+
 func parseAwaitPrimary(a *arguments) action {
 	member := a.process()
 	return func(r *runner) error {
