Pools: a pinned request that needs the primary goes only there

Cause: a pin skipped the choice of a member, which is where the primary is asked for.

Change: such a request is sent only while its member is the primary, waits while none is known, and ends its session with 57P01 once another is. A response that reports a replica and holds only reads ends it too, if the client has received nothing.

--- a/internal/backend/stream_reply.go
+++ b/internal/backend/stream_reply.go
@@ -1,8 +1,12 @@
 package backend
 
 import (
+	"slices"
+	"strings"
+
 	"wayloft/internal/decide/session"
 	"wayloft/internal/pg"
+	"wayloft/internal/request"
 	"wayloft/router"
 )
 
@@ -190,6 +194,10 @@
 		c.backend.endJob(j, outcome)
 		return true
 	}
+	if c.readFromFormerPrimary() {
+		c.endPinnedSession()
+		return true
+	}
 	stream.Receive(*m)
 	stream.Flush()
 	stream.NextQuery()
@@ -204,6 +212,32 @@
 	return true
 }
 
+// readFromFormerPrimary reports whether a request that needs the primary has only read, on the connection reserved for its session, from a member
+// that reports itself a replica with this response, of which the client has received nothing. The rows may be old.
+func (c *memberConn) readFromFormerPrimary() bool {
+	req := c.job.request
+	if c.role != router.Replica || req.Stream.Reserved != request.BackendConn(c) || req.Stream.Started() {
+		return false
+	}
+	return c.backend.options.PrimaryClasses[req.RequestClass] && onlyRead(req.Stream.Buffered())
+}
+
+// onlyRead reports whether all commands that a response completes are reads.
+func onlyRead(response []pg.Message) bool {
+	return !slices.ContainsFunc(response, func(m pg.Message) bool {
+		command, _, _ := strings.Cut(m.Text, " ")
+		return m.Kind == pg.CommandComplete && command != "SELECT" && command != "SHOW" && command != "FETCH" && command != "BEGIN"
+	})
+}
+
+// endPinnedSession ends the session of the request in progress, whose response is discarded. The router learns the role that the member has
+// reported.
+func (c *memberConn) endPinnedSession() {
+	client := c.job.request.Stream.Client
+	c.backend.endJob(c.job, router.Succeeded)
+	client.Terminate(request.ErrPinLost)
+}
+
 // writeInternalSync writes internal messages, followed by a Sync.
 func (c *memberConn) writeInternalSync(out []byte) {
 	c.expected = append(c.expected, expectedReply{kind: pg.Sync})
--- a/internal/eventloop/driver.go
+++ b/internal/eventloop/driver.go
@@ -309,7 +309,11 @@
 		open.inFlight++
 		d.backend.SendAttempt(open.request, open.attempts-1, decision.Member, decision.Wait, decision.NotAfter)
 	case router.RejectRequest:
-		open.request.Reject(decision.Wait)
+		if decision.PinLost {
+			open.request.RejectPinned()
+		} else {
+			open.request.Reject(decision.Wait)
+		}
 	case router.FailRequest:
 		open.request.Fail()
 	}
--- a/internal/frontend/pooledrequest.go
+++ b/internal/frontend/pooledrequest.go
@@ -106,6 +106,9 @@
 	e := response.StatementError
 	switch {
 	case e != nil:
+	case response.PinLost:
+		p.Terminate(request.ErrPinLost)
+		return
 	case response.Rejected:
 		e = rejectedError(response.RetryAfter)
 	case lastError != nil:
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -8,12 +8,16 @@
 	"wayloft/internal/pg"
 )
 
+// ErrPinLost ends a session whose requests need the primary, and whose reserved connection leads to a member that is not the primary any more.
+var ErrPinLost = &pg.Error{Code: pg.AdminShutdown, Text: "the member that this session's connection leads to is not the primary any more"}
+
 // Response is the final response to a request. The request succeeded if Rows is not nil. Otherwise StatementError, if set, is
 // the error of the statement, and Rejected means that the request did not run. If neither is set, it may have run.
 type Response struct {
 	Rows           []byte    // the member's complete response, unchanged
 	StatementError *pg.Error // an error of the statement itself, which had no effect
 	Rejected       bool      // the request did not run; a retry is safe
+	PinLost        bool      // rejected, since the member of the client's reserved connection can't serve such requests any more
 	RetryAfter     float64   // ms after which a rejected client may retry; 0: not specified
 }
 
@@ -79,6 +83,9 @@
 	r.finish(Response{Rejected: true, RetryAfter: retryAfter})
 }
 
+// RejectPinned finishes a request that did not run, and can't run on the connection that is reserved for its client.
+func (r *Request) RejectPinned() { r.finish(Response{Rejected: true, PinLost: true}) }
+
 // StatementError finishes the request with an error of the statement itself, which had no effect.
 func (r *Request) StatementError(e *pg.Error) { r.finish(Response{StatementError: e}) }
 
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -80,6 +80,9 @@
 // selectMember selects a member for the request; nil if it must wait.
 func (r *Router) selectMember(req *request) *member {
 	if req.sticky {
+		if req.needsPrimary() && req.stickyMember != r.primary(req.group) {
+			return nil
+		}
 		return r.ifEligible(req, req.stickyMember)
 	}
 	if req.needsPrimary() {
@@ -125,6 +128,15 @@
 	return latest
 }
 
+// pinLost reports whether the request needs the primary and is pinned to a member in whose place another is the primary.
+func (r *Router) pinLost(req *request) bool {
+	if !req.sticky || !req.needsPrimary() {
+		return false
+	}
+	primary := r.primary(req.group)
+	return primary != nil && primary != req.stickyMember
+}
+
 // cannotSucceed reports whether no further attempt of the request can earn anything.
 func (r *Router) cannotSucceed(req *request) bool {
 	expectedEnd := r.now + r.usualLatency(req)
@@ -134,6 +146,7 @@
 		expectedEnd > req.deadline ||
 		lateIsWorthless && expectedEnd > req.firstArrival+class.LatencyObjective ||
 		req.sticky && (req.stickyMember == nil || req.stickyMember.draining || req.stickyMember.down) ||
+		r.pinLost(req) ||
 		attempts == 0 && r.unsentTooLong(req) ||
 		req.mayHaveRunSince != Never && r.retryForbidden(req)
 }
@@ -165,5 +178,5 @@
 		return Decision{Action: FailRequest, RequestID: req.id}
 	}
 	// An earlier retry could not be served in time either; after a short overload the wait may be longer than needed.
-	return Decision{Action: RejectRequest, RequestID: req.id, Wait: r.settings.RetryAfter}
+	return Decision{Action: RejectRequest, RequestID: req.id, Wait: r.settings.RetryAfter, PinLost: r.pinLost(req)}
 }
--- a/router/scenario_test.go
+++ b/router/scenario_test.go
@@ -200,6 +200,9 @@
 		o.number("ttl", 1000), o.has("marked")) {
 		return fmt.Errorf("unknown request class")
 	}
+	if o.has("pinned") {
+		p.router.Pin(id, o["pinned"])
+	}
 	if o.has("members-not-told") {
 		p.router.MembersNotTold(id)
 	}
--- a/router/types.go
+++ b/router/types.go
@@ -74,6 +74,7 @@
 	Member    string
 	Attempt   int     // index of the attempt within its request, from 0
 	Wait      float64 // ms; RejectRequest: retry-after, 0 for none; SendAttempt: timeout of the attempt, 0 for none
+	PinLost   bool    // RejectRequest: the member that the request is pinned to is not the primary any more, and the request needs it
 	NotAfter  float64 // the attempt must be fully written by then, or else end as NotSent; +Inf for no limit
 	Time      float64 // when the timer is to fire
 }
