Pools: RESET ALL leaves role and session authorization as they are

Cause: RESET ALL counted as a reset of every setting. PostgreSQL marks role and session_authorization GUC_NO_RESET_ALL. The connection was taken for clean and sent no RESET.

Change: both are kept for client and connection, also where the router answers by itself. A session authorization ends the role; its default brings the default role. Settings of the current transaction alone are not kept. The stand-in server follows the same rules.

--- a/internal/decide/session/model_test.go
+++ b/internal/decide/session/model_test.go
@@ -44,7 +44,7 @@
 	}
 	switch c.Kind {
 	case pg.OtherCommand:
-		return "SELECT 1", sql != "SELEKT"
+		return "SELECT 1", strings.TrimSpace(sql) != "SELEKT"
 	case pg.Begin, pg.Commit, pg.Rollback:
 		return m.runTransaction(c), true
 	case pg.Savepoint, pg.RollbackTo, pg.ReleaseSavepoint:
@@ -53,13 +53,18 @@
 		m.set(c)
 		return "SET", true
 	case pg.Reset:
-		delete(m.settings, c.Name)
-		delete(m.local, c.Name)
+		m.set(pg.Command{Settings: []pg.Setting{{Name: c.Name}}})
 		return "RESET", true
 	case pg.ResetAll:
-		clear(m.settings)
-		clear(m.local)
+		m.resetAll()
 		return "RESET", true
+	case pg.DiscardAll:
+		if m.status != StatusIdle {
+			return "", false
+		}
+		m.set(pg.Command{Settings: []pg.Setting{{Name: "session_authorization"}}})
+		m.resetAll()
+		return "DISCARD ALL", true
 	}
 	return "", false
 }
@@ -106,10 +111,26 @@
 	return "", false
 }
 
+// resetAll resets all settings but those marked GUC_NO_RESET_ALL.
+func (m *serverModel) resetAll() {
+	for _, settings := range []map[string]string{m.settings, m.local} {
+		maps.DeleteFunc(settings, func(name, _ string) bool { return name != "role" && name != "session_authorization" })
+	}
+}
+
+// set sets settings. As in PostgreSQL, a session authorization also sets the role to none; its reset resets the role.
 func (m *serverModel) set(c pg.Command) {
 	for _, pair := range c.Settings {
 		name, value := pair.Name, pair.Value
+		if name == "session_authorization" {
+			role := pg.Setting{Name: "role"}
+			if value != "" {
+				role.Value = "none"
+			}
+			m.set(pg.Command{Local: c.Local, Settings: []pg.Setting{role}})
+		}
 		switch {
+		case strings.HasPrefix(name, "transaction_"): // ends with the transaction
 		case c.Local && m.status == StatusIdle:
 		case c.Local:
 			m.local[name] = value
@@ -166,9 +187,27 @@
 	return strings.Join(words, " ")
 }
 
+// testingT is the common subset of *testing.T and *rapid.T that a modelPool uses.
+type testingT interface {
+	Fatalf(format string, args ...any)
+}
+
+func newModelPool(t testingT, choose func() int) *modelPool {
+	return &modelPool{
+		t:           t,
+		choose:      choose,
+		reference:   newServerModel(),
+		connections: []*serverModel{newServerModel(), newServerModel(), newServerModel()},
+		tracked:     []Settings{NoSettings, NoSettings, NoSettings},
+		session:     New(Policy{MaxSettingsBytes: 1000, MaxStatements: 9}, NoSettings),
+		attached:    notAttached,
+	}
+}
+
 // modelPool runs a session over a pool of connections, as the router does, next to a reference server that has only this client.
 type modelPool struct {
-	t           *rapid.T
+	t           testingT
+	choose      func() int // returns the index of the connection that the session gets next
 	reference   *serverModel
 	connections []*serverModel
 	tracked     []Settings // settings of each connection as tracked by the router
@@ -182,7 +221,7 @@
 func (p *modelPool) query(sql string) {
 	_, messages := p.session.Query(sql, pg.AppendQuery(nil, sql), p.attached >= 0)
 	if messages != nil && p.attached == notAttached {
-		p.attach(rapid.IntRange(0, len(p.connections)-1).Draw(p.t, "connection"))
+		p.attach(p.choose())
 	}
 	for _, message := range messages {
 		p.connections[p.attached].query(queryText(message), func(m pg.Message) {
@@ -225,18 +264,16 @@
 // transaction, the connection must have the settings that the session expects, and the session must have the settings that a single
 // server would have.
 func TestSession_SettingsFollowClient(t *testing.T) {
-	statements := []string{"SET a.x = '1'", "SET a.x = '2'", "SET a.y = '1'", "SET LOCAL a.x = '3'", "SET a.x TO DEFAULT", "RESET a.x",
+	statements := []string{"SET ROLE r", "SET LOCAL ROLE q", "SET ROLE NONE", "RESET ROLE", "SET SESSION AUTHORIZATION u",
+		"SET LOCAL SESSION AUTHORIZATION v",
+		"RESET SESSION AUTHORIZATION", "SET SESSION AUTHORIZATION DEFAULT", "DISCARD ALL", "SET transaction_read_only = on",
+		"SELECT 1; RESET ALL", "SET ROLE r; SELEKT", "BEGIN; SET ROLE s; RESET ALL; COMMIT", "BEGIN; SET ROLE s; RESET ALL; ROLLBACK",
+		"SET a.x = '1'", "SET a.x = '2'", "SET a.y = '1'", "SET LOCAL a.x = '3'", "SET a.x TO DEFAULT", "RESET a.x",
 		"RESET ALL", "BEGIN", "COMMIT", "ROLLBACK", "SAVEPOINT s", "SAVEPOINT s", "ROLLBACK TO s", "RELEASE s", "SELECT 1", "SELEKT",
 		"SET a.x = '4'; SELECT 1", "SET a.y = '5'; SELEKT", "BEGIN; SET a.x = '6'; COMMIT", "SELECT 1; SET a.y = '7'; ROLLBACK"}
 	rapid.Check(t, func(t *rapid.T) {
-		p := &modelPool{
-			t:           t,
-			reference:   newServerModel(),
-			connections: []*serverModel{newServerModel(), newServerModel(), newServerModel()},
-			tracked:     []Settings{NoSettings, NoSettings, NoSettings},
-			session:     New(Policy{MaxSettingsBytes: 1000, MaxStatements: 9}, NoSettings),
-			attached:    notAttached,
-		}
+		var p *modelPool
+		p = newModelPool(t, func() int { return rapid.IntRange(0, len(p.connections)-1).Draw(t, "connection") })
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			sql := rapid.SampledFrom(statements).Draw(t, "sql")
 			p.reference.query(sql, func(pg.Message) {})
@@ -255,3 +292,51 @@
 		}
 	})
 }
+
+// Guards against a role that one client has set and the next one gets: RESET ALL leaves role and session_authorization as they are. Each row is a
+// sequence of statements, each run on the next connection, and the settings of the session after it. A reference server with this client
+// alone must have the same, and the connections those that the session expects of them.
+func TestSession_RoleByCommand(t *testing.T) {
+	for _, c := range []struct{ statements, want string }{
+		{"SET ROLE r", "role=r"},
+		{"SET ROLE r|RESET ALL", "role=r"},
+		{"SET ROLE r; RESET ALL", "role=r"},
+		{"SET ROLE r|SELECT 1; RESET ALL|SELECT 1", "role=r"},
+		{"SET ROLE r|SET a.x = '1'|SELECT 1; RESET ALL", "role=r"},
+		{"SET ROLE r|RESET ROLE", ""},
+		{"SET ROLE r|SET ROLE DEFAULT", ""},
+		{"SET ROLE r|SET ROLE NONE", "role=NONE"},
+		{"SET ROLE r|DISCARD ALL", ""},
+		{"SET ROLE r|SELECT 1|DISCARD ALL|SELECT 1", ""},
+		{"SET SESSION AUTHORIZATION u", "role=none session_authorization=u"},
+		{"SET ROLE r|SET SESSION AUTHORIZATION u", "role=none session_authorization=u"},
+		{"SET SESSION AUTHORIZATION u|SET ROLE r|RESET ALL", "role=r session_authorization=u"},
+		{"SET SESSION AUTHORIZATION u|SET ROLE r|RESET SESSION AUTHORIZATION", ""},
+		{"SET SESSION AUTHORIZATION u|SET ROLE r|SET SESSION AUTHORIZATION DEFAULT|SELECT 1", ""},
+		{"SET SESSION AUTHORIZATION u|SET ROLE r|DISCARD ALL", ""},
+		{"SET SESSION AUTHORIZATION u|RESET ROLE|SELECT 1", "session_authorization=u"},
+		{"BEGIN|SET ROLE r|RESET ALL|COMMIT", "role=r"},
+		{"BEGIN|SET ROLE r|RESET ALL|ROLLBACK", ""},
+		{"SET ROLE r|BEGIN|RESET ROLE|ROLLBACK", "role=r"},
+		{"SET ROLE r|BEGIN|SET LOCAL ROLE q|RESET ALL|COMMIT", "role=r"},
+		{"BEGIN|SET LOCAL ROLE q|COMMIT", ""},
+		{"SET ROLE r|BEGIN|SET LOCAL SESSION AUTHORIZATION u|COMMIT|SELECT 1", "role=r"},
+		{"BEGIN|SAVEPOINT s|SET ROLE r|ROLLBACK TO s|RESET ALL|COMMIT", ""},
+		{"SET ROLE r; SELEKT", ""},
+		{"SET transaction_read_only = on|SELECT 1", ""},
+	} {
+		t.Run(c.statements, func(t *testing.T) {
+			next := 0
+			var p *modelPool
+			p = newModelPool(t, func() int { next++; return next % len(p.connections) })
+			for sql := range strings.SplitSeq(c.statements, "|") {
+				p.reference.query(sql, func(pg.Message) {})
+				p.query(sql)
+				p.release(sql)
+			}
+			if got := describeSettings(p.session.Settings()); got != c.want || p.reference.describe() != c.want {
+				t.Errorf("session has settings [%s], the reference server [%s], want [%s]", got, p.reference.describe(), c.want)
+			}
+		})
+	}
+}
--- a/internal/decide/session/query.go
+++ b/internal/decide/session/query.go
@@ -111,9 +111,9 @@
 	}
 	switch c.Kind {
 	case pg.Reset:
-		s.setClientSettings(s.current.client.with(s.startup, pg.Setting{Name: c.Name}))
+		s.setClientSettings(s.current.client.with(s.startup, effectOnSession([]pg.Setting{{Name: c.Name}})...))
 	case pg.ResetAll:
-		s.setClientSettings(s.startup)
+		s.setClientSettings(s.current.client.resetAll(s.startup))
 	case pg.DiscardAll:
 		s.setClientSettings(s.startup)
 		s.deallocateAll()
--- a/internal/decide/session/server.go
+++ b/internal/decide/session/server.go
@@ -89,12 +89,12 @@
 	switch c.Kind {
 	case pg.Set:
 		if !c.Local {
-			s.current = s.current.with(s.startup, c.Settings...)
+			s.current = s.current.with(s.startup, effectOnSession(c.Settings)...)
 		}
 	case pg.Reset:
-		s.current = s.current.with(s.startup, pg.Setting{Name: c.Name})
+		s.current = s.current.with(s.startup, effectOnSession([]pg.Setting{{Name: c.Name}})...)
 	case pg.ResetAll:
-		s.current = settingsState{client: s.startup, server: NoSettings}
+		s.current = settingsState{client: s.current.client.resetAll(s.startup), server: s.current.server.resetAll(NoSettings)}
 	case pg.DiscardAll:
 		s.current = settingsState{client: s.startup, server: NoSettings}
 		s.resetSticky()
--- a/internal/decide/session/settings.go
+++ b/internal/decide/session/settings.go
@@ -59,6 +59,50 @@
 	return newSettings(tree)
 }
 
+// Settings with rules of their own (PostgreSQL, src/backend/utils/misc/guc_tables.c and guc.c).
+const (
+	authorizationSetting = "session_authorization"
+	roleSetting          = "role"
+	noRole               = "none"
+	// transactionPrefix is the prefix of the settings of the current transaction alone, which end with it.
+	transactionPrefix = "transaction_"
+)
+
+// keptByResetAll are the settings that RESET ALL leaves as they are, of those that go beyond a transaction: PostgreSQL marks them GUC_NO_RESET_ALL.
+var keptByResetAll = []string{authorizationSetting, roleSetting}
+
+// resetAll returns the settings after RESET ALL, where base are the values that it resets to.
+func (s Settings) resetAll(base Settings) Settings {
+	var kept []pg.Setting
+	for _, name := range keptByResetAll {
+		if value, set := s.Get(name); set {
+			kept = append(kept, pg.Setting{Name: name, Value: value})
+		}
+	}
+	return base.with(base, kept...)
+}
+
+// effectOnSession returns what a SET or RESET of these settings changes beyond the current transaction. A new session authorization also ends
+// the role that was set under the former one; with its default comes the default role.
+func effectOnSession(settings []pg.Setting) []pg.Setting {
+	var effect []pg.Setting
+	for _, setting := range settings {
+		if strings.HasPrefix(setting.Name, transactionPrefix) {
+			continue
+		}
+		effect = append(effect, setting)
+		if setting.Name != authorizationSetting {
+			continue
+		}
+		role := pg.Setting{Name: roleSetting}
+		if setting.Value != "" {
+			role.Value = noRole
+		}
+		effect = append(effect, role)
+	}
+	return effect
+}
+
 // isRouterSetting reports whether a setting is one of the router's own, which are never sent to a member.
 func isRouterSetting(name string) bool { return strings.HasPrefix(name, routerSettingPrefix) }
 
@@ -70,7 +114,7 @@
 	forEachDifference(current, desired, func(name, value string) {
 		switch {
 		case isRouterSetting(name):
-		case name == "session_authorization":
+		case name == authorizationSetting:
 			authorization = sessionAuthorizationStatement(value)
 		default:
 			statements = append(statements, settingStatement(name, value))
@@ -80,10 +124,10 @@
 		return statements
 	}
 	statements = append([]string{authorization}, statements...) // first, because it resets the role
-	if role, set := desired.Get("role"); set {
-		statements = append(statements, "SET role TO "+role)
+	if role, set := desired.Get(roleSetting); set {
+		return append(statements, "SET role TO "+role)
 	}
-	return statements
+	return append(statements, settingStatement(roleSetting, ""))
 }
 
 // forEachDifference calls f for each setting that differs, in name order, with the desired value, which is "" if the setting is to be
--- a/internal/fakes/pgserver/transaction.go
+++ b/internal/fakes/pgserver/transaction.go
@@ -11,6 +11,12 @@
 // same transaction, or empty if there was none.
 const localPrefix = "local:"
 
+// Settings that RESET ALL leaves as they are.
+const (
+	roleSetting          = "role"
+	authorizationSetting = "session_authorization"
+)
+
 // runCommand runs a transaction or session command.
 func (c *connection) runCommand(command pg.Command) {
 	switch command.Kind {
@@ -29,21 +35,18 @@
 	case pg.Set:
 		c.set(command)
 	case pg.Reset:
-		if value, set := c.startup[command.Name]; set {
-			c.settings[command.Name] = value
-		} else {
-			delete(c.settings, command.Name)
-		}
+		c.reset(command.Name)
 		c.writeTag("RESET")
 	case pg.ResetAll:
-		c.settings = maps.Clone(c.startup)
+		c.resetAll()
 		c.writeTag("RESET")
 	case pg.DiscardAll:
 		if c.status != idleStatus {
 			c.fail("25001", "DISCARD ALL cannot run inside a transaction block")
 			return
 		}
-		c.settings = maps.Clone(c.startup)
+		c.reset(authorizationSetting)
+		c.resetAll()
 		clear(c.prepared)
 		clear(c.sqlPrepared)
 		c.writeTag("DISCARD ALL")
@@ -52,6 +55,44 @@
 	}
 }
 
+// withRole adds what a SET SESSION AUTHORIZATION does to the role: a new authorization sets it to none, the default one to its default.
+func withRole(settings []pg.Setting) (all []pg.Setting) {
+	for _, setting := range settings {
+		if setting.Name == authorizationSetting {
+			role := pg.Setting{Name: roleSetting}
+			if setting.Value != "" {
+				role.Value = "none"
+			}
+			all = append(all, role)
+		}
+		all = append(all, setting)
+	}
+	return all
+}
+
+// reset resets a setting to its value at the start of the session. Together with the session authorization the role is reset.
+func (c *connection) reset(name string) {
+	if name == authorizationSetting {
+		c.reset(roleSetting)
+	}
+	if value, set := c.startup[name]; set {
+		c.settings[name] = value
+	} else {
+		delete(c.settings, name)
+	}
+}
+
+// resetAll resets all settings but the role and the session authorization.
+func (c *connection) resetAll() {
+	previous := c.settings
+	c.settings = maps.Clone(c.startup)
+	for _, name := range []string{roleSetting, authorizationSetting} {
+		if value, set := previous[name]; set {
+			c.settings[name] = value
+		}
+	}
+}
+
 // addInTransaction adds n to the number of open transactions.
 func (c *connection) addInTransaction(n int) {
 	c.server.mu.Lock()
@@ -138,7 +179,7 @@
 }
 
 func (c *connection) set(command pg.Command) {
-	for _, pair := range command.Settings {
+	for _, pair := range withRole(command.Settings) {
 		name, text := pair.Name, pair.Value
 		if strings.HasPrefix(name, "no_such") {
 			c.fail("42704", "unrecognized configuration parameter")
