Pools: a client is told its own settings, never another client's

Cause: the greeting held what any connection of the pool had reported last. On a connection the client was told the state left there before its own, and of a RESET that the router answers it was told nothing.

Change: the greeting holds the parameters of a login with the client's startup settings; parameters are reported once the client's settings are on the connection; a change that the router makes by itself is reported with its answer.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -95,7 +95,7 @@
 	conns         map[int]*memberConn             // established connections, by the pool's connection id
 	attempts      map[string]*job                 // attempts in flight, by request id
 	waiting       map[string]*job                 // jobs waiting for a connection, by pool request id
-	parameters    map[string]*iradix.Tree[string] // parameters last reported by members, by pool
+	parameters    map[string]*iradix.Tree[string] // parameters last reported by members at a login, by pool
 	poolRequests  int                             // number of requests made to the pool; also the last request's id
 	carryingOut   bool                            // set while decisions are carried out, to prevent recursion
 	timerAt       float64                         // when timer fires to carry out the pool's decisions; +Inf if no timer is set
@@ -195,7 +195,8 @@
 // Waiting returns the number of jobs waiting for a connection.
 func (b *Backend) Waiting() int { return b.pool.WaitingCount() }
 
-// KnownParameters returns the server parameters last reported on a pool's connections. A client receives them when it connects.
+// KnownParameters returns the server parameters that members have last reported at a login on one of a pool's connections: those of a session that
+// has set nothing. A client receives them when it connects.
 func (b *Backend) KnownParameters(pool string) *iradix.Tree[string] {
 	if t := b.parameters[pool]; t != nil {
 		return t
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -102,13 +102,13 @@
 	c.reservedFor = nil
 	stream := j.request.Stream
 	c.setTurn(j, true)
-	stream.Client.ServerParameters(c.parameters)
 	clientSession := stream.Client.Session()
 	clientSession.AttachConnection(c.settings)
 	if statements := clientSession.SettingsStatements(); len(statements) > 0 {
 		c.writeInternalQueries(statements...)
 	} else {
 		clientSession.SettingsApplied(true)
+		c.reportParameters()
 	}
 	stream.Attach(c)
 	return true
--- a/internal/backend/stream_reply.go
+++ b/internal/backend/stream_reply.go
@@ -80,11 +80,19 @@
 	return c.handleReply(m)
 }
 
-// recordClientParameter records a parameter that is also passed on to clients.
+// recordClientParameter records a parameter that is also passed on to clients. Those of a login are the values of a session that has set nothing.
 func (c *memberConn) recordClientParameter(name, value string) {
 	c.parameters, _, _ = c.parameters.Insert([]byte(name), value)
-	c.backend.parameters[c.pool] = c.parameters
-	if c.job != nil {
+	if !c.ready {
+		c.backend.parameters[c.pool] = c.parameters
+	}
+	c.reportParameters()
+}
+
+// reportParameters reports the parameters to the client of the request in progress. While its settings are being applied, some parameters still
+// follow the settings of another client.
+func (c *memberConn) reportParameters() {
+	if c.job != nil && c.internalPending == 0 {
 		c.job.request.Stream.Client.ServerParameters(c.parameters)
 	}
 }
@@ -260,6 +268,7 @@
 		c.backend.endJob(c.job, router.ServerError)
 	case c.internalPending == 0:
 		c.job.request.Stream.Client.Session().SettingsApplied(true)
+		c.reportParameters()
 		c.transactionStatus = m.Status
 		ops := c.queued
 		c.queued = nil
--- a/internal/fakes/pgserver/connection.go
+++ b/internal/fakes/pgserver/connection.go
@@ -78,6 +78,8 @@
 	"datestyle":        {"DateStyle", "ISO, MDY"},
 	"timezone":         {"TimeZone", "UTC"},
 	"application_name": {"application_name", ""},
+
+	"standard_conforming_strings": {"standard_conforming_strings", "on"},
 }
 
 func (s *Server) serve(conn net.Conn) {
--- a/internal/frontend/clientsession.go
+++ b/internal/frontend/clientsession.go
@@ -61,6 +61,11 @@
 	}
 }
 
+// reportSettingsSince reports the parameters that follow settings which have changed without a member.
+func (p *pooledSession) reportSettingsSince(before decide.Settings) {
+	p.ServerParameters(withSettings(p.reportedParameters, p.defaultParameters(), before, p.decisions.Settings()))
+}
+
 // Reserve implements request.ClientSession.
 func (p *pooledSession) Reserve(connection request.BackendConn) {
 	if p.state == pooledEnded {
--- a/internal/frontend/startup.go
+++ b/internal/frontend/startup.go
@@ -43,28 +43,54 @@
 		s.finishWithError(startupError)
 		return
 	}
-	p := &pooledSession{session: s, pool: pool, decisions: decide.New(pool.Policy, settings), reportedParameters: pool.KnownParameters()}
-	if p.reportedParameters.Len() == 0 {
-		p.reportedParameters = defaultParameters
-	}
+	p := &pooledSession{session: s, pool: pool, decisions: decide.New(pool.Policy, settings)}
+	p.reportedParameters = withSettings(p.defaultParameters(), p.defaultParameters(), decide.NoSettings, settings)
 	s.pooled, s.sentQuery = p, true
 	s.reader.EnableExtended()
 	p.cancelKey = s.frontend.newCancelKey()
 	s.frontend.cancelKeys[p.cancelKey] = p
-	s.write(p.greeting(settings, m.MinorVersion))
+	s.write(p.greeting(m.MinorVersion))
+}
+
+// defaultParameters returns the parameters of a session that has set nothing.
+func (p *pooledSession) defaultParameters() *iradix.Tree[string] {
+	if known := p.pool.KnownParameters(); known.Len() > 0 {
+		return known
+	}
+	return defaultParameters
+}
+
+// withSettings returns the parameters after a change of a client's settings that no member has reported. A parameter whose setting is no longer
+// set has its default.
+func withSettings(parameters, defaults *iradix.Tree[string], before, after decide.Settings) *iradix.Tree[string] {
+	if before.ID() == after.ID() {
+		return parameters
+	}
+	changed := parameters
+	parameters.Root().Walk(func(name []byte, previous string) bool {
+		key := strings.ToLower(string(name))
+		oldText, _ := before.Get(key)
+		newText, set := after.Get(key)
+		value, known := defaults.Get(name)
+		if set {
+			value, known = pg.Unquote(newText), true
+		}
+		if oldText != newText && known && value != previous {
+			changed, _, _ = changed.Insert(name, value)
+		}
+		return false
+	})
+	return changed
 }
 
 // greeting returns the response to the startup message.
-func (p *pooledSession) greeting(settings decide.Settings, minorVersion int) []byte {
+func (p *pooledSession) greeting(minorVersion int) []byte {
 	var out []byte
 	if minorVersion > 0 {
 		out = pg.AppendNegotiateProtocolVersion(out)
 	}
 	out = pg.AppendAuthenticationOK(out)
 	p.reportedParameters.Root().Walk(func(name []byte, value string) bool {
-		if own, set := settings.Get(strings.ToLower(string(name))); set {
-			value = pg.Unquote(own)
-		}
 		out = pg.AppendParameterStatus(out, string(name), value)
 		return false
 	})
--- a/internal/frontend/unit.go
+++ b/internal/frontend/unit.go
@@ -49,8 +49,10 @@
 		p.writeReady()
 		return
 	}
+	settings := p.decisions.Settings()
 	reply, messages := p.decisions.Query(m.Text, append([]byte(nil), m.Raw...), p.request != nil)
 	if reply != nil {
+		p.reportSettingsSince(settings)
 		p.session.write(reply)
 		return
 	}
