Pools: lastval and currval never give another client's value

Cause: the value belongs to the server session, and was in neither list: what keeps a connection, and what is refused.

--- a/internal/decide/session/extended.go
+++ b/internal/decide/session/extended.go
@@ -73,6 +73,9 @@
 	if !found {
 		return reject(m.Kind, &pg.Error{Code: pg.InvalidCursorName, Text: `portal "` + m.Portal + `" does not exist`})
 	}
+	if pgErr := s.sequenceError(command, s.statementRan); pgErr != nil {
+		return reject(m.Kind, pgErr)
+	}
 	s.expectCompletion(command, false)
 	return s.forwardForPortal(m)
 }
--- a/internal/decide/session/loss.go
+++ b/internal/decide/session/loss.go
@@ -23,7 +23,7 @@
 	clear(s.portals)
 	s.expected, s.errorReceived = nil, false
 	s.effect = unitEffect{}
-	s.firstCommand, s.deferred = nil, deferredBegin{}
+	s.firstCommand, s.statementRan, s.deferred = nil, false, deferredBegin{}
 	if sent {
 		s.resetSticky()
 	}
--- a/internal/decide/session/query.go
+++ b/internal/decide/session/query.go
@@ -13,9 +13,15 @@
 		return pg.AppendReadyForQuery(pg.AppendEmptyQuery(nil), s.status), nil
 	}
 	commands := make([]Command, len(texts))
+	statementRan := s.statementRan
 	for n, text := range texts {
 		commands[n] = parseCommand(text)
-		if pgErr := s.policyError(commands[n]); pgErr != nil {
+		pgErr := s.policyError(commands[n])
+		if pgErr == nil {
+			pgErr = s.sequenceError(commands[n], statementRan)
+		}
+		statementRan = statementRan || commands[n].Kind == pg.OtherCommand
+		if pgErr != nil {
 			s.failTransaction()
 			if hasConn {
 				return nil, reject(pg.Query, pgErr)
@@ -57,6 +63,16 @@
 	return nil
 }
 
+// sequenceError returns an error if a statement asks for a value that an earlier statement of this client drew from a sequence, and the earlier
+// statement may have run on another connection, else nil. statementRan reports whether one has run in the same transaction or message. A connection that went from client to client gives the value of another client.
+func (s *Session) sequenceError(c Command, statementRan bool) *pg.Error {
+	if c.ReadsSequence == "" || statementRan || s.Sticky() {
+		return nil
+	}
+	text := c.ReadsSequence + "() gives the value of the connection, which may be that of another client: use RETURNING, or the same transaction"
+	return &pg.Error{Code: pg.FeatureNotSupported, Text: text}
+}
+
 // failTransaction marks an open transaction as failed. Statements are rejected until the client ends it.
 func (s *Session) failTransaction() {
 	if s.status == StatusInTransaction {
--- a/internal/decide/session/server.go
+++ b/internal/decide/session/server.go
@@ -21,6 +21,7 @@
 		s.effect = unitEffect{begun: true, inTransaction: s.status != StatusIdle}
 	}
 	s.effect.add(c, wholeUnit)
+	s.statementRan = s.statementRan || c.Kind == pg.OtherCommand
 	s.expected = append(s.expected, expectedReply{kind: pg.CommandComplete, command: c})
 }
 
--- a/internal/decide/session/session.go
+++ b/internal/decide/session/session.go
@@ -68,6 +68,7 @@
 	firstCommand  *Command        // first command of the transaction, by which the request is classified
 	expected      []expectedReply // expected replies of the member, in order
 	errorReceived bool            // an error has been received since the last ReadyForQuery
+	statementRan  bool            // a statement other than those that control the session has been sent in this transaction
 	effect        unitEffect      // what the commands of the current unit may make permanent
 }
 
--- a/internal/decide/session/transaction.go
+++ b/internal/decide/session/transaction.go
@@ -56,7 +56,7 @@
 		}
 		s.beginTransaction()
 		clear(s.portals)
-		s.firstCommand = nil
+		s.firstCommand, s.statementRan = nil, false
 	}
 	s.status, s.errorReceived, s.expected = status, false, nil
 	s.effect = unitEffect{}
--- a/internal/pg/command.go
+++ b/internal/pg/command.go
@@ -35,6 +35,7 @@
 	Simple        bool   // contains only known transaction mode keywords, so that a server accepts it
 	Chain         bool   // AND CHAIN: the next transaction begins at once, with the same modes
 	CommitsItself bool   // outside a transaction block it may commit, also if it fails later
+	ReadsSequence string // lastval or currval, if the statement calls it: the value depends on what has run on the connection before
 	StickyReason  string // the connection state that the statement creates and that can't move to another connection; empty if none
 }
 
@@ -63,7 +64,7 @@
 	case "deallocate":
 		return parseDeallocate(&l)
 	default:
-		return Command{CommitsItself: commitsItself(l, word), StickyReason: stickyReason(&l, word)}
+		return Command{CommitsItself: commitsItself(l, word), ReadsSequence: sequenceFunction(l), StickyReason: stickyReason(&l, word)}
 	}
 }
 
--- a/internal/pg/setting.go
+++ b/internal/pg/setting.go
@@ -47,7 +47,7 @@
 		return newSetCommand("search_path", l.settingValue())
 	case "role", "seed":
 		if !isAssignment(l.peek()) {
-			return newSetCommand(word, l.settingValue())
+			return setNamed(word, l.settingValue())
 		}
 	}
 	l.offset = start
@@ -55,7 +55,15 @@
 	if !isAssignment(l.next()) || l.peek() == "" { // a server rejects it
 		return Command{}
 	}
-	return newSetCommand(name, l.settingValue())
+	return setNamed(name, l.settingValue())
+}
+
+// setNamed returns the command that sets a setting. The seed of random() is no value that could be set again elsewhere: it begins a sequence.
+func setNamed(name, value string) Command {
+	if name == "seed" {
+		return Command{StickyReason: "SET seed"}
+	}
+	return newSetCommand(name, value)
 }
 
 func isAssignment(token string) bool { return token == "=" || strings.EqualFold(token, "to") }
