Pools: a commit that the client was told of counts, also if its request fails

Callers saw: a client reads its COMMIT behind a Flush, its connection is lost before the Sync, and a later read gives the state before the commit.

Cause: the position of a commit was kept only if its request succeeded.

Change: a request that fails after the client has received something of it counts as committed at the present; its reads ask for that position.

--- a/internal/frontend/pooledrequest.go
+++ b/internal/frontend/pooledrequest.go
@@ -102,6 +102,9 @@
 		return
 	}
 	reserved, started, lastError := req.Stream.Reserved, req.Stream.Started(), req.Stream.LastError
+	if started { // the client may have been told of a commit
+		p.recordCommit(req)
+	}
 	mayHaveCommitted := p.decisions.ConnectionLost(!response.Rejected && response.StatementError == nil)
 	e := response.StatementError
 	switch {
@@ -124,7 +127,8 @@
 	p.failUnit(e)
 }
 
-// recordCommit records the commit position of the request, so that the session's later reads see its changes.
+// recordCommit records the commit position of the request, so that the session's later reads see its changes. Where the member has reported none,
+// that is the present.
 func (p *pooledSession) recordCommit(req *request.Request) {
 	f := p.session.frontend
 	if f.pooling.PrimaryClasses[req.RequestClass] {
