Fleet lab: a scenario waits for a later grant, a test for a held lease

Cause: by its audit log a killed process still acts for its lease, so that await-active could bind it as the next holder (receiver_restarts). TestAuditLogs_KeepTheirFields released sight/0 at once, whether a router had asked for it or not: "there is no lease".

--- a/internal/lab/fleet/audit_test.go
+++ b/internal/lab/fleet/audit_test.go
@@ -15,6 +15,7 @@
 
 	"wayloft/internal/audit"
 	"wayloft/internal/decide/policy"
+	"wayloft/internal/fleetpb"
 )
 
 // storedLogs holds audit logs written by the program at this commit. Checkers must be able to read them for as long as such logs are kept.
@@ -102,6 +103,19 @@
 	return all
 }
 
+// awaitHolder waits until a lease has a holder.
+func awaitHolder(t *testing.T, f *Fleet, name string) {
+	t.Helper()
+	c := f.newClient()
+	defer c.Close()
+	if err := waitForState(c, name+" has a holder", func(state *fleetpb.State) bool {
+		lease := findLease(state, name)
+		return lease != nil && lease.Holder != ""
+	}); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // The checkers read stored audit logs without a violation, and find an added line that contradicts them.
 func TestStoredAuditLogs_AreChecked(t *testing.T) {
 	f := storedFleet(t)
@@ -183,6 +197,9 @@
 		{"fleet", "handover", "0", "--to", "m2"},
 		{"fleet", "release", "sight/0"},
 	} {
+		if slices.Contains(command, "release") { // of a lease for which no router has asked there is nothing to release
+			awaitHolder(t, f, "sight/0")
+		}
 		if out, err := f.RunCommand(command...); err != nil {
 			t.Fatalf("%v: %v: %s", command, err, out)
 		}
--- a/internal/lab/fleet/runner.go
+++ b/internal/lab/fleet/runner.go
@@ -44,6 +44,7 @@
 	probe    *Probe     // nil if the scenario has none
 
 	variables  map[string]string
+	grants     map[string]Token        // by lease: the grant that was awaited last
 	failpoints map[failpointKey]string // actions of the failpoints that were set
 	order      uint64                  // number of the latest switchover's order
 	proposal   chan commandResult      // receives the result of the asynchronous proposal
@@ -62,7 +63,7 @@
 	if err := f.Start(); err != nil {
 		return outcome, err
 	}
-	r := &runner{scenario: s, fleet: f, client: f.newClient(), variables: map[string]string{}, failpoints: map[failpointKey]string{}}
+	r := &runner{scenario: s, fleet: f, client: f.newClient(), variables: map[string]string{}, grants: map[string]Token{}, failpoints: map[failpointKey]string{}}
 	defer r.client.Close()
 	r.startClients()
 	defer r.stopClients()
--- a/internal/lab/fleet/scenario.go
+++ b/internal/lab/fleet/scenario.go
@@ -47,6 +47,7 @@
 // Leases:
 //
 //	await-active LEASE as V [not W]              until a router other than W acts for the lease according to its audit log
+//	await-later-grant LEASE as V [not W]         the same, by a later grant than the one that was awaited last
 //	await-holder LEASE as V [not W]              until the coordinator's state has a holder other than W
 //	await-queue LEASE N                          until N sessions are queued for the lease
 //	await-withheld LEASE                         until the lease has no holder and is not granted again in this epoch
--- a/internal/lab/fleet/steps_audit.go
+++ b/internal/lab/fleet/steps_audit.go
@@ -5,13 +5,29 @@
 // awaitedActs is the number of accepted acts that await-acts waits for at each router.
 const awaitedActs = 2
 
-func parseAwaitActive(a *arguments) action {
+func parseAwaitActive(a *arguments) action { return parseAwaitGrant(a, false) }
+
+// parseAwaitLaterGrant parses await-later-grant. A killed router goes on acting for its lease by its audit log: only a later grant tells of another.
+func parseAwaitLaterGrant(a *arguments) action { return parseAwaitGrant(a, true) }
+
+// parseAwaitGrant parses the arguments that await-active and await-later-grant have in common. later means that the grant must be later than the
+// one that was awaited last.
+func parseAwaitGrant(a *arguments, later bool) action {
 	lease, bound := a.name("a lease"), a.binding()
 	return func(r *runner) error {
-		return r.bind(bound, "a router acts for "+lease, func() (string, error) {
-			name, _, err := r.fleet.LeaseHolder(lease)
+		var granted Token
+		err := r.bind(bound, "a router acts for "+lease, func() (string, error) {
+			name, token, err := r.fleet.LeaseHolder(lease)
+			granted = ParseToken(token)
+			if later && granted.compare(r.grants[lease]) <= 0 {
+				return "", err
+			}
 			return name, err
 		})
+		if err == nil {
+			r.grants[lease] = granted
+		}
+		return err
 	}
 }
 
