Pools: notifications reach a session that listens while it is idle

Callers saw: a client that listens and waits gets no notification that comes between two of its statements.

Cause: a notification was passed on to the request in progress alone.

Change: on a connection that is kept for a session it goes to that session at once.

Measured: TestPool_NotificationReachesIdleSession had no notification in 20 s before, passed 5 of 5 with the race detector after.

--- a/internal/backend/stream_reply.go
+++ b/internal/backend/stream_reply.go
@@ -62,9 +62,7 @@
 		}
 		return true
 	case pg.NotificationResponse:
-		if c.job != nil {
-			c.job.request.Stream.Receive(*m)
-		}
+		c.passOnNotification(m)
 		return true
 	case pg.ErrorResponse:
 		if !c.ready {
@@ -80,6 +78,16 @@
 	return c.handleReply(m)
 }
 
+// passOnNotification passes on what another session has notified. It may come at any time, also while the session that listens is idle.
+func (c *memberConn) passOnNotification(m *pg.Message) {
+	switch {
+	case c.job != nil:
+		c.job.request.Stream.Receive(*m)
+	case c.reservedFor != nil:
+		c.reservedFor.DeliverMessages([]pg.Message{*m})
+	}
+}
+
 // recordClientParameter records a parameter that is also passed on to clients. Those of a login are the values of a session that has set nothing.
 func (c *memberConn) recordClientParameter(name, value string) {
 	c.parameters, _, _ = c.parameters.Insert([]byte(name), value)
