--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -209,10 +209,10 @@
 			s.inputBlocked = true
 			return
 		}
-		if s.state != sessionOpen {
+		if s.state == sessionInputClosed { // who closed the input has decided whether more is read
 			return
 		}
-		if !s.receiveNext() {
+		if s.state != sessionOpen || !s.receiveNext() {
 			s.conn.ResumeReading()
 			return
 		}
